--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! The benches.
+fn main() {}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators tool.
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/bin/damaskwickd.rs
@@ -0,0 +1,2 @@
+//! The daemon program.
+fn main() {}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for tests, demo and benches: the platform and targets.
--- /dev/null
+++ b/crates/tables/src/pool.rs
@@ -0,0 +1,92 @@
+use serde::{Deserialize, Serialize};
+
+use crate::{Millis, Name};
+
+/// The targets of one service and how calls are spread over them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// The name of the row, unique among pools.
+    pub name: Name,
+    /// The service that targets announce.
+    pub service: Name,
+    /// How a target is chosen.
+    #[serde(default)]
+    pub balance: Balance,
+    /// Limits at each daemon.
+    #[serde(default)]
+    pub limits: Limits,
+    /// How far from the caller a target may be chosen before nearer ones are full.
+    #[serde(default)]
+    pub prefer: Prefer,
+    /// Grace for requests in flight when a target leaves.
+    #[serde(default = "default_drain")]
+    pub drain: Millis,
+    /// Outlier ejection.
+    #[serde(default)]
+    pub ejection: Ejection,
+}
+
+/// How a target is chosen among those of the preferred distance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Balance {
+    /// The better of two random targets.
+    #[default]
+    TwoChoices,
+    /// One after the other.
+    RoundRobin,
+}
+
+/// Which targets are tried first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Prefer {
+    /// Own failure domain, then own region, then any.
+    #[default]
+    Domain,
+    /// Own region, then any.
+    Region,
+    /// Any target alike.
+    Any,
+}
+
+/// Limits of a pool at one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Requests in flight from one caller's daemon to the pool.
+    pub in_flight: u32,
+    /// Requests that wait for a slot at the daemon beside the target.
+    pub queue: u32,
+    /// The longest wait for a slot.
+    pub queue_wait: Millis,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { in_flight: 1024, queue: 32, queue_wait: Millis::new(100) }
+    }
+}
+
+/// When a target is taken out of the choice because it fails.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Ejection {
+    /// Consecutive failures that eject.
+    pub failures: u32,
+    /// Percent of the pool that may be ejected at once, 0 to 100.
+    pub share: u32,
+    /// Time until probation.
+    pub time: Millis,
+}
+
+impl Default for Ejection {
+    fn default() -> Self {
+        Self { failures: 5, share: 33, time: Millis::new(10_000) }
+    }
+}
+
+const fn default_drain() -> Millis {
+    Millis::new(30_000)
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between daemons, their framing and their size limits.
