Add the messages between daemons and their codec

Cause: the decision cores and the daemon need one set of message types and one encoding with hard size limits.

--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,107 @@
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use thiserror::Error;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::{FRAME_LIMIT, Frame, PACKET_LIMIT, PROTOCOL, Packet, scan};
+
+/// Why a message was not encoded or decoded.
+#[derive(Debug, Error)]
+pub enum WireError {
+    /// The message is larger than its kind allows.
+    #[error("a message of {size} bytes is over the limit of {limit} bytes")]
+    TooLarge {
+        /// Size in bytes.
+        size: usize,
+        /// Limit in bytes.
+        limit: usize,
+    },
+    /// The bytes are not protobuf of the expected type.
+    #[error("the message cannot be decoded: {0}")]
+    Decode(#[from] prost::DecodeError),
+    /// The bytes are protobuf, but not as a daemon encodes it.
+    #[error("the message has {0}")]
+    Shape(&'static str),
+    /// The message carries no protocol version that this build understands.
+    #[error("protocol version {0} is not supported; this build speaks {PROTOCOL}")]
+    Protocol(u32),
+    /// The message has no body that this build knows; the peer may be newer.
+    #[error("the message is of an unknown kind")]
+    Unknown,
+    /// The connection failed.
+    #[error("the connection failed: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// Encodes a datagram.
+///
+/// # Errors
+/// `TooLarge` above `PACKET_LIMIT` bytes.
+pub fn encode_packet(packet: &Packet) -> Result<Bytes, WireError> {
+    let size = packet.encoded_len();
+    if size > PACKET_LIMIT {
+        return Err(WireError::TooLarge { size, limit: PACKET_LIMIT });
+    }
+    Ok(packet.encode_to_vec().into())
+}
+
+/// Decodes a datagram.
+///
+/// # Errors
+/// The bytes are too many, malformed, of another protocol or of an unknown kind.
+pub fn decode_packet(bytes: &[u8]) -> Result<Packet, WireError> {
+    if bytes.len() > PACKET_LIMIT {
+        return Err(WireError::TooLarge { size: bytes.len(), limit: PACKET_LIMIT });
+    }
+    let packet = Packet::decode(bytes)?;
+    check(packet.protocol, packet.body.is_some())?;
+    Ok(packet)
+}
+
+/// Frames on a connection: a length of four bytes, then protobuf.
+///
+/// After an error other than `Unknown` and `Protocol` the stream is out of step and has to be
+/// closed.
+#[derive(Debug)]
+pub struct FrameCodec {
+    inner: LengthDelimitedCodec,
+}
+
+impl Default for FrameCodec {
+    fn default() -> Self {
+        Self { inner: LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec() }
+    }
+}
+
+impl Encoder<Frame> for FrameCodec {
+    type Error = WireError;
+
+    fn encode(&mut self, frame: Frame, dst: &mut BytesMut) -> Result<(), WireError> {
+        let size = frame.encoded_len();
+        if size > FRAME_LIMIT {
+            return Err(WireError::TooLarge { size, limit: FRAME_LIMIT });
+        }
+        self.inner.encode(Bytes::from(frame.encode_to_vec()), dst).map_err(WireError::Io)
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Frame;
+    type Error = WireError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frame>, WireError> {
+        let Some(bytes) = self.inner.decode(src)? else { return Ok(None) };
+        scan::check_frame(&bytes)?;
+        let frame = Frame::decode(bytes.freeze())?;
+        check(frame.protocol, frame.body.is_some())?;
+        Ok(Some(frame))
+    }
+}
+
+const fn check(protocol: u32, known: bool) -> Result<(), WireError> {
+    match (protocol, known) {
+        (0, _) => Err(WireError::Protocol(protocol)),
+        (_, false) => Err(WireError::Unknown),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,366 @@
+use crate::{Mark, Member, PROTOCOL};
+
+/// A message on a connection between daemons.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Frame {
+    /// The sender's protocol version.
+    #[prost(uint32, tag = "1")]
+    pub protocol: u32,
+    /// The message proper.
+    #[prost(oneof = "FrameBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
+    pub body: Option<FrameBody>,
+}
+
+/// The kinds of frames.
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+pub enum FrameBody {
+    /// First on each connection.
+    #[prost(message, tag = "2")]
+    Hello(Hello),
+    /// A newcomer asks for members and its floor.
+    #[prost(message, tag = "3")]
+    Join(Join),
+    /// Answers `Join`.
+    #[prost(message, tag = "4")]
+    JoinReply(JoinReply),
+    /// Announces a version down the tree.
+    #[prost(message, tag = "5")]
+    Offer(Offer),
+    /// Asks for a version.
+    #[prost(message, tag = "6")]
+    Pull(Pull),
+    /// Changed rows.
+    #[prost(message, tag = "7")]
+    Delta(Delta),
+    /// All rows.
+    #[prost(message, tag = "8")]
+    Snapshot(Snapshot),
+    /// Acknowledgement sums up the tree.
+    #[prost(message, tag = "9")]
+    Applied(Applied),
+    /// Urgent member events and poison fingerprints.
+    #[prost(message, tag = "10")]
+    Broadcast(Broadcast),
+    /// State of a domain, between relays.
+    #[prost(message, tag = "11")]
+    Summary(Summary),
+    /// Digests of the sender's member table.
+    #[prost(message, tag = "12")]
+    SyncMembers(SyncMembers),
+    /// Records in which the tables differ.
+    #[prost(message, tag = "13")]
+    SyncReply(SyncReply),
+    /// The request is deferred.
+    #[prost(message, tag = "14")]
+    Busy(Busy),
+    /// Asks a relay for the state of all domains.
+    #[prost(message, tag = "15")]
+    StatusPull(StatusPull),
+    /// Answers `StatusPull`.
+    #[prost(message, tag = "16")]
+    StatusReply(StatusReply),
+}
+
+/// First on each connection: who speaks.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Hello {
+    /// The sender's host name.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// The address on which the sender listens, as `ip:port`.
+    #[prost(string, tag = "2")]
+    pub peer: String,
+}
+
+/// A newcomer asks for members and its floor.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Join {
+    /// The newcomer's record.
+    #[prost(message, optional, tag = "1")]
+    pub member: Option<Member>,
+    /// Asks for the floor only.
+    #[prost(bool, tag = "2")]
+    pub floor_only: bool,
+}
+
+/// Answers `Join`.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct JoinReply {
+    /// Whether the newcomer was admitted; if not, `members` holds a few peers to try instead.
+    #[prost(bool, tag = "1")]
+    pub admitted: bool,
+    /// Milliseconds after which to try again, if not admitted.
+    #[prost(uint32, tag = "2")]
+    pub retry_ms: u32,
+    /// The highest version number that the newcomer's host is known to have served, or that the
+    /// sender serves.
+    #[prost(uint64, tag = "3")]
+    pub floor: u64,
+    /// The version that the sender serves.
+    #[prost(message, optional, tag = "4")]
+    pub mark: Option<Mark>,
+    /// Member records.
+    #[prost(message, repeated, tag = "5")]
+    pub members: Vec<Member>,
+    /// Repeats `Join::floor_only`.
+    #[prost(bool, tag = "6")]
+    pub floor_only: bool,
+    /// The highest incarnation that the sender knows of the newcomer's host.
+    #[prost(uint64, tag = "7")]
+    pub incarnation: u64,
+}
+
+/// Announces a version down the tree to the members whose rank lies in `lo..=hi`.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Offer {
+    /// The host at the root of the tree.
+    #[prost(string, tag = "1")]
+    pub root: String,
+    /// Orders trees of one root.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// The version.
+    #[prost(message, optional, tag = "3")]
+    pub mark: Option<Mark>,
+    /// The lowest rank that the receiver is responsible for.
+    #[prost(fixed64, tag = "4")]
+    pub lo: u64,
+    /// The highest rank that the receiver is responsible for.
+    #[prost(fixed64, tag = "5")]
+    pub hi: u64,
+}
+
+/// Asks for the newest version.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Pull {
+    /// The version that the sender holds, if any.
+    #[prost(message, optional, tag = "1")]
+    pub have: Option<Mark>,
+}
+
+/// Who accepted a version and when, so that a relay can restore the platform's head.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Origin {
+    /// Hash of the version before.
+    #[prost(bytes = "vec", tag = "1")]
+    pub parent: Vec<u8>,
+    /// The id of the edit.
+    #[prost(string, tag = "2")]
+    pub change: String,
+    /// Who made the edit.
+    #[prost(string, tag = "3")]
+    pub author: String,
+    /// When it was accepted, in ms since the Unix epoch.
+    #[prost(uint64, tag = "4")]
+    pub time: u64,
+}
+
+/// Changed rows from the receiver's version to `mark`.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Delta {
+    /// The version that results.
+    #[prost(message, optional, tag = "1")]
+    pub mark: Option<Mark>,
+    /// The rows as canonical text.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub rows: bytes::Bytes,
+    /// Where the version comes from.
+    #[prost(message, optional, tag = "3")]
+    pub origin: Option<Origin>,
+}
+
+/// All rows of a version.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Snapshot {
+    /// The version.
+    #[prost(message, optional, tag = "1")]
+    pub mark: Option<Mark>,
+    /// The rows as canonical text.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub rows: bytes::Bytes,
+    /// Where the version comes from.
+    #[prost(message, optional, tag = "3")]
+    pub origin: Option<Origin>,
+}
+
+/// The state of the sender's subtree. Each report replaces the sender's earlier one.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Applied {
+    /// The sender's host name.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// The root of the tree.
+    #[prost(string, tag = "2")]
+    pub root: String,
+    /// The tree's epoch.
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
+    /// The version that the sender holds.
+    #[prost(message, optional, tag = "4")]
+    pub mark: Option<Mark>,
+    /// Members of the subtree that hold the offered version.
+    #[prost(uint32, tag = "5")]
+    pub count: u32,
+    /// Wrapping sum of the process hashes of those members.
+    #[prost(fixed64, tag = "6")]
+    pub sum: u64,
+    /// Whether no change is expected any more.
+    #[prost(bool, tag = "7")]
+    pub done: bool,
+    /// Whether the sender does not take the version, so that the parent has to serve its subtree.
+    #[prost(bool, tag = "8")]
+    pub declined: bool,
+    /// Hosts that answered but hold less.
+    #[prost(string, repeated, tag = "9")]
+    pub behind: Vec<String>,
+    /// Hosts that did not answer.
+    #[prost(string, repeated, tag = "10")]
+    pub unreachable: Vec<String>,
+}
+
+/// Urgent member events and poison fingerprints, to the members whose rank lies in `lo..=hi`.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Broadcast {
+    /// Random id by which repetitions are dropped.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// The host at the root of this domain's tree.
+    #[prost(string, tag = "2")]
+    pub root: String,
+    /// The domain in which the broadcast started.
+    #[prost(string, tag = "3")]
+    pub domain: String,
+    /// The lowest rank that the receiver is responsible for.
+    #[prost(fixed64, tag = "4")]
+    pub lo: u64,
+    /// The highest rank that the receiver is responsible for.
+    #[prost(fixed64, tag = "5")]
+    pub hi: u64,
+    /// Member records.
+    #[prost(message, repeated, tag = "6")]
+    pub members: Vec<Member>,
+    /// Poison fingerprints.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub poison: Vec<u64>,
+}
+
+/// A version that was refused.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Refusal {
+    /// The version.
+    #[prost(message, optional, tag = "1")]
+    pub mark: Option<Mark>,
+    /// Why, in one sentence.
+    #[prost(string, tag = "2")]
+    pub reason: String,
+    /// Whether the platform still holds it.
+    #[prost(bool, tag = "3")]
+    pub open: bool,
+}
+
+/// The state of one domain as its relay sees it.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Line {
+    /// The domain.
+    #[prost(string, tag = "1")]
+    pub domain: String,
+    /// The version that the totals refer to.
+    #[prost(message, optional, tag = "2")]
+    pub mark: Option<Mark>,
+    /// Members that may be serving.
+    #[prost(uint32, tag = "3")]
+    pub members: u32,
+    /// Members that hold the version.
+    #[prost(uint32, tag = "4")]
+    pub applied: u32,
+    /// Members that hold less, the first few.
+    #[prost(string, repeated, tag = "5")]
+    pub behind: Vec<String>,
+    /// Members that do not answer, the first few.
+    #[prost(string, repeated, tag = "6")]
+    pub unreachable: Vec<String>,
+    /// Age of the totals in ms when sent.
+    #[prost(uint32, tag = "7")]
+    pub age_ms: u32,
+    /// Time since the version reached the relay, in ms.
+    #[prost(uint32, tag = "8")]
+    pub spread_ms: u32,
+    /// Refused versions.
+    #[prost(message, repeated, tag = "9")]
+    pub refused: Vec<Refusal>,
+}
+
+/// State of the sender's domain, between relays.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Summary {
+    /// The sender's host name.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// The domain's totals.
+    #[prost(message, optional, tag = "2")]
+    pub line: Option<Line>,
+    /// Digest of the domain's members.
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
+    /// Records of the domain that changed in the last seconds.
+    #[prost(message, repeated, tag = "4")]
+    pub members: Vec<Member>,
+}
+
+/// Bucket digests of one domain's members.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct TableDigest {
+    /// The domain.
+    #[prost(string, tag = "1")]
+    pub domain: String,
+    /// One digest for each bucket of hosts.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub buckets: Vec<u64>,
+}
+
+/// Digests of the sender's member table, by domain.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SyncMembers {
+    /// The domains.
+    #[prost(message, repeated, tag = "1")]
+    pub domains: Vec<TableDigest>,
+}
+
+/// Records of the buckets in which two tables differ.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SyncReply {
+    /// The records.
+    #[prost(message, repeated, tag = "1")]
+    pub members: Vec<Member>,
+    /// Whether the receiver may answer with records that the sender lacks.
+    #[prost(bool, tag = "2")]
+    pub answer: bool,
+}
+
+/// The request is deferred.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Busy {
+    /// Milliseconds after which to try again.
+    #[prost(uint32, tag = "1")]
+    pub retry_ms: u32,
+}
+
+/// Asks a relay for the state of all domains.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StatusPull {}
+
+/// Answers `StatusPull`.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StatusReply {
+    /// One line for each domain that the relay has heard from.
+    #[prost(message, repeated, tag = "1")]
+    pub lines: Vec<Line>,
+}
+
+impl Frame {
+    /// A frame of this build's protocol version.
+    #[must_use]
+    pub const fn new(body: FrameBody) -> Self {
+        Self { protocol: PROTOCOL, body: Some(body) }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/member.rs
@@ -0,0 +1,81 @@
+/// Number and hash of a version.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Mark {
+    /// The version number; 0 stands for no version.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The content hash, 32 bytes.
+    #[prost(bytes = "vec", tag = "2")]
+    pub hash: Vec<u8>,
+}
+
+/// The state of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum State {
+    /// Answers probes.
+    Alive = 0,
+    /// Announced that it is leaving; takes no new work.
+    Leaving = 1,
+    /// Did not answer a probe and has not refuted the suspicion.
+    Suspect = 2,
+    /// Did not refute a suspicion in time.
+    Dead = 3,
+    /// Left after it announced so.
+    Left = 4,
+}
+
+/// One member of the fleet.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Member {
+    /// The host name, unique in the fleet.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Orders records of the host; only the host itself raises it.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// The incarnation at which the process started.
+    #[prost(uint64, tag = "3")]
+    pub started: u64,
+    /// The failure domain.
+    #[prost(string, tag = "4")]
+    pub domain: String,
+    /// The region.
+    #[prost(string, tag = "5")]
+    pub region: String,
+    /// The address for datagrams and frames, as `ip:port`.
+    #[prost(string, tag = "6")]
+    pub peer: String,
+    /// The address for requests, as `ip:port`.
+    #[prost(string, tag = "7")]
+    pub data: String,
+    /// The state.
+    #[prost(enumeration = "State", tag = "8")]
+    pub state: i32,
+    /// Whether the member acts as a relay of its domain.
+    #[prost(bool, tag = "9")]
+    pub relay: bool,
+    /// The targets beside the member.
+    #[prost(message, repeated, tag = "10")]
+    pub targets: Vec<Target>,
+}
+
+/// One target beside a member.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Target {
+    /// The index among the host's targets.
+    #[prost(uint32, tag = "1")]
+    pub index: u32,
+    /// The service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Requests that the target runs at once.
+    #[prost(uint32, tag = "3")]
+    pub slots: u32,
+    /// Connections that the target accepts.
+    #[prost(uint32, tag = "4")]
+    pub connections: u32,
+    /// Whether the target takes no new work.
+    #[prost(bool, tag = "5")]
+    pub draining: bool,
+}
--- /dev/null
+++ b/crates/wire/src/scan.rs
@@ -0,0 +1,69 @@
+use bytes::Buf;
+use prost::encoding::{WireType, decode_key, decode_varint};
+
+use crate::{CONTROL_LIMIT, FIELDS_LIMIT, FRAME_LIMIT, MEMBERS_LIMIT, WireError};
+
+/// Checks the shape of an encoded frame before it is decoded: at most one body, within the limit
+/// of its kind, with a bounded number of fields.
+pub(crate) fn check_frame(bytes: &[u8]) -> Result<(), WireError> {
+    let mut buf = bytes;
+    let mut bodies = 0;
+    while buf.has_remaining() {
+        let (tag, body) = next_field(&mut buf)?;
+        let Some(body) = body else { continue };
+        bodies += 1;
+        if bodies > 1 {
+            return Err(WireError::Shape("more than one body"));
+        }
+        let limit = limit_of(tag);
+        if body.len() > limit {
+            return Err(WireError::TooLarge { size: body.len(), limit });
+        }
+        check_fields(body)?;
+    }
+    Ok(())
+}
+
+/// The body limit of the frame kind with the given tag of `FrameBody`.
+const fn limit_of(tag: u32) -> usize {
+    match tag {
+        7 | 8 => FRAME_LIMIT,
+        4 | 10 | 11 | 13 => MEMBERS_LIMIT,
+        _ => CONTROL_LIMIT,
+    }
+}
+
+fn check_fields(mut body: &[u8]) -> Result<(), WireError> {
+    let mut fields = 0;
+    while body.has_remaining() {
+        next_field(&mut body)?;
+        fields += 1;
+        if fields > FIELDS_LIMIT {
+            return Err(WireError::Shape("too many fields"));
+        }
+    }
+    Ok(())
+}
+
+/// Takes one field; returns its content if it is length-delimited.
+fn next_field<'a>(buf: &mut &'a [u8]) -> Result<(u32, Option<&'a [u8]>), WireError> {
+    let (tag, wire) = decode_key(buf)?;
+    let len = match wire {
+        WireType::Varint => {
+            decode_varint(buf)?;
+            return Ok((tag, None));
+        }
+        WireType::SixtyFourBit => 8,
+        WireType::ThirtyTwoBit => 4,
+        WireType::LengthDelimited => {
+            usize::try_from(decode_varint(buf)?).map_err(|_| WireError::Shape("length"))?
+        }
+        WireType::StartGroup | WireType::EndGroup => return Err(WireError::Shape("a group")),
+    };
+    let rest = *buf;
+    let (Some(content), Some(after)) = (rest.get(..len), rest.get(len..)) else {
+        return Err(WireError::Shape("a field that runs past its end"));
+    };
+    *buf = after;
+    Ok((tag, (wire == WireType::LengthDelimited).then_some(content)))
+}
