--- /dev/null
+++ b/crates/mesh/src/member.rs
@@ -0,0 +1,97 @@
+use std::net::SocketAddr;
+
+use derive_more::Display;
+use dw_tables::Name;
+use serde::{Deserialize, Serialize};
+
+/// The state of a member.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum MemberState {
+    /// Answers probes.
+    #[default]
+    #[display("alive")]
+    Alive,
+    /// Announced that it is leaving; takes no new work.
+    #[display("leaving")]
+    Leaving,
+    /// Did not answer a probe and has not refuted the suspicion.
+    #[display("suspect")]
+    Suspect,
+    /// Did not refute a suspicion in time.
+    #[display("dead")]
+    Dead,
+    /// Left after it announced so.
+    #[display("left")]
+    Left,
+}
+
+impl MemberState {
+    /// Whether the member is a live part of the fleet: alive, leaving or suspect.
+    #[must_use]
+    pub const fn is_live(self) -> bool {
+        matches!(self, Self::Alive | Self::Leaving | Self::Suspect)
+    }
+}
+
+/// One target beside a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// The index among the host's targets.
+    pub index: u32,
+    /// The service.
+    pub service: Name,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// Connections that the target accepts.
+    pub connections: u32,
+    /// Whether the target takes no new work.
+    #[serde(default)]
+    pub draining: bool,
+}
+
+/// One member of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The host name, unique in the fleet.
+    pub host: Name,
+    /// Orders records of the host; only the host itself raises it.
+    pub incarnation: u64,
+    /// The incarnation at which the process started.
+    pub started: u64,
+    /// The failure domain.
+    pub domain: Name,
+    /// The region.
+    pub region: Name,
+    /// The address for datagrams and frames.
+    pub peer: SocketAddr,
+    /// The address for requests.
+    pub data: SocketAddr,
+    /// The state.
+    pub state: MemberState,
+    /// Whether the member acts as a relay of its domain.
+    pub relay: bool,
+    /// The targets beside the member.
+    pub targets: Vec<Target>,
+}
+
+impl Member {
+    /// Whether this record supersedes `other`, a record of the same host.
+    #[must_use]
+    pub fn supersedes(&self, other: &Self) -> bool {
+        (self.incarnation, self.state) > (other.incarnation, other.state)
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/preset.rs
@@ -0,0 +1,63 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Which of the two metrics a deployment favours.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PresetName {
+    /// Favours control bytes.
+    #[default]
+    Cooperative,
+    /// Favours convergence time.
+    Verband,
+}
+
+/// Periods and widths of the control plane.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Preset {
+    /// Children of each node of a distribution tree.
+    pub fan_out: usize,
+    /// Wait for further versions and events before they are sent down a tree.
+    pub batch: Duration,
+    /// Time between two membership probes of a daemon.
+    pub probe: Duration,
+    /// Probe periods from suspicion to death.
+    pub suspicion: u32,
+    /// Time between two summaries of a relay to another domain.
+    pub summary: Duration,
+    /// How long a member declared dead without proof may still be serving. Until then it keeps the
+    /// status from `in-force` unless it acknowledged the version; see `Status`.
+    pub doubt: Duration,
+}
+
+impl Preset {
+    /// The preset of the given name.
+    #[must_use]
+    pub const fn new(name: PresetName) -> Self {
+        match name {
+            PresetName::Cooperative => Self {
+                fan_out: 3,
+                batch: Duration::from_millis(200),
+                probe: Duration::from_secs(2),
+                suspicion: 4,
+                summary: Duration::from_secs(1),
+                doubt: Duration::from_secs(600),
+            },
+            PresetName::Verband => Self {
+                fan_out: 6,
+                batch: Duration::from_millis(20),
+                probe: Duration::from_secs(1),
+                suspicion: 4,
+                summary: Duration::from_secs(1),
+                doubt: Duration::from_secs(600),
+            },
+        }
+    }
+}
+
+impl Default for Preset {
+    fn default() -> Self {
+        Self::new(PresetName::default())
+    }
+}
