--- /dev/null
+++ b/crates/mesh/src/acks.rs
@@ -0,0 +1,70 @@
+use std::collections::BTreeMap;
+
+use dw_tables::{Name, VersionMark};
+
+/// The most hosts whose acknowledgements are kept, twice the target scale.
+const HOSTS_LIMIT: usize = 8_400;
+
+/// What a host was seen to serve.
+#[derive(Debug, Default)]
+struct Ack {
+    started: u64,
+    number: u64,
+    prefix: u32,
+    /// The highest number that any process on the host served.
+    floor: u64,
+}
+
+/// The versions that hosts acknowledged.
+#[derive(Debug, Default)]
+pub(crate) struct Acks {
+    hosts: BTreeMap<Name, Ack>,
+}
+
+impl Acks {
+    /// Notes that a process serves a version.
+    pub(crate) fn note(&mut self, host: &str, started: u64, number: u64, prefix: u32) {
+        if number == 0 {
+            return;
+        }
+        if !self.hosts.contains_key(host) {
+            if self.hosts.len() >= HOSTS_LIMIT {
+                return;
+            }
+            self.hosts.insert(host.into(), Ack::default());
+        }
+        let Some(ack) = self.hosts.get_mut(host) else { return };
+        ack.floor = ack.floor.max(number);
+        if started > ack.started || (started == ack.started && number >= ack.number) {
+            (ack.started, ack.number, ack.prefix) = (started, number, prefix);
+        }
+    }
+
+    /// Whether the process is known to serve the version or a later one.
+    pub(crate) fn holds(&self, host: &str, started: u64, mark: VersionMark) -> bool {
+        self.hosts.get(host).is_some_and(|ack| {
+            ack.started == started
+                && (ack.number > mark.number
+                    || (ack.number == mark.number && ack.prefix == mark.hash.prefix()))
+        })
+    }
+
+    /// The highest number that the host is known to have served.
+    pub(crate) fn floor(&self, host: &str) -> u64 {
+        self.hosts.get(host).map_or(0, |ack| ack.floor)
+    }
+
+    /// A new process runs on the host; what it serves is not known. The floor stays.
+    pub(crate) fn restart(&mut self, host: &str, started: u64) {
+        if let Some(ack) = self.hosts.get_mut(host)
+            && ack.started != started
+        {
+            (ack.started, ack.number, ack.prefix) = (started, 0, 0);
+        }
+    }
+
+    /// Removes a host.
+    pub(crate) fn forget(&mut self, host: &str) {
+        self.hosts.remove(host);
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/convert.rs
@@ -0,0 +1,107 @@
+use dw_tables::{Hash, Name, VersionMark};
+use dw_wire::{Mark, State};
+
+use crate::{Member, MemberState, Target};
+
+/// The longest host, domain, region or service name in bytes that is accepted from a peer.
+const NAME_LIMIT: usize = 255;
+
+/// The most targets of one host that are accepted from a peer.
+const TARGETS_LIMIT: usize = 64;
+
+/// The wire form of a member.
+pub(crate) fn member_to_wire(member: &Member) -> dw_wire::Member {
+    dw_wire::Member {
+        host: member.host.to_string(),
+        incarnation: member.incarnation,
+        started: member.started,
+        domain: member.domain.to_string(),
+        region: member.region.to_string(),
+        peer: member.peer.to_string(),
+        data: member.data.to_string(),
+        state: state_to_wire(member.state) as i32,
+        relay: member.relay,
+        targets: member.targets.iter().map(target_to_wire).collect(),
+    }
+}
+
+/// A member from its wire form, or `None` if a field is malformed or too long.
+pub(crate) fn member_from_wire(wire: &dw_wire::Member) -> Option<Member> {
+    let names = [&wire.host, &wire.domain, &wire.region];
+    let fits = names.iter().all(|name| name.len() <= NAME_LIMIT)
+        && wire.targets.len() <= TARGETS_LIMIT
+        && wire.targets.iter().all(|target| target.service.len() <= NAME_LIMIT)
+        && wire.started <= wire.incarnation
+        && !wire.host.is_empty()
+        && !wire.domain.is_empty();
+    fits.then(|| {
+        Some(Member {
+            host: wire.host.as_str().into(),
+            incarnation: wire.incarnation,
+            started: wire.started,
+            domain: wire.domain.as_str().into(),
+            region: wire.region.as_str().into(),
+            peer: wire.peer.parse().ok()?,
+            data: wire.data.parse().ok()?,
+            state: state_from_wire(wire.state)?,
+            relay: wire.relay,
+            targets: wire.targets.iter().map(target_from_wire).collect(),
+        })
+    })?
+}
+
+/// The wire form of a version's number and hash.
+pub(crate) fn mark_to_wire(mark: VersionMark) -> Mark {
+    Mark { number: mark.number, hash: mark.hash.as_bytes().to_vec() }
+}
+
+/// Number and hash from their wire form, or `None` if the hash has another length.
+pub(crate) fn mark_from_wire(mark: Option<&Mark>) -> Option<VersionMark> {
+    let mark = mark?;
+    Some(VersionMark { number: mark.number, hash: Hash::from_bytes(&mark.hash)? })
+}
+
+/// Names from strings, without those that are too long.
+pub(crate) fn names(list: &[String]) -> impl Iterator<Item = Name> {
+    list.iter().filter(|name| name.len() <= NAME_LIMIT).map(|name| name.as_str().into())
+}
+
+fn target_to_wire(target: &Target) -> dw_wire::Target {
+    dw_wire::Target {
+        index: target.index,
+        service: target.service.to_string(),
+        slots: target.slots,
+        connections: target.connections,
+        draining: target.draining,
+    }
+}
+
+fn target_from_wire(target: &dw_wire::Target) -> Target {
+    Target {
+        index: target.index,
+        service: target.service.as_str().into(),
+        slots: target.slots,
+        connections: target.connections,
+        draining: target.draining,
+    }
+}
+
+const fn state_to_wire(state: MemberState) -> State {
+    match state {
+        MemberState::Alive => State::Alive,
+        MemberState::Leaving => State::Leaving,
+        MemberState::Suspect => State::Suspect,
+        MemberState::Dead => State::Dead,
+        MemberState::Left => State::Left,
+    }
+}
+
+fn state_from_wire(state: i32) -> Option<MemberState> {
+    Some(match State::try_from(state).ok()? {
+        State::Alive => MemberState::Alive,
+        State::Leaving => MemberState::Leaving,
+        State::Suspect => MemberState::Suspect,
+        State::Dead => MemberState::Dead,
+        State::Left => MemberState::Left,
+    })
+}
--- /dev/null
+++ b/crates/mesh/src/fleet.rs
@@ -0,0 +1,420 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use dw_tables::{Name, VersionMark};
+use dw_wire::{FrameBody, Line, Refusal, StatusPull, StatusReply, Summary};
+use tokio::time::Instant;
+
+use crate::{
+    DomainStatus, Force, MemberState, Node, Refused, Status,
+    convert::{mark_from_wire, mark_to_wire, names},
+    learn::push_records,
+    roster::Gone,
+    timer::Timer,
+};
+
+/// Age at which the totals of a domain count as not heard from. Two relays with two receivers each
+/// reach a given receiver every 4 s at the latest.
+const FRESH: Duration = Duration::from_secs(8);
+
+/// Time in which a change is expected to be in force; later the state is `behind`.
+const SPREAD_TIME: Duration = Duration::from_secs(10);
+
+/// Hosts named for each domain.
+const NAMES: usize = 8;
+
+/// Records that changed this recently are sent with a summary.
+const RECENT: Duration = Duration::from_secs(4);
+
+/// Bytes of records in a summary.
+const RECENT_BYTES: usize = 4 << 10;
+
+/// Time between two comparisons of one domain's members.
+const SYNC_EVERY: Duration = Duration::from_secs(3);
+
+/// Time in which a relay that could not be reached is passed over.
+const AVOID: Duration = Duration::from_secs(3);
+
+/// Time between two audits.
+const AUDIT_EVERY: Duration = Duration::from_millis(250);
+
+/// Members probed in one audit: 40/s, so that a domain of 467 takes 12 s.
+const AUDIT_MEMBERS: usize = 10;
+
+/// Time after the tree's start before its members are probed.
+const AUDIT_GRACE: Duration = Duration::from_secs(2);
+
+/// Time between two refreshes of the status, and how long they go on after a request.
+const STATUS_EVERY: Duration = Duration::from_secs(1);
+const STATUS_WANTED: Duration = Duration::from_secs(30);
+
+/// The most domains whose totals are kept.
+const DOMAINS_LIMIT: usize = 64;
+
+/// Totals of a domain.
+#[derive(Debug)]
+struct Heard {
+    line: Line,
+    at: Instant,
+}
+
+/// What is known of the domains.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    heard: BTreeMap<Name, Heard>,
+    synced: BTreeMap<Name, Instant>,
+    avoid: BTreeMap<SocketAddr, Instant>,
+    /// Counts the choices of a relay of each domain, so that its relays are served in turn.
+    turns: BTreeMap<Name, usize>,
+    cycle: usize,
+    /// The version of which all members were last announced to hold it.
+    complete: VersionMark,
+    cursor: Option<Name>,
+    wanted: Option<Instant>,
+}
+
+impl Fleet {
+    /// A peer could not be reached.
+    pub(crate) fn failed(&mut self, to: SocketAddr, now: Instant) {
+        self.avoid.retain(|_, until| *until > now);
+        if self.avoid.len() < DOMAINS_LIMIT {
+            self.avoid.insert(to, now + AVOID);
+        }
+    }
+}
+
+impl Node {
+    /// A relay of a domain, in turn; one of its candidates if none is known.
+    pub(crate) fn relay_of(&mut self, domain: &Name) -> Option<SocketAddr> {
+        let turn = self.fleet.turns.entry(domain.clone()).or_default();
+        *turn = turn.wrapping_add(1);
+        let turn = *turn;
+        let mut hosts: Vec<Name> = self.roster.relays(domain).cloned().collect();
+        if hosts.is_empty() || turn.is_multiple_of(8) {
+            // A relay that has become one only lately may not be known as such.
+            hosts.extend(self.roster.candidates(domain).iter().cloned());
+        }
+        let now = self.now;
+        let mut peers: Vec<_> = hosts
+            .iter()
+            .filter_map(|host| self.roster.get(host))
+            .filter(|m| m.host != self.me.host)
+            .map(|m| m.peer)
+            .collect();
+        peers.dedup();
+        let good = |peer: &SocketAddr| self.fleet.avoid.get(peer).is_none_or(|until| *until <= now);
+        if peers.iter().any(good) {
+            peers.retain(good);
+        }
+        (!peers.is_empty()).then(|| peers[turn % peers.len()])
+    }
+
+    fn other_domains(&self) -> Vec<Name> {
+        self.roster.domains().filter(|domain| **domain != self.me.domain).cloned().collect()
+    }
+
+    /// As a relay, sends the state of the own domain to a relay of each other domain. Two relays of
+    /// a domain share the domains between them.
+    pub(crate) fn run_summary(&mut self) {
+        if !self.acting() {
+            return;
+        }
+        self.timers.set(Timer::Summary, self.now + self.cfg.preset.summary);
+        let summary = self.summary();
+        let relays: Vec<_> = self.roster.relays(&self.me.domain).cloned().collect();
+        let share = relays.len().max(1);
+        let place = relays.iter().position(|host| *host == self.me.host).unwrap_or(0);
+        self.fleet.cycle = self.fleet.cycle.wrapping_add(1);
+        let turn = self.fleet.cycle;
+        for (idx, domain) in self.other_domains().into_iter().enumerate() {
+            if (idx + turn) % share != place % share {
+                continue;
+            }
+            if let Some(peer) = self.relay_of(&domain) {
+                self.send(peer, FrameBody::Summary(summary.clone()));
+            }
+        }
+    }
+
+    /// As a relay, tells all other relays at once when all members of the domain hold the version.
+    pub(crate) fn announce_complete(&mut self) {
+        let mark = self.store.mark();
+        if !self.acting() || self.fleet.complete == mark {
+            return;
+        }
+        let summary = self.summary();
+        if summary.line.as_ref().is_none_or(|line| line.applied < line.members) {
+            return;
+        }
+        self.fleet.complete = mark;
+        for domain in self.other_domains() {
+            let hosts: Vec<_> = self.roster.relays(&domain).cloned().collect();
+            for host in hosts {
+                if let Some(peer) = self.roster.get(&host).map(|m| m.peer) {
+                    self.send(peer, FrameBody::Summary(summary.clone()));
+                }
+            }
+        }
+    }
+
+    fn summary(&mut self) -> Summary {
+        let now = self.now;
+        while self.recent.front().is_some_and(|(at, _)| *at + RECENT < now) {
+            self.recent.pop_front();
+        }
+        let hosts: BTreeSet<&Name> = self.recent.iter().map(|(_, host)| host).collect();
+        let rows = hosts.into_iter().filter_map(|host| self.roster.get(host));
+        let (mut members, mut room) = (Vec::new(), RECENT_BYTES);
+        push_records(&mut members, &mut room, rows);
+        Summary {
+            host: self.me.host.to_string(),
+            line: Some(self.own_line()),
+            digest: self.roster.domain_digest(&self.me.domain),
+            members,
+        }
+    }
+
+    pub(crate) fn on_summary(&mut self, from: SocketAddr, summary: &Summary) {
+        let Some(line) = &summary.line else { return };
+        let domain = Name::new(&line.domain);
+        if domain == self.me.domain {
+            return;
+        }
+        for wire in &summary.members {
+            if self.learn_wire(wire) {
+                self.urge(&wire.host.as_str().into());
+            }
+        }
+        let mark = mark_from_wire(line.mark.as_ref()).unwrap_or_default();
+        self.compare_number(from, mark.number);
+        if self.roster.domain_digest(&domain) != summary.digest {
+            let due = self.fleet.synced.get(&domain).is_none_or(|at| *at + SYNC_EVERY <= self.now);
+            if due && self.fleet.synced.len() < DOMAINS_LIMIT {
+                self.fleet.synced.insert(domain.clone(), self.now);
+                self.sync_with(from, Some(&domain));
+            }
+        }
+        self.hear(line.clone());
+    }
+
+    fn hear(&mut self, line: Line) {
+        let domain = Name::new(&line.domain);
+        let age = Duration::from_millis(u64::from(line.age_ms));
+        let Some(at) = self.now.checked_sub(age) else { return };
+        if self.fleet.heard.get(&domain).is_some_and(|heard| heard.at > at) {
+            return;
+        }
+        if self.fleet.heard.len() < DOMAINS_LIMIT || self.fleet.heard.contains_key(&domain) {
+            self.fleet.heard.insert(domain, Heard { line, at });
+        }
+    }
+
+    /// Members of the own domain that may be serving: the live ones, and those that were declared
+    /// dead a short time ago without proof, because a cut looks like a death.
+    fn maybe_serving(&self) -> impl Iterator<Item = &std::sync::Arc<crate::Member>> {
+        self.roster.members(&self.me.domain).filter(|m| {
+            m.state.is_live() || self.roster.gone.get(&m.host).is_some_and(|g| self.in_doubt(g))
+        })
+    }
+
+    fn in_doubt(&self, gone: &Gone) -> bool {
+        !gone.proven && gone.at + self.cfg.preset.doubt > self.now
+    }
+
+    /// The state of the own domain, as a relay sees it.
+    fn own_line(&self) -> Line {
+        let mark = self.store.mark();
+        let mut line = Line {
+            domain: self.me.domain.to_string(),
+            mark: Some(mark_to_wire(mark)),
+            spread_ms: millis(self.now.saturating_duration_since(self.store.since)),
+            ..Line::default()
+        };
+        for member in self.maybe_serving() {
+            line.members += 1;
+            if mark.number > 0 && self.acks.holds(&member.host, member.started, mark) {
+                line.applied += 1;
+                continue;
+            }
+            let lost = matches!(member.state, MemberState::Suspect | MemberState::Dead);
+            let list = if lost { &mut line.unreachable } else { &mut line.behind };
+            if list.len() < NAMES {
+                list.push(member.host.to_string());
+            }
+        }
+        let open = self.store.open;
+        let refused = self.store.refused.iter().rev().take(4).rev();
+        line.refused = refused
+            .map(|refused| Refusal {
+                mark: Some(mark_to_wire(refused.mark)),
+                reason: refused.reason.clone(),
+                open: open == Some(refused.mark),
+            })
+            .collect();
+        line
+    }
+
+    /// As a relay, probes members that have not acknowledged the version: their answers carry their
+    /// version, and the probe makes them fetch a newer one.
+    pub(crate) fn run_audit(&mut self) {
+        if !self.acting() {
+            return;
+        }
+        self.timers.set(Timer::Audit, self.now + AUDIT_EVERY);
+        let started = self.store.since + self.cfg.preset.batch + AUDIT_GRACE;
+        self.announce_complete();
+        let mark = self.store.mark();
+        if mark.number == 0 || (!self.tree_done() && self.now < started) {
+            return;
+        }
+        let mut open: Vec<_> = self
+            .maybe_serving()
+            .filter(|m| !self.acks.holds(&m.host, m.started, mark))
+            .cloned()
+            .collect();
+        let cursor = self.fleet.cursor.take();
+        let start = open.partition_point(|m| cursor.as_ref().is_some_and(|c| m.host <= *c));
+        open.rotate_left(start);
+        open.truncate(AUDIT_MEMBERS);
+        self.fleet.cursor = open.last().map(|m| m.host.clone());
+        for member in open {
+            if member.state == MemberState::Dead {
+                self.knock(member.peer);
+            }
+            self.send_ping(member.peer);
+        }
+    }
+
+    /// The status will be read: a node that is no relay fetches it.
+    pub(crate) fn want_status(&mut self) {
+        self.fleet.wanted = Some(self.now);
+        if !self.acting() && !self.timers.is_set(Timer::Status) {
+            self.timers.set(Timer::Status, self.now);
+        }
+    }
+
+    pub(crate) fn run_status(&mut self) {
+        let wanted = self.fleet.wanted.is_some_and(|at| at + STATUS_WANTED > self.now);
+        if self.acting() || !wanted {
+            return;
+        }
+        self.timers.set(Timer::Status, self.now + STATUS_EVERY);
+        let domain = self.me.domain.clone();
+        if let Some(peer) = self.relay_of(&domain) {
+            self.send(peer, FrameBody::StatusPull(StatusPull {}));
+        }
+    }
+
+    pub(crate) fn on_status_pull(&mut self, from: SocketAddr) {
+        if !self.acting() {
+            return;
+        }
+        let mut lines = vec![self.own_line()];
+        for heard in self.fleet.heard.values() {
+            let age_ms = millis(self.now.saturating_duration_since(heard.at));
+            if *heard.line.domain != **self.me.domain {
+                lines.push(Line { age_ms, ..heard.line.clone() });
+            }
+        }
+        self.send(from, FrameBody::StatusReply(StatusReply { lines }));
+    }
+
+    pub(crate) fn on_status_reply(&mut self, from: SocketAddr, reply: &StatusReply) {
+        for line in reply.lines.iter().take(DOMAINS_LIMIT) {
+            let mark = mark_from_wire(line.mark.as_ref()).unwrap_or_default();
+            if *line.domain == **self.me.domain {
+                self.compare_number(from, mark.number);
+            }
+            self.hear(line.clone());
+        }
+    }
+
+    /// What the node knows about the version in force. A relay knows it at any time; another node
+    /// after `LocalEvent::StatusWanted`.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let version = self.store.mark();
+        let mut domains: Vec<_> = Vec::new();
+        let mut refused: Vec<Refused> = self.store.refused.iter().cloned().collect();
+        let mut open = self.store.open.is_some();
+        for domain in self.known_domains() {
+            let own = (domain == self.me.domain && self.acting()).then(|| self.own_line());
+            let heard = self.fleet.heard.get(&domain).filter(|h| h.at + FRESH > self.now);
+            let line = own.as_ref().or(heard.map(|heard| &heard.line));
+            for refusal in line.iter().flat_map(|line| &line.refused) {
+                open |= refusal.open;
+                let mark = mark_from_wire(refusal.mark.as_ref()).unwrap_or_default();
+                let item = Refused { mark, reason: refusal.reason.clone() };
+                if !refused.iter().any(|known| known.mark == mark) {
+                    refused.push(item);
+                }
+            }
+            domains.push(line.map_or_else(
+                || DomainStatus { domain: domain.clone(), ..DomainStatus::default() },
+                |line| self.domain_status(&domain, line, version),
+            ));
+        }
+        let has = |state| domains.iter().any(|d| d.state == state);
+        let state = if open || has(Force::Refused) {
+            Force::Refused
+        } else if version.number == 0 || domains.is_empty() || has(Force::Unknown) {
+            Force::Unknown
+        } else if has(Force::Behind) {
+            Force::Behind
+        } else if has(Force::Spreading) {
+            Force::Spreading
+        } else {
+            Force::InForce
+        };
+        let (host, domain) = (self.me.host.clone(), self.me.domain.clone());
+        Status { host, domain, state, version, domains, refused }
+    }
+
+    /// Domains with a member that may be serving.
+    fn known_domains(&self) -> BTreeSet<Name> {
+        self.roster
+            .domains()
+            .filter(|domain| {
+                self.roster.live_count(domain) > 0
+                    || self.roster.members(domain).any(|m| {
+                        self.roster.gone.get(&m.host).is_some_and(|gone| self.in_doubt(gone))
+                    })
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// The state of one domain in terms of the version that this node serves.
+    fn domain_status(&self, domain: &Name, line: &Line, version: VersionMark) -> DomainStatus {
+        let mark = mark_from_wire(line.mark.as_ref()).unwrap_or_default();
+        let spread = Duration::from_millis(u64::from(line.spread_ms));
+        let local = self.now.saturating_duration_since(self.store.since);
+        let late = if mark == version { spread.max(local) } else { local };
+        let open = if late < SPREAD_TIME { Force::Spreading } else { Force::Behind };
+        // Totals for a higher version say that those members hold no less than this node.
+        let holds = mark.number >= version.number && mark.number > 0;
+        let state = if mark.number == version.number && mark.hash != version.hash {
+            Force::Refused
+        } else if mark == version && line.applied == line.members {
+            Force::InForce
+        } else {
+            open
+        };
+        DomainStatus {
+            domain: domain.clone(),
+            state,
+            members: line.members,
+            applied: if holds { line.applied } else { 0 },
+            behind: names(&line.behind).take(NAMES).collect(),
+            unreachable: names(&line.unreachable).take(NAMES).collect(),
+            highest: mark.number,
+        }
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/mesh/src/gossip.rs
@@ -0,0 +1,83 @@
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+use dw_tables::Name;
+
+use crate::{convert::member_to_wire, roster::Roster};
+
+/// Bytes of member updates in one datagram. A daemon exchanges about four datagrams per probe
+/// period, so a burst of updates stays below 5 KB/s at a period of 1 s.
+pub(crate) const PIGGYBACK_BYTES: usize = 800;
+
+/// Hosts whose records are piggybacked on probes, each a limited number of times.
+#[derive(Debug, Default)]
+pub(crate) struct Gossip {
+    order: BTreeSet<(u32, Reverse<u64>, Name)>,
+    keys: BTreeMap<Name, (u32, Reverse<u64>)>,
+    counter: u64,
+}
+
+impl Gossip {
+    /// Queues the host's newest record.
+    pub(crate) fn push(&mut self, host: &Name) {
+        self.remove(host);
+        self.counter += 1;
+        let key = (0, Reverse(self.counter));
+        self.keys.insert(host.clone(), key);
+        self.order.insert((key.0, key.1, host.clone()));
+    }
+
+    /// Takes records for one datagram, those sent least often first, then the newest first.
+    pub(crate) fn take(
+        &mut self,
+        roster: &Roster,
+        room: usize,
+        members: usize,
+    ) -> Vec<dw_wire::Member> {
+        let limit = send_limit(members);
+        let (mut left, mut out, mut sent) = (room, Vec::new(), Vec::new());
+        for (_, _, host) in &self.order {
+            let Some(member) = roster.get(host) else {
+                sent.push((host.clone(), true));
+                continue;
+            };
+            let wire = member_to_wire(member);
+            let size = wire.size();
+            if size > PIGGYBACK_BYTES {
+                // Too large for datagrams; broadcasts and table syncs carry it.
+                sent.push((host.clone(), true));
+            } else if size <= left {
+                left -= size;
+                out.push(wire);
+                sent.push((host.clone(), false));
+            } else if left < 64 {
+                break;
+            }
+        }
+        for (host, drop) in sent {
+            self.mark_sent(&host, drop, limit);
+        }
+        out
+    }
+
+    fn mark_sent(&mut self, host: &Name, drop: bool, limit: u32) {
+        let Some((count, age)) = self.remove(host) else { return };
+        if !drop && count + 1 < limit {
+            self.keys.insert(host.clone(), (count + 1, age));
+            self.order.insert((count + 1, age, host.clone()));
+        }
+    }
+
+    fn remove(&mut self, host: &Name) -> Option<(u32, Reverse<u64>)> {
+        let key = self.keys.remove(host)?;
+        self.order.remove(&(key.0, key.1, host.clone()));
+        Some(key)
+    }
+}
+
+/// Transmissions of one update: about 3·log2(n), after which nearly every member has it.
+fn send_limit(members: usize) -> u32 {
+    3 * (usize::BITS - members.leading_zeros()).max(1)
+}
--- /dev/null
+++ b/crates/mesh/src/join.rs
@@ -0,0 +1,264 @@
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use dw_wire::{FrameBody, Join, JoinReply};
+use rand::seq::IteratorRandom;
+use tokio::time::Instant;
+
+use crate::{
+    Counter, Level, Node, NodeConfig, PlatformCall, RelayRecord,
+    bucket::{TokenBucket, backoff},
+    convert::{mark_to_wire, member_from_wire, member_to_wire},
+    learn::{RECORDS_BYTES, push_records},
+    timer::Timer,
+};
+
+/// Wait for the answer of one peer before the next is tried.
+const ANSWER_WAIT: Duration = Duration::from_millis(500);
+
+/// Wait for the platform's relay records. All hosts of a restarted domain may read them at once,
+/// so the read is put off by a random part of this time.
+const RELAYS_WAIT: Duration = Duration::from_secs(2);
+
+/// Wait for the floors of further peers after the first.
+const FLOOR_WAIT: Duration = Duration::from_secs(1);
+
+/// Peers that are asked for the floor beside the one that admitted the node.
+const FLOOR_PEERS: usize = 2;
+
+/// Joins per second that a peer admits; each costs it up to 1 MiB of records.
+const JOIN_RATE: f64 = 4.0;
+
+/// Joins that a peer admits at once.
+const JOIN_BURST: f64 = 16.0;
+
+/// Peers named to a newcomer that is not admitted.
+const HINTS: usize = 8;
+
+/// The most addresses to join through.
+const CONTACTS_LIMIT: usize = 64;
+
+/// How the node finds its first peers and its floor.
+#[derive(Debug)]
+pub(crate) struct Joining {
+    contacts: Vec<SocketAddr>,
+    next: usize,
+    failures: u32,
+    asked_relays: bool,
+    bucket: TokenBucket,
+    floor_from: BTreeSet<SocketAddr>,
+    /// Whether a peer has admitted the node.
+    pub(crate) admitted: bool,
+    /// Whether the node may act on its view: it was admitted, or nobody could be reached.
+    pub(crate) settled: bool,
+}
+
+impl Joining {
+    /// A node that joins through the configured addresses.
+    pub(crate) fn new(cfg: &NodeConfig, now: Instant) -> Self {
+        let contacts = cfg.join.iter().copied().filter(|addr| *addr != cfg.peer).collect();
+        Self {
+            contacts,
+            next: 0,
+            failures: 0,
+            asked_relays: false,
+            bucket: TokenBucket::new(JOIN_RATE, JOIN_BURST, now),
+            floor_from: BTreeSet::new(),
+            admitted: false,
+            settled: false,
+        }
+    }
+
+    fn add(&mut self, addr: SocketAddr) {
+        if !self.contacts.contains(&addr) && self.contacts.len() < CONTACTS_LIMIT {
+            self.contacts.push(addr);
+        }
+    }
+}
+
+impl Node {
+    /// Tries the next contact; after the last one reads the relay records, and then starts over.
+    pub(crate) fn run_join(&mut self) {
+        if self.join.admitted {
+            return;
+        }
+        if let Some(addr) = self.join.contacts.get(self.join.next).copied() {
+            self.join.next += 1;
+            self.send_join(addr);
+            let wait = ANSWER_WAIT + self.jitter(ANSWER_WAIT);
+            self.timers.set(Timer::Join, self.now + wait);
+        } else if self.join.asked_relays {
+            self.settle_alone();
+        } else {
+            self.join.asked_relays = true;
+            let jitter = self.jitter(RELAYS_WAIT / 2);
+            self.timers.set(Timer::Relays, self.now + jitter);
+            self.timers.set(Timer::Join, self.now + RELAYS_WAIT);
+        }
+    }
+
+    /// No peer can be reached: the node acts on its own and keeps looking for peers.
+    fn settle_alone(&mut self) {
+        if !self.join.settled {
+            self.log(Level::Info, "[mesh] no peer reached, acting alone".to_owned());
+            self.join.settled = true;
+            self.timers.set(Timer::Claim, self.now);
+            self.know_floor();
+        }
+        self.join.asked_relays = false;
+        self.join.next = 0;
+        self.join.failures += 1;
+        let wait = backoff(&mut self.rng, self.join.failures) + ANSWER_WAIT;
+        self.timers.set(Timer::Join, self.now + wait);
+    }
+
+    /// Asks a peer for members and the floor.
+    pub(crate) fn send_join(&mut self, to: SocketAddr) {
+        let member = Some(member_to_wire(&self.me));
+        self.send(to, FrameBody::Join(Join { member, floor_only: false }));
+    }
+
+    /// Takes peers from the platform's relay records.
+    pub(crate) fn on_relay_records(&mut self, records: Vec<RelayRecord>) {
+        let me = self.me.peer;
+        for record in records.into_iter().filter(|r| r.peer != me) {
+            if !self.join.admitted {
+                self.join.add(record.peer);
+            } else if self.roster.live_count(&record.domain) == 0 {
+                self.sync_with(record.peer, None);
+            }
+        }
+        if !self.join.admitted {
+            self.timers.set(Timer::Join, self.now);
+        }
+    }
+
+    /// Admits a newcomer, or names other peers to it.
+    pub(crate) fn on_join(&mut self, from: SocketAddr, join: &Join) {
+        let Some(member) = join.member.as_ref().and_then(member_from_wire) else {
+            self.count(Counter::BadMessage);
+            return;
+        };
+        if member.host == self.me.host {
+            return;
+        }
+        let known = self.roster.get(&member.host).filter(|m| m.started != member.started);
+        let mark = self.store.mark();
+        let mut reply = JoinReply {
+            admitted: true,
+            floor: self.acks.floor(&member.host).max(mark.number),
+            mark: (mark.number > 0).then(|| mark_to_wire(mark)),
+            floor_only: join.floor_only,
+            incarnation: known.map_or(0, |m| m.incarnation),
+            ..JoinReply::default()
+        };
+        let room = &mut RECORDS_BYTES.to_owned();
+        if join.floor_only {
+            self.send(from, FrameBody::JoinReply(reply));
+            return;
+        }
+        if let Err(wait) = self.join.bucket.take(self.now) {
+            self.count(Counter::JoinDeferred);
+            let jitter = self.jitter(Duration::from_secs(1));
+            reply.admitted = false;
+            reply.retry_ms = u32::try_from((wait + jitter).as_millis()).unwrap_or(u32::MAX);
+            let live = self.roster.live(&member.domain);
+            let hints: Vec<_> = live.cloned().choose_multiple(&mut self.rng, HINTS);
+            push_records(&mut reply.members, room, hints.iter());
+            self.send(from, FrameBody::JoinReply(reply));
+            return;
+        }
+        self.count(Counter::JoinAdmitted);
+        let host = member.host.clone();
+        if self.learn(member) {
+            self.urge(&host);
+        }
+        let own = std::iter::once(&self.me.domain);
+        let others = self.roster.domains().filter(|domain| **domain != self.me.domain);
+        for domain in own.chain(others) {
+            push_records(&mut reply.members, room, self.roster.live(domain));
+        }
+        self.send(from, FrameBody::JoinReply(reply));
+    }
+
+    pub(crate) fn on_join_reply(&mut self, from: SocketAddr, reply: &JoinReply) {
+        self.store.floor = self.store.floor.max(reply.floor);
+        if reply.incarnation >= self.me.incarnation {
+            // The wall clock went back: without this the earlier process's record would win.
+            self.me.incarnation = reply.incarnation + 1;
+            if !self.join.admitted {
+                self.me.started = self.me.incarnation;
+            }
+            self.change_me(self.me.clone());
+        }
+        for wire in &reply.members {
+            self.learn_wire(wire);
+        }
+        if let Some(mark) = &reply.mark {
+            self.compare_number(from, mark.number);
+        }
+        if reply.floor_only {
+            self.join.floor_from.remove(&from);
+            if self.join.floor_from.is_empty() {
+                self.run_floor();
+            }
+        } else if reply.admitted {
+            self.admitted(from);
+        } else {
+            self.deferred(reply);
+        }
+    }
+
+    fn deferred(&mut self, reply: &JoinReply) {
+        let hints: Vec<_> = reply.members.iter().filter_map(|m| m.peer.parse().ok()).collect();
+        hints.into_iter().filter(|addr| *addr != self.me.peer).for_each(|addr| self.join.add(addr));
+        if !self.join.admitted {
+            if self.join.next >= self.join.contacts.len() {
+                self.join.next = 0;
+            }
+            let wait = Duration::from_millis(u64::from(reply.retry_ms));
+            self.timers.set(Timer::Join, self.now + wait);
+        }
+    }
+
+    /// Asks further peers for the floor: the candidates, which as relays or as inner nodes of the
+    /// trees have seen most acknowledgements.
+    fn admitted(&mut self, from: SocketAddr) {
+        if self.join.admitted {
+            return;
+        }
+        self.join.admitted = true;
+        self.join.settled = true;
+        self.timers.clear(Timer::Join);
+        self.timers.sooner(Timer::Claim, self.now + Duration::from_millis(200));
+        self.log(Level::Info, format!("[mesh] joined through {from}"));
+        self.urge(&self.me.host.clone());
+        let mut hosts: Vec<_> = self.roster.relays(&self.me.domain).cloned().collect();
+        let domain = self.me.domain.clone();
+        hosts.extend(self.roster.candidates(&domain).iter().cloned());
+        let mut peers: Vec<_> =
+            hosts.iter().filter_map(|h| self.roster.get(h)).map(|m| m.peer).collect();
+        peers.retain(|peer| *peer != self.me.peer && *peer != from);
+        peers.dedup();
+        peers.truncate(FLOOR_PEERS);
+        for peer in peers {
+            self.join.floor_from.insert(peer);
+            let member = Some(member_to_wire(&self.me));
+            self.send(peer, FrameBody::Join(Join { member, floor_only: true }));
+        }
+        let wait = if self.join.floor_from.is_empty() { Duration::ZERO } else { FLOOR_WAIT };
+        self.timers.set(Timer::Floor, self.now + wait);
+    }
+
+    /// Ends the wait for floors.
+    pub(crate) fn run_floor(&mut self) {
+        self.timers.clear(Timer::Floor);
+        if self.join.admitted {
+            self.know_floor();
+        }
+    }
+
+    /// Reads the relay records.
+    pub(crate) fn run_relays(&mut self) {
+        self.call(PlatformCall::ReadRelays);
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/learn.rs
@@ -0,0 +1,161 @@
+use std::{net::SocketAddr, sync::Arc};
+
+use dw_tables::Name;
+use dw_wire::{FrameBody, Hello, SyncMembers, SyncReply};
+use rand::seq::IteratorRandom;
+
+use crate::{
+    Counter, Level, Member, MemberState, Node,
+    convert::{member_from_wire, member_to_wire},
+    roster::{BUCKETS, bucket_of},
+    timer::Timer,
+};
+
+/// Bytes of member records in one frame, below the limit of the decoder.
+pub(crate) const RECORDS_BYTES: usize = 900 << 10;
+
+impl Node {
+    /// Takes a record from a peer. Returns whether it is news.
+    pub(crate) fn learn_wire(&mut self, wire: &dw_wire::Member) -> bool {
+        match member_from_wire(wire) {
+            Some(member) => self.learn(member),
+            None => {
+                self.count(Counter::BadMessage);
+                false
+            }
+        }
+    }
+
+    /// Takes a record. Returns whether it is news.
+    pub(crate) fn learn(&mut self, member: Member) -> bool {
+        if member.host == self.me.host {
+            self.refute(&member);
+            return false;
+        }
+        let old = self.roster.get(&member.host).cloned();
+        let news = match &old {
+            Some(old) => member.supersedes(old),
+            // The end of a member that was never known changes nothing.
+            None => member.state.is_live(),
+        };
+        if !news {
+            return false;
+        }
+        let (host, incarnation) = (member.host.clone(), member.incarnation);
+        let suspect = member.state == MemberState::Suspect && member.domain == self.me.domain;
+        let gone = !member.state.is_live();
+        self.acks.restart(&host, member.started);
+        self.store_member(member);
+        if suspect {
+            self.start_suspicion(&host, incarnation, false);
+        }
+        if gone && let Some(old) = old {
+            self.member_gone(&old);
+        }
+        true
+    }
+
+    /// Supersedes a record about the own host that is not the own one.
+    fn refute(&mut self, record: &Member) {
+        if self.me.state == MemberState::Left || !record.supersedes(&self.me) {
+            return;
+        }
+        self.count(Counter::Refuted);
+        self.me.incarnation = record.incarnation;
+        self.change_me(self.me.clone());
+    }
+
+    /// Follows the end of a member: its subtrees are adopted, its slot may be free soon.
+    pub(crate) fn member_gone(&mut self, member: &Arc<Member>) {
+        self.adopt_from(member.peer);
+        if member.relay && member.domain == self.me.domain && self.relay.held.is_none() {
+            self.timers.sooner(Timer::Claim, self.now);
+        }
+    }
+
+    pub(crate) fn on_send_failed(&mut self, to: SocketAddr, refused: bool) {
+        self.adopt_from(to);
+        self.pull_failed(to);
+        self.fleet.failed(to, self.now);
+        if !refused {
+            return;
+        }
+        if let Some(member) = self.roster.at(to).cloned() {
+            self.suspect(&member.host);
+            self.hasten_suspicion(&member.host);
+            return;
+        }
+        let dead: Vec<Name> = self.roster.gone.keys().cloned().collect();
+        for host in dead {
+            let here = self.roster.get(&host).is_some_and(|m| m.peer == to);
+            if here && let Some(gone) = self.roster.gone.get_mut(&host) {
+                gone.proven = true;
+            }
+        }
+    }
+
+    /// Sends a frame without content; a refused connection proves that the process has ended.
+    pub(crate) fn knock(&mut self, to: SocketAddr) {
+        let (host, peer) = (self.me.host.to_string(), self.me.peer.to_string());
+        self.send(to, FrameBody::Hello(Hello { host, peer }));
+    }
+
+    /// A random live peer of the own domain.
+    pub(crate) fn random_peer(&mut self) -> Option<SocketAddr> {
+        let me = &self.me;
+        let live = self.roster.live(&me.domain).filter(|m| m.host != me.host);
+        live.choose(&mut self.rng).map(|m| m.peer)
+    }
+
+    /// Answers with the records of all buckets in which the tables differ.
+    pub(crate) fn on_sync(&mut self, from: SocketAddr, sync: &SyncMembers) {
+        let mut members = Vec::new();
+        let mut room = RECORDS_BYTES;
+        for theirs in &sync.domains {
+            let ours = self.roster.buckets(&theirs.domain);
+            let mut differs = [false; BUCKETS];
+            for (idx, differ) in differs.iter_mut().enumerate() {
+                *differ = theirs.buckets.get(idx).copied().unwrap_or(0) != ours[idx];
+            }
+            if differs.contains(&true) {
+                let rows = self.roster.members(&theirs.domain);
+                let rows = rows.filter(|m| differs[bucket_of(&m.host)]);
+                push_records(&mut members, &mut room, rows);
+            }
+        }
+        if sync.full {
+            // The sender does not know these domains.
+            let named = |d: &Name| sync.domains.iter().any(|theirs| *theirs.domain == ***d);
+            for domain in self.roster.domains().filter(|d| !named(d)) {
+                push_records(&mut members, &mut room, self.roster.live(domain));
+            }
+        }
+        if !members.is_empty() {
+            self.send(from, FrameBody::SyncReply(SyncReply { members }));
+        }
+    }
+
+    pub(crate) fn on_sync_reply(&mut self, reply: &SyncReply) {
+        for wire in &reply.members {
+            self.learn_wire(wire);
+        }
+        self.log(Level::Debug, format!("[mesh] compared {} member records", reply.members.len()));
+    }
+}
+
+/// Appends records as long as there is room for them.
+pub(crate) fn push_records<'a>(
+    out: &mut Vec<dw_wire::Member>,
+    room: &mut usize,
+    members: impl Iterator<Item = &'a Arc<Member>>,
+) {
+    for member in members {
+        let wire = member_to_wire(member);
+        let size = wire.size();
+        if size > *room {
+            return;
+        }
+        *room -= size;
+        out.push(wire);
+    }
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -1,14 +1,30 @@
 //! Membership and distribution decisions of one daemon: messages, platform answers and time come
 //! in, actions go out. The crate opens no socket, starts no task and reads no clock.
 
+mod acks;
+mod broadcast;
+mod bucket;
 mod config;
+mod convert;
 mod counter;
+mod fleet;
+mod gossip;
+mod hash;
 mod io;
+mod join;
+mod learn;
 mod member;
 mod node;
 mod preset;
+mod probe;
+mod pull;
+mod relay;
+mod roster;
 mod status;
+mod store;
 mod table;
+mod timer;
+mod tree;
 
 pub use config::NodeConfig;
 pub use counter::Counter;
@@ -35,3 +51,7 @@
 
 /// The size of a part in bytes, below the platform's 1 MB with room for the JSON encoding.
 pub const PART_BYTES: usize = 900_000;
+
+/// Members of each domain that may call the platform: the first by rendezvous hash. Two more than
+/// there are slots, so that a slot is taken over while a candidate is being replaced.
+pub(crate) const CANDIDATES: usize = 4;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -1,85 +1,351 @@
-use std::sync::Arc;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
-use dw_tables::{Name, Tables, Version, join_parts, validate};
+use dw_tables::Name;
+use dw_wire::{Frame, FrameBody, Packet, PacketBody};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::time::Instant;
 
 use crate::{
-    Action, DomainStatus, Force, Input, MemberTable, NodeConfig, PlatformCall, PlatformEvent,
-    Status,
+    Action, Counter, Input, Level, LocalEvent, Member, MemberState, MemberTable, NodeConfig,
+    PlatformCall,
+    acks::Acks,
+    broadcast::Urgent,
+    convert::member_to_wire,
+    fleet::Fleet,
+    gossip::{Gossip, PIGGYBACK_BYTES},
+    join::Joining,
+    probe::Probe,
+    pull::Pulling,
+    relay::Relay,
+    roster::Roster,
+    store::Store,
+    timer::{Timer, Timers},
+    tree::Tree,
 };
 
-/// The control plane of one daemon.
+/// The shortest time between two published member tables.
+const MEMBERS_EVERY: Duration = Duration::from_millis(50);
+
+/// Time between two removals of old records.
+const SWEEP_EVERY: Duration = Duration::from_secs(60);
+
+/// How long the record of a member that is gone is kept: its floor stays known that long.
+const FORGET: Duration = Duration::from_secs(3_600);
+
+/// The control plane of one daemon: membership, distribution and status.
+///
+/// Inputs are handled one at a time. The deadline moves with each input; `Tick` is wanted when it
+/// passes.
 #[derive(Debug)]
 pub struct Node {
-    cfg: NodeConfig,
-    start: Option<Instant>,
-    served: Option<Arc<Version>>,
-    table: Arc<MemberTable>,
+    pub(crate) cfg: NodeConfig,
+    pub(crate) rng: StdRng,
+    pub(crate) now: Instant,
+    pub(crate) out: Vec<Action>,
+    pub(crate) timers: Timers,
+    pub(crate) me: Member,
+    pub(crate) roster: Roster,
+    pub(crate) gossip: Gossip,
+    pub(crate) probe: Probe,
+    pub(crate) join: Joining,
+    pub(crate) urgent: Urgent,
+    pub(crate) store: Store,
+    pub(crate) pull: Pulling,
+    pub(crate) trees: BTreeMap<Name, Tree>,
+    pub(crate) acks: Acks,
+    pub(crate) relay: Relay,
+    pub(crate) fleet: Fleet,
+    /// Hosts of the own domain whose records changed in the last seconds.
+    pub(crate) recent: VecDeque<(Instant, Name)>,
 }
 
 impl Node {
     /// A node that starts at `now`.
     #[must_use]
     pub fn new(cfg: NodeConfig, now: Instant) -> Self {
-        Self { cfg, start: Some(now), served: None, table: Arc::default() }
+        let me = Member {
+            host: cfg.host.clone(),
+            incarnation: cfg.incarnation,
+            started: cfg.incarnation,
+            domain: cfg.domain.clone(),
+            region: cfg.region.clone(),
+            peer: cfg.peer,
+            data: cfg.data,
+            state: MemberState::Alive,
+            relay: false,
+            targets: cfg.targets.clone(),
+        };
+        let mut rng = StdRng::seed_from_u64(cfg.seed);
+        let mut timers = Timers::default();
+        timers.set(Timer::Join, now + jitter(&mut rng, Duration::from_millis(100)));
+        timers.set(Timer::Probe, now + jitter(&mut rng, cfg.preset.probe));
+        timers.set(Timer::Sweep, now + SWEEP_EVERY);
+        timers.set(Timer::Members, now);
+        let mut roster = Roster::default();
+        roster.put(me.clone(), now);
+        Self {
+            rng,
+            now,
+            out: Vec::new(),
+            timers,
+            me,
+            roster,
+            gossip: Gossip::default(),
+            probe: Probe::default(),
+            join: Joining::new(&cfg, now),
+            urgent: Urgent::new(now),
+            store: Store::new(now),
+            pull: Pulling::default(),
+            trees: BTreeMap::new(),
+            acks: Acks::default(),
+            relay: Relay::default(),
+            fleet: Fleet::default(),
+            recent: VecDeque::new(),
+            cfg,
+        }
     }
 
     /// Takes one input and returns what is to be done, in order.
-    pub fn handle(&mut self, input: Input, _now: Instant) -> Vec<Action> {
+    pub fn handle(&mut self, input: Input, now: Instant) -> Vec<Action> {
+        self.notice_pause(now);
+        self.now = self.now.max(now);
         match input {
-            Input::Tick if self.start.take().is_some() => {
-                vec![Action::Platform(PlatformCall::ReadHead)]
-            }
-            Input::Platform(PlatformEvent::HeadRead { head, revision }) => vec![
-                Action::Platform(PlatformCall::WatchHead { revision }),
-                Action::Platform(PlatformCall::ReadParts(head)),
-            ],
-            Input::Platform(PlatformEvent::PartsRead { head, parts }) => {
-                let Some(text) = join_parts(&parts, head.hash) else { return Vec::new() };
-                let Ok(tables) = Tables::from_canonical(&text) else { return Vec::new() };
-                if !validate(&tables).is_empty() {
-                    return Vec::new();
-                }
-                let version = Arc::new(Version::new(head.number, tables));
-                self.served = Some(Arc::clone(&version));
-                vec![Action::Publish(version)]
-            }
-            _ => Vec::new(),
+            Input::Tick => {}
+            Input::Packet { from, packet } => self.on_packet(from, packet),
+            Input::Frame { from, frame } => self.on_frame(from, frame),
+            Input::SendFailed { to, refused } => self.on_send_failed(to, refused),
+            Input::Platform(event) => self.on_platform(event),
+            Input::Local(event) => self.on_local(&event),
+        }
+        for timer in self.timers.due(self.now) {
+            self.on_timer(timer);
         }
+        std::mem::take(&mut self.out)
     }
 
     /// When `Tick` is wanted next.
     #[must_use]
-    pub const fn deadline(&self) -> Option<Instant> {
-        self.start
+    pub fn deadline(&self) -> Option<Instant> {
+        if self.me.state == MemberState::Left { None } else { self.timers.next() }
     }
 
-    /// What the node knows about the version in force.
+    /// The members as this node sees them. Cheap: the domains are shared.
     #[must_use]
-    pub fn status(&self) -> Status {
-        let version = self.served.as_ref().map(|v| v.mark()).unwrap_or_default();
-        let state = if self.served.is_some() { Force::InForce } else { Force::Unknown };
-        let own = DomainStatus {
-            domain: self.cfg.domain.clone(),
-            state,
-            members: 1,
-            applied: u32::from(self.served.is_some()),
-            highest: version.number,
-            ..DomainStatus::default()
+    pub fn members(&self) -> Arc<MemberTable> {
+        Arc::new(self.roster.table().clone())
+    }
+
+    fn on_timer(&mut self, timer: Timer) {
+        match timer {
+            Timer::Probe => self.run_probe(),
+            Timer::Indirect => self.run_indirect(),
+            Timer::Suspicion => self.run_suspicions(),
+            Timer::Join => self.run_join(),
+            Timer::Floor => self.run_floor(),
+            Timer::Pull => self.run_pull(),
+            Timer::Tree => self.run_trees(),
+            Timer::Spread => self.start_tree(),
+            Timer::Urgent => self.run_urgent(),
+            Timer::Claim => self.run_claim(),
+            Timer::Renew => self.run_renew(),
+            Timer::Head => self.run_head(),
+            Timer::Parts => self.run_parts(),
+            Timer::Relays => self.run_relays(),
+            Timer::Republish => self.run_republish(),
+            Timer::Summary => self.run_summary(),
+            Timer::Audit => self.run_audit(),
+            Timer::Status => self.run_status(),
+            Timer::Members => self.out.push(Action::Members(self.members())),
+            Timer::Sweep => self.run_sweep(),
+        }
+    }
+
+    fn on_packet(&mut self, from: SocketAddr, packet: Packet) {
+        let Some(body) = packet.body else {
+            self.count(Counter::BadMessage);
+            return;
         };
-        Status {
-            host: Name::clone(&self.cfg.host),
-            domain: self.cfg.domain.clone(),
-            state,
-            version,
-            domains: vec![own],
-            refused: Vec::new(),
+        let head = Packet { body: None, ..packet };
+        self.on_packet_head(from, &head);
+        match body {
+            PacketBody::Ping(ping) => self.on_ping(from, &head.host, &ping),
+            PacketBody::PingReq(req) => self.on_ping_req(from, &req),
+            PacketBody::Ack(ack) => self.on_ack(&ack),
         }
     }
 
-    /// The members as this node sees them.
-    #[must_use]
-    pub fn members(&self) -> Arc<MemberTable> {
-        Arc::clone(&self.table)
+    fn on_frame(&mut self, from: SocketAddr, frame: Frame) {
+        let Some(body) = frame.body else {
+            self.count(Counter::BadMessage);
+            return;
+        };
+        match body {
+            FrameBody::Hello(_) => {}
+            FrameBody::Join(join) => self.on_join(from, &join),
+            FrameBody::JoinReply(reply) => self.on_join_reply(from, &reply),
+            FrameBody::Offer(offer) => self.on_offer(from, &offer),
+            FrameBody::Pull(pull) => self.on_pull(from, &pull),
+            FrameBody::Delta(delta) => self.on_delta(from, &delta),
+            FrameBody::Snapshot(snapshot) => self.on_snapshot(from, &snapshot),
+            FrameBody::Applied(applied) => self.on_applied(from, &applied),
+            FrameBody::Broadcast(cast) => self.on_broadcast(cast),
+            FrameBody::Summary(summary) => self.on_summary(from, &summary),
+            FrameBody::SyncMembers(sync) => self.on_sync(from, &sync),
+            FrameBody::SyncReply(reply) => self.on_sync_reply(&reply),
+            FrameBody::Busy(busy) => self.on_busy(from, &busy),
+            FrameBody::StatusPull(_) => self.on_status_pull(from),
+            FrameBody::StatusReply(reply) => self.on_status_reply(from, &reply),
+        }
+    }
+
+    fn on_local(&mut self, event: &LocalEvent) {
+        match *event {
+            LocalEvent::StartDrain => {
+                let mut me = self.me.clone();
+                me.state = MemberState::Leaving;
+                me.targets.iter_mut().for_each(|target| target.draining = true);
+                self.change_me(me);
+                self.log(Level::Info, "[mesh] leaving".to_owned());
+            }
+            LocalEvent::Left => self.leave(),
+            LocalEvent::TargetDraining { index, draining } => {
+                let mut me = self.me.clone();
+                for target in me.targets.iter_mut().filter(|target| target.index == index) {
+                    target.draining = draining;
+                }
+                if me != self.me {
+                    self.change_me(me);
+                }
+            }
+            LocalEvent::Poison(fingerprint) => self.cast_poison(fingerprint),
+            LocalEvent::StatusWanted => self.want_status(),
+        }
+    }
+
+    /// Announces that this member has left, down the tree and to a few peers, and gives up the
+    /// relay slot.
+    fn leave(&mut self) {
+        let mut me = self.me.clone();
+        me.state = MemberState::Left;
+        me.relay = false;
+        self.change_me(me);
+        self.run_urgent();
+        for _ in 0..3 {
+            if let Some(peer) = self.random_peer() {
+                self.send_ping(peer);
+            }
+        }
+        self.release_slot();
     }
+
+    /// Replaces the own record by one of a higher incarnation and tells the domain.
+    pub(crate) fn change_me(&mut self, mut me: Member) {
+        me.incarnation = self.me.incarnation + 1;
+        self.me = me.clone();
+        self.store_member(me);
+        self.urge(&self.me.host.clone());
+    }
+
+    /// Stores a record, queues it for gossip, and schedules the publication of the table.
+    pub(crate) fn store_member(&mut self, member: Member) {
+        let host = member.host.clone();
+        if member.domain == self.me.domain {
+            self.recent.push_back((self.now, host.clone()));
+            if self.recent.len() > 4_096 {
+                self.recent.pop_front();
+            }
+        }
+        self.roster.put(member, self.now);
+        self.gossip.push(&host);
+        self.timers.sooner(Timer::Members, self.now + MEMBERS_EVERY);
+        self.timers.sooner(Timer::Claim, self.now + Duration::from_millis(500));
+    }
+
+    /// Resets timeouts that ran while the process was paused: their expiry says nothing about the
+    /// peers, and acting on them would suspect the whole domain.
+    fn notice_pause(&mut self, now: Instant) {
+        let Some(due) = self.timers.next() else { return };
+        let late = now.saturating_duration_since(due);
+        if late < self.cfg.preset.probe {
+            return;
+        }
+        self.count(Counter::Paused);
+        self.probe.shift(late);
+        for tree in self.trees.values_mut() {
+            tree.shift(late);
+        }
+    }
+
+    fn run_sweep(&mut self) {
+        let old: Vec<_> = self
+            .roster
+            .gone
+            .iter()
+            .filter(|(host, gone)| gone.at + FORGET <= self.now && **host != self.me.host)
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in old {
+            self.roster.forget(&host);
+            self.acks.forget(&host);
+            self.timers.sooner(Timer::Members, self.now + MEMBERS_EVERY);
+        }
+        self.timers.set(Timer::Sweep, self.now + SWEEP_EVERY);
+    }
+
+    /// A packet with the own version mark, table digest and member updates. `first` are records to
+    /// carry before all others.
+    pub(crate) fn packet(&mut self, body: PacketBody, first: &[Arc<Member>]) -> Packet {
+        let mark = self.store.mark();
+        let mut members: Vec<_> = first.iter().map(|member| member_to_wire(member)).collect();
+        let used: usize = members.iter().map(dw_wire::Member::size).sum();
+        if used > PIGGYBACK_BYTES {
+            members.clear();
+        }
+        let room = PIGGYBACK_BYTES.saturating_sub(used);
+        let live = self.roster.live_count(&self.me.domain);
+        members.extend(self.gossip.take(&self.roster, room, live));
+        Packet {
+            host: self.me.host.to_string(),
+            started: self.me.started,
+            number: mark.number,
+            prefix: mark.hash.prefix(),
+            digest: self.roster.digest(),
+            members,
+            ..Packet::new(body)
+        }
+    }
+
+    pub(crate) fn send_packet(&mut self, to: SocketAddr, packet: Packet) {
+        self.out.push(Action::SendPacket { to, packet });
+    }
+
+    pub(crate) fn send(&mut self, to: SocketAddr, body: FrameBody) {
+        self.out.push(Action::SendFrame { to, frame: Frame::new(body) });
+    }
+
+    pub(crate) fn call(&mut self, call: PlatformCall) {
+        self.out.push(Action::Platform(call));
+    }
+
+    pub(crate) fn count(&mut self, counter: Counter) {
+        self.out.push(Action::Count(counter));
+    }
+
+    pub(crate) fn log(&mut self, level: Level, text: String) {
+        self.out.push(Action::Log { level, text });
+    }
+
+    /// A uniformly random time below `bound`.
+    pub(crate) fn jitter(&mut self, bound: Duration) -> Duration {
+        jitter(&mut self.rng, bound)
+    }
+}
+
+fn jitter(rng: &mut StdRng, bound: Duration) -> Duration {
+    bound.mul_f64(rng.random::<f64>())
 }
--- /dev/null
+++ b/crates/mesh/src/probe.rs
@@ -0,0 +1,331 @@
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use dw_tables::Name;
+use dw_wire::{Ack, FrameBody, Packet, PacketBody, Ping, PingReq, SyncMembers, TableDigest};
+use rand::seq::{IndexedRandom, SliceRandom};
+use tokio::time::Instant;
+
+use crate::{Counter, Level, Member, MemberState, Node, timer::Timer};
+
+/// Members asked to probe indirectly.
+const INDIRECT: usize = 3;
+
+/// Indirect probes relayed at the same time.
+const RELAYED_LIMIT: usize = 64;
+
+/// Each so many periods a dead member and a join address are probed too, so that two parts of a
+/// domain that declared each other dead find together again.
+const HEAL_PERIODS: u64 = 4;
+
+/// Probe periods for which tables must differ before they are compared in full; gossip takes about
+/// this long by itself.
+const SYNC_PERIODS: u32 = 6;
+
+/// The probe under way.
+#[derive(Debug)]
+struct Outstanding {
+    host: Name,
+    seq: u64,
+}
+
+/// A suspicion that the member has not refuted yet.
+#[derive(Debug)]
+struct Suspicion {
+    until: Instant,
+    incarnation: u64,
+    /// Whether this node started it, and so announces the death to the domain.
+    mine: bool,
+}
+
+/// An indirect probe on behalf of another member.
+#[derive(Debug)]
+struct Relayed {
+    to: SocketAddr,
+    seq: u64,
+    host: Name,
+    until: Instant,
+}
+
+/// Failure detection within the domain.
+#[derive(Debug, Default)]
+pub(crate) struct Probe {
+    order: Vec<Name>,
+    current: Option<Outstanding>,
+    relayed: BTreeMap<u64, Relayed>,
+    suspicions: BTreeMap<Name, Suspicion>,
+    seq: u64,
+    periods: u64,
+    /// Since when the peers' table digests differ from the own one.
+    differs: Option<Instant>,
+}
+
+impl Probe {
+    /// Moves all timeouts by the length of a pause of the process.
+    pub(crate) fn shift(&mut self, late: Duration) {
+        self.current = None;
+        self.differs = None;
+        for suspicion in self.suspicions.values_mut() {
+            suspicion.until += late;
+        }
+    }
+}
+
+impl Node {
+    /// Ends the current probe period and starts the next one.
+    pub(crate) fn run_probe(&mut self) {
+        self.timers.set(Timer::Probe, self.now + self.cfg.preset.probe);
+        if let Some(missed) = self.probe.current.take() {
+            self.suspect(&missed.host);
+        }
+        self.probe.periods += 1;
+        if self.probe.periods.is_multiple_of(HEAL_PERIODS) {
+            self.probe_lost();
+        }
+        let Some(member) = self.next_probe() else { return };
+        let seq = self.next_seq();
+        self.probe.current = Some(Outstanding { host: member.host.clone(), seq });
+        self.ping(&member, seq);
+        self.timers.set(Timer::Indirect, self.now + self.cfg.preset.probe / 3);
+    }
+
+    /// The next live member in a random order that is shuffled anew for each round.
+    fn next_probe(&mut self) -> Option<Arc<Member>> {
+        for _ in 0..2 {
+            while let Some(host) = self.probe.order.pop() {
+                if let Some(member) = self.roster.get(&host)
+                    && member.state.is_live()
+                    && member.domain == self.me.domain
+                {
+                    return Some(Arc::clone(member));
+                }
+            }
+            let hosts = self.roster.live(&self.me.domain).map(|member| member.host.clone());
+            self.probe.order = hosts.filter(|host| *host != self.me.host).collect();
+            self.probe.order.shuffle(&mut self.rng);
+        }
+        None
+    }
+
+    /// Probes a dead member of the domain and a join address that no live member has.
+    fn probe_lost(&mut self) {
+        let dead: Vec<_> = self
+            .roster
+            .gone
+            .keys()
+            .filter_map(|host| self.roster.get(host))
+            .filter(|m| m.state == MemberState::Dead && m.domain == self.me.domain)
+            .cloned()
+            .collect();
+        if let Some(member) = dead.choose(&mut self.rng) {
+            let seq = self.next_seq();
+            self.ping(member, seq);
+        }
+        let lost: Vec<_> = self
+            .cfg
+            .join
+            .iter()
+            .copied()
+            .filter(|addr| *addr != self.me.peer && self.roster.at(*addr).is_none())
+            .collect();
+        if self.join.admitted
+            && let Some(addr) = lost.choose(&mut self.rng).copied()
+        {
+            self.send_join(addr);
+        }
+    }
+
+    fn next_seq(&mut self) -> u64 {
+        self.probe.seq += 1;
+        self.probe.seq
+    }
+
+    /// Sends a probe whose answer is not awaited; it tells the own version and table digest.
+    pub(crate) fn send_ping(&mut self, to: SocketAddr) {
+        let seq = self.next_seq();
+        let packet = self.packet(PacketBody::Ping(Ping { seq }), &[]);
+        self.send_packet(to, packet);
+    }
+
+    /// Probes a member. One that is not alive is told so, so that it can refute.
+    pub(crate) fn ping(&mut self, member: &Arc<Member>, seq: u64) {
+        let doubted = matches!(member.state, MemberState::Suspect | MemberState::Dead);
+        let first = if doubted { vec![Arc::clone(member)] } else { Vec::new() };
+        let packet = self.packet(PacketBody::Ping(Ping { seq }), &first);
+        self.send_packet(member.peer, packet);
+    }
+
+    /// Asks other members to probe the one that has not answered.
+    pub(crate) fn run_indirect(&mut self) {
+        let Some((host, seq)) = self.probe.current.as_ref().map(|c| (c.host.clone(), c.seq)) else {
+            return;
+        };
+        let Some(member) = self.roster.get(&host).cloned() else { return };
+        let others: Vec<_> = self
+            .roster
+            .live(&self.me.domain)
+            .filter(|m| m.state == MemberState::Alive && m.host != host && m.host != self.me.host)
+            .map(|m| m.peer)
+            .collect();
+        let chosen: Vec<_> = others.choose_multiple(&mut self.rng, INDIRECT).copied().collect();
+        for to in chosen {
+            let req = PingReq { seq, host: host.to_string(), peer: member.peer.to_string() };
+            let packet = self.packet(PacketBody::PingReq(req), &[]);
+            self.send_packet(to, packet);
+        }
+    }
+
+    /// Suspects a member of the own domain that did not answer.
+    pub(crate) fn suspect(&mut self, host: &Name) {
+        let Some(member) = self.roster.get(host).cloned() else { return };
+        let eligible = matches!(member.state, MemberState::Alive | MemberState::Leaving)
+            && member.domain == self.me.domain
+            && *host != self.me.host;
+        if !eligible {
+            return;
+        }
+        self.count(Counter::Suspected);
+        self.log(Level::Info, format!("[mesh] {host} does not answer and is suspected"));
+        let record = Member { state: MemberState::Suspect, ..(*member).clone() };
+        self.store_member(record);
+        self.start_suspicion(host, member.incarnation, true);
+        if let Some(member) = self.roster.get(host).cloned() {
+            let seq = self.next_seq();
+            self.ping(&member, seq);
+        }
+    }
+
+    /// Starts the time in which a suspicion can be refuted. A suspicion of another member lasts
+    /// longer here, because that member announces the death.
+    pub(crate) fn start_suspicion(&mut self, host: &Name, incarnation: u64, mine: bool) {
+        let preset = &self.cfg.preset;
+        let base = preset.probe * preset.suspicion;
+        let until = self.now + if mine { base } else { base * 3 / 2 };
+        let known = self.probe.suspicions.get(host);
+        if known.is_some_and(|s| s.incarnation >= incarnation) {
+            return;
+        }
+        self.probe.suspicions.insert(host.clone(), Suspicion { until, incarnation, mine });
+        self.timers.sooner(Timer::Suspicion, until);
+    }
+
+    /// Shortens a suspicion after proof that no process listens at the member's address.
+    pub(crate) fn hasten_suspicion(&mut self, host: &Name) {
+        let until = self.now + self.cfg.preset.probe;
+        if let Some(suspicion) = self.probe.suspicions.get_mut(host) {
+            suspicion.until = suspicion.until.min(until);
+            suspicion.mine = true;
+            self.timers.sooner(Timer::Suspicion, until);
+        }
+    }
+
+    /// Declares members dead that have not refuted their suspicion in time.
+    pub(crate) fn run_suspicions(&mut self) {
+        let now = self.now;
+        let due: Vec<_> =
+            self.probe.suspicions.extract_if(.., |_, suspicion| suspicion.until <= now).collect();
+        for (host, suspicion) in due {
+            let Some(member) = self.roster.get(&host).cloned() else { continue };
+            if member.state != MemberState::Suspect || member.incarnation != suspicion.incarnation {
+                continue;
+            }
+            self.count(Counter::Died);
+            self.log(Level::Warn, format!("[mesh] {host} is declared dead"));
+            self.store_member(Member { state: MemberState::Dead, ..(*member).clone() });
+            self.member_gone(&member);
+            if suspicion.mine {
+                self.urge(&host);
+            }
+        }
+        if let Some(next) = self.probe.suspicions.values().map(|s| s.until).min() {
+            self.timers.set(Timer::Suspicion, next);
+        }
+    }
+
+    /// Takes the parts that all datagrams carry: version mark, table digest, member updates.
+    pub(crate) fn on_packet_head(&mut self, from: SocketAddr, packet: &Packet) {
+        let sender = self.roster.get(&packet.host).cloned();
+        // A member that is cut off on its receiving side suspects everyone; what it says about
+        // others is not taken until it has refuted the suspicion about itself.
+        let credible = sender.as_ref().is_none_or(|m| {
+            matches!(m.state, MemberState::Alive | MemberState::Leaving | MemberState::Left)
+        });
+        for wire in &packet.members {
+            let doubt = wire.state == dw_wire::State::Suspect as i32
+                || wire.state == dw_wire::State::Dead as i32;
+            if credible || !doubt || *wire.host == **self.me.host {
+                self.learn_wire(wire);
+            }
+        }
+        self.acks.note(&packet.host, packet.started, packet.number, packet.prefix);
+        self.compare_mark(from, packet.number, packet.prefix);
+        if sender.is_some_and(|m| m.domain == self.me.domain) {
+            self.compare_digest(from, packet.digest);
+        }
+    }
+
+    fn compare_digest(&mut self, from: SocketAddr, digest: u64) {
+        if digest == self.roster.digest() {
+            self.probe.differs = None;
+            return;
+        }
+        let since = *self.probe.differs.get_or_insert(self.now);
+        if self.now < since + self.cfg.preset.probe * SYNC_PERIODS {
+            return;
+        }
+        self.probe.differs = Some(self.now);
+        self.sync_with(from, None);
+    }
+
+    /// Asks a peer for the records in which its table differs, of one domain or of all.
+    pub(crate) fn sync_with(&mut self, to: SocketAddr, only: Option<&Name>) {
+        let domains = self
+            .roster
+            .domains()
+            .filter(|domain| only.is_none_or(|only| only == *domain))
+            .map(|domain| TableDigest {
+                domain: domain.to_string(),
+                buckets: self.roster.buckets(domain).to_vec(),
+            })
+            .collect();
+        self.count(Counter::MembersSynced);
+        self.send(to, FrameBody::SyncMembers(SyncMembers { domains, full: only.is_none() }));
+    }
+
+    pub(crate) fn on_ping(&mut self, from: SocketAddr, host: &str, ping: &Ping) {
+        // A sender held for suspect, dead or left learns it from the answer and refutes it.
+        let sender = self.roster.get(host).filter(|m| m.state > MemberState::Leaving).cloned();
+        let first: Vec<_> = sender.into_iter().collect();
+        let ack = Ack { seq: ping.seq, host: self.me.host.to_string() };
+        let packet = self.packet(PacketBody::Ack(ack), &first);
+        self.send_packet(from, packet);
+    }
+
+    pub(crate) fn on_ping_req(&mut self, from: SocketAddr, req: &PingReq) {
+        let now = self.now;
+        self.probe.relayed.retain(|_, relayed| relayed.until > now);
+        let Some(member) = self.roster.get(&req.host).cloned() else { return };
+        if self.probe.relayed.len() >= RELAYED_LIMIT {
+            return;
+        }
+        let seq = self.next_seq();
+        let until = now + self.cfg.preset.probe;
+        let relayed = Relayed { to: from, seq: req.seq, host: member.host.clone(), until };
+        self.probe.relayed.insert(seq, relayed);
+        self.ping(&member, seq);
+    }
+
+    pub(crate) fn on_ack(&mut self, ack: &Ack) {
+        if let Some(relayed) = self.probe.relayed.remove(&ack.seq)
+            && **relayed.host == *ack.host
+        {
+            let body = Ack { seq: relayed.seq, host: relayed.host.to_string() };
+            let packet = self.packet(PacketBody::Ack(body), &[]);
+            self.send_packet(relayed.to, packet);
+        }
+        let answers = |c: &Outstanding| c.seq == ack.seq && **c.host == *ack.host;
+        if self.probe.current.as_ref().is_some_and(answers) {
+            self.probe.current = None;
+            self.timers.clear(Timer::Indirect);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/pull.rs
@@ -0,0 +1,231 @@
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use dw_tables::VersionMark;
+use dw_wire::{Busy, Delta, FrameBody, Offer, Pull, Snapshot};
+use tokio::time::Instant;
+
+use crate::{
+    Counter, Level, Node,
+    bucket::backoff,
+    convert::{mark_from_wire, mark_to_wire},
+    store::{Release, Rows},
+    timer::Timer,
+};
+
+/// Wait for the rows of a version.
+const PULL_WAIT: Duration = Duration::from_secs(2);
+
+/// Time in which a second transfer to the same peer is not started.
+const TRANSFER_TIME: Duration = Duration::from_millis(200);
+
+/// Transfers under way at the same time; a snapshot may take 1 MB.
+const TRANSFERS: usize = 32;
+
+/// Snapshots under way at the same time.
+const SNAPSHOTS: usize = 8;
+
+/// Peers that are known to hold more.
+const SOURCES: usize = 16;
+
+/// Time between two questions about a fork.
+const FORK_EVERY: Duration = Duration::from_secs(10);
+
+/// Fetching a newer version from a peer, and serving peers that fetch.
+#[derive(Debug, Default)]
+pub(crate) struct Pulling {
+    sources: BTreeMap<SocketAddr, u64>,
+    current: Option<SocketAddr>,
+    failures: u32,
+    /// Whether the next pull asks for all rows, because a delta did not apply.
+    whole: bool,
+    transfers: BTreeMap<SocketAddr, (Instant, bool)>,
+    fork_asked: Option<Instant>,
+}
+
+impl Node {
+    /// Compares the version mark of a datagram with the own version.
+    pub(crate) fn compare_mark(&mut self, from: SocketAddr, number: u64, prefix: u32) {
+        let served = self.store.mark();
+        if number == served.number && number > 0 && prefix != served.hash.prefix() {
+            let due = self.pull.fork_asked.is_none_or(|at| at + FORK_EVERY <= self.now);
+            if due {
+                self.pull.fork_asked = Some(self.now);
+                self.send(from, FrameBody::Pull(Pull { have: Some(mark_to_wire(served)) }));
+            }
+        } else {
+            self.compare_number(from, number);
+        }
+    }
+
+    /// Fetches from a peer that serves a higher version.
+    pub(crate) fn compare_number(&mut self, from: SocketAddr, number: u64) {
+        if number <= self.store.newest().number || from == self.me.peer {
+            return;
+        }
+        if self.pull.sources.len() >= SOURCES {
+            self.pull.sources.pop_first();
+        }
+        self.pull.sources.insert(from, number);
+        if self.pull.current.is_none() && !self.timers.is_set(Timer::Pull) {
+            self.start_pull(from);
+        }
+    }
+
+    fn start_pull(&mut self, from: SocketAddr) {
+        let mark = self.store.newest();
+        let have = (mark.number > 0 && !self.pull.whole).then(|| mark_to_wire(mark));
+        self.pull.whole = false;
+        self.pull.current = Some(from);
+        self.timers.set(Timer::Pull, self.now + PULL_WAIT);
+        self.send(from, FrameBody::Pull(Pull { have }));
+    }
+
+    /// A pull was not answered, or is to be tried again.
+    pub(crate) fn run_pull(&mut self) {
+        if let Some(from) = self.pull.current.take() {
+            self.count(Counter::PullTimeout);
+            self.pull.failures += 1;
+            self.pull.sources.remove(&from);
+        }
+        let newest = self.store.newest().number;
+        self.pull.sources.retain(|_, number| *number > newest);
+        // The source that holds most is asked first.
+        let best = self.pull.sources.iter().max_by_key(|(_, number)| **number);
+        if let Some(from) = best.map(|(addr, _)| *addr) {
+            self.start_pull(from);
+        }
+    }
+
+    /// A frame to a peer could not be sent.
+    pub(crate) fn pull_failed(&mut self, to: SocketAddr) {
+        if self.pull.current == Some(to) {
+            self.timers.set(Timer::Pull, self.now);
+        } else {
+            self.pull.sources.remove(&to);
+        }
+    }
+
+    /// A version arrived: sources that hold no more are dropped, the next one is asked.
+    pub(crate) fn pull_done(&mut self) {
+        self.pull.current = None;
+        self.pull.failures = 0;
+        self.timers.clear(Timer::Pull);
+        let newest = self.store.newest().number;
+        self.pull.sources.retain(|_, number| *number > newest);
+        if !self.pull.sources.is_empty() {
+            self.timers.set(Timer::Pull, self.now);
+        }
+    }
+
+    pub(crate) fn on_busy(&mut self, from: SocketAddr, busy: &Busy) {
+        if self.pull.current == Some(from) {
+            self.pull.current = None;
+            let hint = Duration::from_millis(u64::from(busy.retry_ms)).min(PULL_WAIT);
+            let wait = hint + self.jitter(hint);
+            self.timers.set(Timer::Pull, self.now + wait);
+        }
+    }
+
+    /// Sends the version served to a peer that asks for it: one transfer to a peer at a time, and a
+    /// limited number in all.
+    pub(crate) fn on_pull(&mut self, from: SocketAddr, pull: &Pull) {
+        let have = mark_from_wire(pull.have.as_ref());
+        let Some(release) = self.store.served() else {
+            self.send(from, FrameBody::Busy(Busy { retry_ms: 1_000 }));
+            return;
+        };
+        let (mark, origin) = (release.version.mark(), release.origin());
+        if let Some(have) = have.filter(|have| have.number >= mark.number) {
+            self.compare_number(from, have.number);
+            if have.number == mark.number && have.hash != mark.hash {
+                // The empty range tells the whole hash and asks for nothing.
+                let mark = Some(mark_to_wire(mark));
+                let offer = Offer { mark, lo: 1, hi: 0, ..Offer::default() };
+                self.send(from, FrameBody::Offer(offer));
+            }
+            return;
+        }
+        let now = self.now;
+        self.pull.transfers.retain(|_, (at, _)| *at + TRANSFER_TIME > now);
+        if self.pull.transfers.contains_key(&from) {
+            self.send(from, FrameBody::Busy(Busy { retry_ms: 200 }));
+            return;
+        }
+        let Some(rows) = self.store.rows(have) else { return };
+        let whole = matches!(rows, Rows::Snapshot(_));
+        let snapshots = self.pull.transfers.values().filter(|(_, whole)| *whole).count();
+        if self.pull.transfers.len() >= TRANSFERS || (whole && snapshots >= SNAPSHOTS) {
+            self.count(Counter::TransferDeferred);
+            self.send(from, FrameBody::Busy(Busy { retry_ms: 400 }));
+            return;
+        }
+        self.pull.transfers.insert(from, (now, whole));
+        let (mark, origin) = (Some(mark_to_wire(mark)), Some(origin));
+        let body = match rows {
+            Rows::Delta(rows) => {
+                self.count(Counter::DeltaSent);
+                FrameBody::Delta(Delta { mark, rows, origin })
+            }
+            Rows::Snapshot(rows) => {
+                self.count(Counter::SnapshotSent);
+                FrameBody::Snapshot(Snapshot { mark, rows, origin })
+            }
+        };
+        self.send(from, body);
+    }
+
+    pub(crate) fn on_delta(&mut self, from: SocketAddr, frame: &Delta) {
+        let Some(mark) = self.wanted(frame.mark.as_ref()) else { return };
+        let delta: Option<dw_tables::Delta> = serde_json::from_slice(&frame.rows).ok();
+        let version = delta.filter(|delta| delta.target == mark).and_then(|delta| {
+            let base = self.store.base(delta.base)?;
+            delta.apply(base).ok()
+        });
+        let Some(version) = version else {
+            self.log(
+                Level::Debug,
+                format!("[dist] delta to version {} does not apply", mark.number),
+            );
+            self.pull.whole = true;
+            self.start_pull(from);
+            return;
+        };
+        if let Some(version) = self.check_rows(version) {
+            self.take(Release::from_wire(frame.origin.as_ref(), version));
+        }
+    }
+
+    pub(crate) fn on_snapshot(&mut self, from: SocketAddr, frame: &Snapshot) {
+        let Some(mark) = self.wanted(frame.mark.as_ref()) else { return };
+        let Ok(text) = std::str::from_utf8(&frame.rows) else {
+            self.count(Counter::BadMessage);
+            self.pull_failed(from);
+            return;
+        };
+        if let Some(version) = self.read_rows(mark, text) {
+            self.take(Release::from_wire(frame.origin.as_ref(), version));
+        }
+    }
+
+    /// The mark of rows that a peer sent, if they are still of use.
+    fn wanted(&self, mark: Option<&dw_wire::Mark>) -> Option<VersionMark> {
+        let mark = mark_from_wire(mark)?;
+        (mark.number > self.store.newest().number && !self.was_refused(mark)).then_some(mark)
+    }
+
+    /// Accepts a version from a peer; relays learn of it at once even without a tree.
+    fn take(&mut self, release: Release) {
+        let number = release.version.number;
+        self.accept(release);
+        if self.store.newest().number == number {
+            self.pull_done();
+        } else {
+            // Refused: the source is not asked again before the backoff ends.
+            self.pull.current = None;
+            self.pull.sources.clear();
+            self.pull.failures += 1;
+            let wait = backoff(&mut self.rng, self.pull.failures);
+            self.timers.set(Timer::Pull, self.now + wait);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/relay.rs
@@ -0,0 +1,335 @@
+use std::time::Duration;
+
+use dw_tables::{Head, Version, VersionMark, join_parts};
+use tokio::time::Instant;
+
+use crate::{
+    Counter, LEASE_RENEWAL, Level, MemberState, Node, PlatformCall, PlatformCallKind,
+    PlatformEvent, RELAY_SLOTS, RelayRecord, bucket::backoff, store::Release, timer::Timer,
+};
+
+/// Wait of a candidate before it tries a taken slot again, before jitter. With the lease of 6 s a
+/// slot is free for a few seconds at the most.
+const CLAIM_RETRY: Duration = Duration::from_secs(3);
+
+/// Time after which a call that was neither answered nor failed is made again.
+const CALL_WAIT: Duration = Duration::from_secs(10);
+
+/// Time between two reads of the head beside the watch, in case the watch is lost silently.
+const REREAD: Duration = Duration::from_secs(30);
+
+/// Time between two reads of the relay records by a relay, to find domains it does not know.
+const RELAYS_EVERY: Duration = Duration::from_secs(30);
+
+/// Consecutive failures after which the platform counts as down.
+const DOWN: u32 = 3;
+
+/// The part of a node that calls the platform.
+#[derive(Debug, Default)]
+pub(crate) struct Relay {
+    /// The slot held.
+    pub(crate) held: Option<u32>,
+    attempts: u32,
+    /// Consecutive failed calls.
+    failures: u32,
+    watching: bool,
+    /// The platform's head as last seen; `None` inside for no head.
+    head: Option<(Option<Head>, u64)>,
+    /// The head whose parts are being read.
+    reading: Option<Head>,
+    republishing: Option<Instant>,
+}
+
+impl Node {
+    /// Whether the node distributes for its domain: it holds a slot, or would be the first choice
+    /// and the platform, which grants slots, is down.
+    pub(crate) fn acting(&self) -> bool {
+        self.me.state == MemberState::Alive && self.me.relay
+    }
+
+    fn rank(&mut self) -> Option<usize> {
+        let domain = self.me.domain.clone();
+        self.roster.candidates(&domain).iter().position(|host| *host == self.me.host)
+    }
+
+    /// Tells the fleet when the node starts or ends to act as a relay.
+    fn update_role(&mut self) {
+        let first = self.rank().is_some_and(|rank| rank < RELAY_SLOTS as usize);
+        let down = self.relay.failures >= DOWN;
+        let relay = self.join.settled
+            && self.me.state == MemberState::Alive
+            && (self.relay.held.is_some() || (down && first));
+        if relay == self.me.relay {
+            return;
+        }
+        let mut me = self.me.clone();
+        me.relay = relay;
+        self.change_me(me);
+        self.log(Level::Info, format!("[dist] relay: {relay}"));
+        if relay {
+            self.timers.set(Timer::Spread, self.now + self.cfg.preset.batch);
+            self.timers.set(Timer::Summary, self.now);
+            self.timers.set(Timer::Audit, self.now);
+        } else {
+            self.timers.clear(Timer::Summary);
+            self.timers.clear(Timer::Audit);
+        }
+    }
+
+    /// Claims a slot if the node is a candidate without one.
+    pub(crate) fn run_claim(&mut self) {
+        self.update_role();
+        let rank = self.rank();
+        if !self.join.settled || self.relay.held.is_some() || self.me.state != MemberState::Alive {
+            return;
+        }
+        let Some(rank) = rank else { return };
+        let turn = u32::try_from(rank).unwrap_or(0) + self.relay.attempts;
+        let record = RelayRecord {
+            domain: self.me.domain.clone(),
+            host: self.me.host.clone(),
+            peer: self.me.peer,
+            incarnation: self.me.incarnation,
+        };
+        self.timers.set(Timer::Claim, self.now + CALL_WAIT);
+        self.call(PlatformCall::ClaimSlot { slot: turn % RELAY_SLOTS, record });
+    }
+
+    /// Renews the lease of the slot.
+    pub(crate) fn run_renew(&mut self) {
+        if let Some(slot) = self.relay.held {
+            self.timers.set(Timer::Renew, self.now + LEASE_RENEWAL);
+            self.call(PlatformCall::RenewSlot { slot });
+        }
+    }
+
+    /// Reads the head; the answer starts the watch if there is none.
+    pub(crate) fn run_head(&mut self) {
+        if self.relay.held.is_some() {
+            let jitter = self.jitter(REREAD);
+            self.timers.set(Timer::Head, self.now + REREAD / 2 + jitter);
+            self.call(PlatformCall::ReadHead);
+        }
+    }
+
+    /// Reads the parts of the head again.
+    pub(crate) fn run_parts(&mut self) {
+        if let Some(head) = self.relay.reading.clone() {
+            self.timers.set(Timer::Parts, self.now + CALL_WAIT);
+            self.call(PlatformCall::ReadParts(head));
+        }
+    }
+
+    /// Gives the slot up.
+    pub(crate) fn release_slot(&mut self) {
+        self.stop_watch();
+        if let Some(slot) = self.relay.held.take() {
+            self.call(PlatformCall::ReleaseSlot { slot });
+        }
+    }
+
+    fn stop_watch(&mut self) {
+        if std::mem::take(&mut self.relay.watching) {
+            self.call(PlatformCall::StopWatch);
+        }
+        self.relay.head = None;
+        self.relay.reading = None;
+        for timer in [Timer::Head, Timer::Parts, Timer::Republish, Timer::Renew] {
+            self.timers.clear(timer);
+        }
+    }
+
+    pub(crate) fn on_platform(&mut self, event: PlatformEvent) {
+        if !matches!(event, PlatformEvent::Failed { .. }) {
+            self.relay.failures = 0;
+        }
+        match event {
+            PlatformEvent::HeadRead { head, revision } => self.on_head(Some(head), revision),
+            PlatformEvent::HeadAbsent => self.on_head(None, 0),
+            PlatformEvent::HeadMalformed { reason, revision } => {
+                self.start_watch(revision);
+                let reason = format!("the head cannot be read: {reason}");
+                self.store.open = Some(VersionMark::default());
+                self.refuse(Counter::RefusedInvalid, VersionMark::default(), &reason);
+            }
+            PlatformEvent::PartsRead { head, parts } => self.on_parts(&head, &parts),
+            PlatformEvent::SlotClaimed { slot } => self.on_claimed(slot),
+            PlatformEvent::SlotTaken { holder, .. } => self.on_taken(holder),
+            PlatformEvent::SlotRenewed { .. } => {}
+            PlatformEvent::SlotLost { slot } => self.on_lost(slot),
+            PlatformEvent::RelaysRead { records } => {
+                if self.relay.held.is_some() {
+                    let jitter = self.jitter(RELAYS_EVERY);
+                    self.timers.set(Timer::Relays, self.now + RELAYS_EVERY / 2 + jitter);
+                }
+                self.on_relay_records(records);
+            }
+            PlatformEvent::Republished { number, revision } => {
+                self.relay.republishing = None;
+                self.count(Counter::Republished);
+                self.log(Level::Warn, format!("[dist] version {number} republished"));
+                let head = self.store.served().map(Release::head);
+                if let Some(head) = head.filter(|head| head.number == number) {
+                    self.on_head(Some(head), revision);
+                }
+            }
+            PlatformEvent::RepublishConflict { .. } => {
+                self.relay.republishing = None;
+                self.timers.sooner(Timer::Head, self.now);
+            }
+            PlatformEvent::Failed { call, reason } => self.on_call_failed(call, &reason),
+        }
+        self.update_role();
+    }
+
+    fn on_claimed(&mut self, slot: u32) {
+        if self.me.state != MemberState::Alive {
+            self.call(PlatformCall::ReleaseSlot { slot });
+            return;
+        }
+        self.relay.held = Some(slot);
+        self.timers.clear(Timer::Claim);
+        self.timers.set(Timer::Renew, self.now + LEASE_RENEWAL);
+        self.timers.set(Timer::Head, self.now);
+        self.timers.set(Timer::Relays, self.now);
+    }
+
+    /// Another host holds the slot: it is a peer, and the other slot is tried next.
+    fn on_taken(&mut self, holder: Option<RelayRecord>) {
+        self.relay.attempts += 1;
+        let wait = CLAIM_RETRY + self.jitter(CLAIM_RETRY);
+        self.timers.set(Timer::Claim, self.now + wait);
+        if let Some(holder) = holder.filter(|holder| holder.host != self.me.host)
+            && self.roster.get(&holder.host).is_none_or(|m| !m.state.is_live())
+        {
+            self.send_join(holder.peer);
+        }
+    }
+
+    fn on_lost(&mut self, slot: u32) {
+        if self.relay.held != Some(slot) {
+            return;
+        }
+        self.log(Level::Warn, format!("[dist] the lease of slot {slot} has ended"));
+        self.relay.held = None;
+        self.stop_watch();
+        let wait = self.jitter(Duration::from_millis(500));
+        self.timers.set(Timer::Claim, self.now + wait);
+    }
+
+    /// Retries a failed call with full-jitter backoff.
+    fn on_call_failed(&mut self, call: PlatformCallKind, reason: &str) {
+        self.relay.failures = self.relay.failures.saturating_add(1);
+        self.count(Counter::PlatformFailed);
+        self.log(Level::Debug, format!("[dist] {call} failed: {reason}"));
+        let wait = backoff(&mut self.rng, self.relay.failures);
+        let timer = match call {
+            PlatformCallKind::WatchHead => {
+                self.relay.watching = false;
+                Timer::Head
+            }
+            PlatformCallKind::ReadHead => Timer::Head,
+            PlatformCallKind::ReadParts => Timer::Parts,
+            PlatformCallKind::ClaimSlot => Timer::Claim,
+            PlatformCallKind::RenewSlot => Timer::Renew,
+            PlatformCallKind::Republish => {
+                self.relay.republishing = None;
+                Timer::Republish
+            }
+            PlatformCallKind::ReadRelays => {
+                if !self.join.admitted {
+                    self.timers.sooner(Timer::Join, self.now + wait);
+                }
+                Timer::Relays
+            }
+            PlatformCallKind::StopWatch | PlatformCallKind::ReleaseSlot => return,
+        };
+        if timer != Timer::Relays || self.relay.held.is_some() {
+            self.timers.set(timer, self.now + wait);
+        }
+    }
+
+    fn start_watch(&mut self, revision: u64) {
+        if self.relay.held.is_some() && !self.relay.watching {
+            self.relay.watching = true;
+            self.call(PlatformCall::WatchHead { revision });
+        }
+    }
+
+    fn on_head(&mut self, head: Option<Head>, revision: u64) {
+        self.start_watch(revision);
+        self.relay.head = Some((head, revision));
+        self.judge_head();
+    }
+
+    /// Compares the platform's head with the version served: reads the parts of a newer one,
+    /// refuses a lower one and a fork, and has a lower one replaced.
+    pub(crate) fn judge_head(&mut self) {
+        let Some((head, _)) = self.relay.head.clone() else { return };
+        let served = self.store.mark();
+        let Some(head) = head else {
+            if served.number > 0 {
+                self.timers.sooner(Timer::Republish, self.now);
+            }
+            return;
+        };
+        let mark = head.mark();
+        if mark == served {
+            self.store.open = None;
+            return;
+        }
+        if served.number == 0 && mark.number < self.store.floor {
+            self.store.open = Some(mark);
+            let reason = format!("the host has served version {} before", self.store.floor);
+            self.refuse(Counter::RefusedLower, mark, &reason);
+            return;
+        }
+        if !self.may_follow(mark, Some(head.parent)) {
+            self.store.open = Some(mark);
+            if mark.number < served.number {
+                self.timers.sooner(Timer::Republish, self.now);
+            }
+            return;
+        }
+        if self.was_refused(mark) {
+            self.store.open = Some(mark);
+            return;
+        }
+        if mark.number > self.store.newest().number && self.relay.reading.as_ref() != Some(&head) {
+            self.relay.reading = Some(head);
+            self.run_parts();
+        }
+    }
+
+    fn on_parts(&mut self, head: &Head, parts: &[Vec<u8>]) {
+        if self.relay.reading.as_ref() != Some(head) {
+            return;
+        }
+        let Some(text) = join_parts(parts, head.hash) else {
+            self.on_call_failed(PlatformCallKind::ReadParts, "the parts do not match the hash");
+            return;
+        };
+        self.relay.reading = None;
+        self.timers.clear(Timer::Parts);
+        let version: Option<Version> = self.read_rows(head.mark(), &text);
+        if let Some(version) = version {
+            self.accept(Release::from_head(head, version));
+        } else {
+            self.store.open = Some(head.mark());
+        }
+    }
+
+    /// Writes the version served over a lower head, by compare-and-swap on that head's revision.
+    pub(crate) fn run_republish(&mut self) {
+        let Some((head, revision)) = self.relay.head.clone() else { return };
+        let Some(release) = self.store.served().cloned() else { return };
+        let lower = head.is_none_or(|head| head.number < release.version.number);
+        let waiting = self.relay.republishing.is_some_and(|at| at + CALL_WAIT > self.now);
+        if self.relay.held.is_none() || !lower || waiting {
+            return;
+        }
+        self.relay.republishing = Some(self.now);
+        let (head, version) = (release.head(), release.version);
+        self.call(PlatformCall::Republish { head, version, revision });
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/roster.rs
@@ -0,0 +1,195 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use dw_tables::Name;
+use tokio::time::Instant;
+
+use crate::{CANDIDATES, Member, MemberState, MemberTable, hash};
+
+/// Buckets of hosts in a domain's digests; a sync moves only the buckets that differ.
+pub(crate) const BUCKETS: usize = 16;
+
+/// What is kept of a domain beside its members, updated with each change of a record.
+#[derive(Debug, Default)]
+struct DomainInfo {
+    buckets: [u64; BUCKETS],
+    digest: u64,
+    live: usize,
+    relays: BTreeSet<Name>,
+    ranked: Vec<Name>,
+}
+
+/// A member that is gone.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Gone {
+    /// When it was noticed.
+    pub(crate) at: Instant,
+    /// Whether the process is known to have ended.
+    pub(crate) proven: bool,
+}
+
+/// The member table with its indices and incremental digests.
+#[derive(Debug, Default)]
+pub(crate) struct Roster {
+    table: MemberTable,
+    infos: BTreeMap<Name, DomainInfo>,
+    homes: BTreeMap<Name, Name>,
+    hosts: BTreeMap<SocketAddr, Name>,
+    digest: u64,
+    /// Members that are dead or left.
+    pub(crate) gone: BTreeMap<Name, Gone>,
+}
+
+impl Roster {
+    /// The table, for publication.
+    pub(crate) const fn table(&self) -> &MemberTable {
+        &self.table
+    }
+
+    /// The member on a host.
+    pub(crate) fn get(&self, host: &str) -> Option<&Arc<Member>> {
+        self.table.domains.get(self.homes.get(host)?)?.get(host)
+    }
+
+    /// The member that listens at an address.
+    pub(crate) fn at(&self, addr: SocketAddr) -> Option<&Arc<Member>> {
+        self.get(self.hosts.get(&addr)?)
+    }
+
+    /// Digest of all live members.
+    pub(crate) const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Digest of the live members of a domain.
+    pub(crate) fn domain_digest(&self, domain: &str) -> u64 {
+        self.infos.get(domain).map_or(0, |info| info.digest)
+    }
+
+    /// Bucket digests of a domain.
+    pub(crate) fn buckets(&self, domain: &str) -> [u64; BUCKETS] {
+        self.infos.get(domain).map_or([0; BUCKETS], |info| info.buckets)
+    }
+
+    /// Number of live members of a domain.
+    pub(crate) fn live_count(&self, domain: &str) -> usize {
+        self.infos.get(domain).map_or(0, |info| info.live)
+    }
+
+    /// The domains, by name.
+    pub(crate) fn domains(&self) -> impl Iterator<Item = &Name> {
+        self.table.domains.keys()
+    }
+
+    /// All members of a domain, those that are gone included.
+    pub(crate) fn members(&self, domain: &str) -> impl Iterator<Item = &Arc<Member>> {
+        self.table.domains.get(domain).into_iter().flat_map(|hosts| hosts.values())
+    }
+
+    /// The live members of a domain.
+    pub(crate) fn live(&self, domain: &str) -> impl Iterator<Item = &Arc<Member>> {
+        self.members(domain).filter(|member| member.state.is_live())
+    }
+
+    /// The members of a domain that act as relays.
+    pub(crate) fn relays(&self, domain: &str) -> impl Iterator<Item = &Name> {
+        self.infos.get(domain).into_iter().flat_map(|info| info.relays.iter())
+    }
+
+    /// The first few alive members of a domain by rendezvous hash, cached until the domain changes.
+    pub(crate) fn candidates(&mut self, domain: &Name) -> &[Name] {
+        let Some(info) = self.infos.get_mut(domain) else { return &[] };
+        if info.ranked.is_empty()
+            && let Some(hosts) = self.table.domains.get(domain)
+        {
+            let mut ranked: Vec<_> = hosts
+                .values()
+                .filter(|member| member.state == MemberState::Alive)
+                .map(|member| (hash::rank(domain.as_bytes(), &member.host), &member.host))
+                .collect();
+            ranked.sort_unstable();
+            info.ranked =
+                ranked.into_iter().take(CANDIDATES).map(|(_, host)| host.clone()).collect();
+        }
+        &info.ranked
+    }
+
+    /// Stores a record in place of the host's earlier one.
+    pub(crate) fn put(&mut self, member: Member, now: Instant) {
+        let host = member.host.clone();
+        if let Some(old) = self.get(&host).cloned() {
+            self.index(&old, false);
+            if old.domain != member.domain {
+                self.drop_row(&old);
+            }
+        }
+        if member.state.is_live() {
+            self.gone.remove(&host);
+        } else {
+            self.gone
+                .entry(host.clone())
+                .and_modify(|gone| gone.proven |= member.state == MemberState::Left)
+                .or_insert(Gone { at: now, proven: member.state == MemberState::Left });
+        }
+        self.homes.insert(host.clone(), member.domain.clone());
+        let member = Arc::new(member);
+        self.index(&member, true);
+        let rows = self.table.domains.entry(member.domain.clone()).or_default();
+        Arc::make_mut(rows).insert(host, member);
+    }
+
+    /// Removes a host's record.
+    pub(crate) fn forget(&mut self, host: &str) {
+        self.gone.remove(host);
+        let Some(old) = self.get(host).cloned() else { return };
+        self.index(&old, false);
+        self.drop_row(&old);
+        self.homes.remove(host);
+    }
+
+    fn drop_row(&mut self, old: &Member) {
+        if let Some(rows) = self.table.domains.get_mut(&old.domain) {
+            Arc::make_mut(rows).remove(&old.host);
+            if rows.is_empty() {
+                self.table.domains.remove(&old.domain);
+                self.infos.remove(&old.domain);
+            }
+        }
+    }
+
+    /// Adds a record to the indices and digests, or takes it out.
+    fn index(&mut self, member: &Member, add: bool) {
+        if !member.state.is_live() {
+            return;
+        }
+        let info = self.infos.entry(member.domain.clone()).or_default();
+        let digest = hash::record(&member.host, member.incarnation);
+        info.buckets[bucket_of(&member.host)] ^= digest;
+        info.digest ^= digest;
+        self.digest ^= digest;
+        info.ranked.clear();
+        if add {
+            info.live += 1;
+            self.hosts.insert(member.peer, member.host.clone());
+        } else {
+            info.live -= 1;
+            if self.hosts.get(&member.peer) == Some(&member.host) {
+                self.hosts.remove(&member.peer);
+            }
+        }
+        if add && member.relay {
+            info.relays.insert(member.host.clone());
+        } else {
+            info.relays.remove(&member.host);
+        }
+    }
+}
+
+/// The digest bucket of a host.
+pub(crate) fn bucket_of(host: &str) -> usize {
+    let digest = hash::hash64(&[b"bucket", host.as_bytes()]);
+    usize::try_from(digest % BUCKETS as u64).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/mesh/src/store.rs
@@ -0,0 +1,330 @@
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use dw_tables::{Delta, Hash, Head, Name, Tables, Version, VersionMark, split_parts, validate};
+use dw_wire::{FRAME_LIMIT, Origin};
+use tokio::time::Instant;
+
+use crate::{Action, Counter, Level, Node, PART_BYTES, Refused, timer::Timer};
+
+/// Versions kept as bases of deltas: a peer further behind takes a snapshot.
+const HISTORY: usize = 8;
+
+/// Refused versions kept for the status.
+const REFUSED_LIMIT: usize = 8;
+
+/// Canonical text that fits into one frame beside the other fields.
+const TEXT_LIMIT: usize = FRAME_LIMIT - (4 << 10);
+
+/// A version with what is needed to restore its head.
+#[derive(Clone, Debug)]
+pub(crate) struct Release {
+    /// The version.
+    pub(crate) version: Arc<Version>,
+    /// Hash of the version before.
+    pub(crate) parent: Hash,
+    change: Name,
+    author: Name,
+    time: u64,
+}
+
+impl Release {
+    /// A version read from the platform.
+    pub(crate) fn from_head(head: &Head, version: Version) -> Self {
+        Self {
+            version: Arc::new(version),
+            parent: head.parent,
+            change: head.change.clone(),
+            author: head.author.clone(),
+            time: head.time,
+        }
+    }
+
+    /// A version received from a peer.
+    pub(crate) fn from_wire(origin: Option<&Origin>, version: Version) -> Self {
+        let origin = origin.cloned().unwrap_or_default();
+        Self {
+            version: Arc::new(version),
+            parent: Hash::from_bytes(&origin.parent).unwrap_or_default(),
+            change: origin.change.into(),
+            author: origin.author.into(),
+            time: origin.time,
+        }
+    }
+
+    /// The wire form of what is not in the version.
+    pub(crate) fn origin(&self) -> Origin {
+        Origin {
+            parent: self.parent.as_bytes().to_vec(),
+            change: self.change.to_string(),
+            author: self.author.to_string(),
+            time: self.time,
+        }
+    }
+
+    /// The head as the platform held it.
+    pub(crate) fn head(&self) -> Head {
+        let parts = split_parts(&self.version.tables.canonical(), PART_BYTES);
+        Head {
+            number: self.version.number,
+            hash: self.version.hash,
+            parent: self.parent,
+            change: self.change.clone(),
+            parts: parts.into_iter().map(|(hash, _)| hash).collect(),
+            author: self.author.clone(),
+            time: self.time,
+        }
+    }
+}
+
+/// Encoded rows for a peer.
+#[derive(Debug)]
+pub(crate) enum Rows {
+    /// Changed rows.
+    Delta(Bytes),
+    /// All rows.
+    Snapshot(Bytes),
+}
+
+/// The versions that the node holds and those that it refused.
+#[derive(Debug)]
+pub(crate) struct Store {
+    /// The version served and those before it, newest first.
+    held: VecDeque<Release>,
+    /// A version that is checked but not served while the floor is not known.
+    staged: Option<Release>,
+    /// The lowest number that the node may serve.
+    pub(crate) floor: u64,
+    floor_known: bool,
+    /// When the version served was published.
+    pub(crate) since: Instant,
+    snapshot: Option<Bytes>,
+    deltas: BTreeMap<u64, Bytes>,
+    /// Refused versions, newest last.
+    pub(crate) refused: VecDeque<Refused>,
+    /// The refused version that the platform holds.
+    pub(crate) open: Option<VersionMark>,
+}
+
+impl Store {
+    /// No version.
+    pub(crate) const fn new(now: Instant) -> Self {
+        Self {
+            held: VecDeque::new(),
+            staged: None,
+            floor: 0,
+            floor_known: false,
+            since: now,
+            snapshot: None,
+            deltas: BTreeMap::new(),
+            refused: VecDeque::new(),
+            open: None,
+        }
+    }
+
+    /// The version served.
+    pub(crate) fn served(&self) -> Option<&Release> {
+        self.held.front()
+    }
+
+    /// Number and hash of the version served; number 0 for none.
+    pub(crate) fn mark(&self) -> VersionMark {
+        self.served().map(|release| release.version.mark()).unwrap_or_default()
+    }
+
+    /// Number and hash of the newest version held, served or staged.
+    pub(crate) fn newest(&self) -> VersionMark {
+        let staged = self.staged.as_ref().map(|release| release.version.mark());
+        staged.unwrap_or_default().max_by_number(self.mark())
+    }
+
+    /// A version held that may be the base of a delta.
+    pub(crate) fn base(&self, mark: VersionMark) -> Option<&Arc<Version>> {
+        let all = self.staged.iter().chain(&self.held);
+        all.map(|release| &release.version).find(|version| version.mark() == mark)
+    }
+
+    /// Whether the node may serve a version of the given number.
+    pub(crate) const fn may_serve(&self, number: u64) -> bool {
+        self.floor_known && number >= self.floor
+    }
+
+    /// The version served as rows for a peer: changed rows if the base is known and they are
+    /// smaller than all rows. Encoded once for all peers.
+    pub(crate) fn rows(&mut self, base: Option<VersionMark>) -> Option<Rows> {
+        let version = Arc::clone(&self.served()?.version);
+        let snapshot = self
+            .snapshot
+            .get_or_insert_with(|| Bytes::from(version.tables.canonical().into_bytes()))
+            .clone();
+        let old = base.and_then(|mark| {
+            let known = self.held.iter().find(|release| release.version.mark() == mark)?;
+            Some(Arc::clone(&known.version))
+        });
+        if let Some(old) = old {
+            let delta = self
+                .deltas
+                .entry(old.number)
+                .or_insert_with(|| {
+                    let delta = Delta::between(&old, &version);
+                    serde_json::to_vec(&delta).unwrap_or_default().into()
+                })
+                .clone();
+            if !delta.is_empty() && delta.len() < snapshot.len() {
+                return Some(Rows::Delta(delta));
+            }
+        }
+        Some(Rows::Snapshot(snapshot))
+    }
+}
+
+/// Ordering of versions by number.
+trait ByNumber {
+    fn max_by_number(self, other: Self) -> Self;
+}
+
+impl ByNumber for VersionMark {
+    fn max_by_number(self, other: Self) -> Self {
+        if self.number > other.number { self } else { other }
+    }
+}
+
+impl Node {
+    /// Checks whole rows and takes them as a version. Returns whether they are what the mark says
+    /// and valid.
+    pub(crate) fn read_rows(&mut self, mark: VersionMark, text: &str) -> Option<Version> {
+        if text.len() > TEXT_LIMIT {
+            self.refuse(Counter::RefusedInvalid, mark, "the tables are too large to distribute");
+            return None;
+        }
+        let tables = match Tables::from_canonical(text) {
+            Ok(tables) => tables,
+            Err(e) => {
+                let reason = format!("the tables cannot be read: {e}");
+                self.refuse(Counter::RefusedInvalid, mark, &reason);
+                return None;
+            }
+        };
+        let version = Version::new(mark.number, tables);
+        if version.mark() != mark {
+            self.refuse(Counter::RefusedInvalid, mark, "the rows do not match the hash");
+            return None;
+        }
+        self.check_rows(version)
+    }
+
+    /// Returns the version if its tables are valid.
+    pub(crate) fn check_rows(&mut self, version: Version) -> Option<Version> {
+        let findings = validate(&version.tables);
+        if findings.is_empty() {
+            return Some(version);
+        }
+        let reason = format!("the tables are not valid: {findings}");
+        self.refuse(Counter::RefusedInvalid, version.mark(), &reason);
+        None
+    }
+
+    /// Whether a version may follow the one served; refuses a lower one and a fork.
+    pub(crate) fn may_follow(&mut self, mark: VersionMark, parent: Option<Hash>) -> bool {
+        let served = self.store.mark();
+        if served.number == 0 {
+            return true;
+        }
+        if mark.number < served.number {
+            let reason = format!("version {} is served, which is higher", served.number);
+            self.refuse(Counter::RefusedLower, mark, &reason);
+            return false;
+        }
+        if mark.number == served.number && mark.hash != served.hash {
+            self.refuse(Counter::RefusedFork, mark, "the version served has another hash");
+            return false;
+        }
+        let next = mark.number == served.number + 1;
+        if next && parent.is_some_and(|parent| parent != served.hash) {
+            self.refuse(Counter::RefusedFork, mark, "its parent is not the version served");
+            return false;
+        }
+        true
+    }
+
+    /// Refuses a version: counted, logged and shown once.
+    pub(crate) fn refuse(&mut self, counter: Counter, mark: VersionMark, reason: &str) {
+        let refused = Refused { mark, reason: reason.to_owned() };
+        if self.store.refused.contains(&refused) {
+            return;
+        }
+        self.count(counter);
+        self.log(Level::Error, format!("[dist] version {} refused: {reason}", mark.number));
+        if self.store.refused.len() == REFUSED_LIMIT {
+            self.store.refused.pop_front();
+        }
+        self.store.refused.push_back(refused.clone());
+        self.out.push(Action::Refused(refused));
+    }
+
+    /// Whether a version was refused for what it is, so that fetching it again is of no use.
+    pub(crate) fn was_refused(&self, mark: VersionMark) -> bool {
+        self.store.refused.iter().any(|refused| refused.mark == mark)
+    }
+
+    /// Takes a checked version: serves it, or stages it while the floor is not known.
+    pub(crate) fn accept(&mut self, release: Release) {
+        let mark = release.version.mark();
+        if mark.number <= self.store.newest().number || !self.may_follow(mark, Some(release.parent))
+        {
+            return;
+        }
+        if self.store.may_serve(mark.number) {
+            self.publish(release);
+        } else {
+            self.store.staged = Some(release);
+        }
+    }
+
+    /// The floor is known: a staged version at or above it is served.
+    pub(crate) fn know_floor(&mut self) {
+        self.store.floor_known = true;
+        if let Some(release) = self.store.staged.take() {
+            if self.store.may_serve(release.version.number) {
+                self.publish(release);
+            } else {
+                let (number, floor) = (release.version.number, self.store.floor);
+                let text = format!("[dist] version {number} is below the floor {floor}");
+                self.log(Level::Warn, text);
+            }
+        }
+    }
+
+    fn publish(&mut self, release: Release) {
+        let mark = release.version.mark();
+        let store = &mut self.store;
+        store.staged = None;
+        store.held.push_front(release.clone());
+        store.held.truncate(HISTORY);
+        store.since = self.now;
+        store.snapshot = None;
+        store.deltas.clear();
+        if store.open.is_some_and(|open| open.number < mark.number) {
+            store.open = None;
+        }
+        self.acks.note(&self.me.host, self.me.started, mark.number, mark.hash.prefix());
+        self.count(Counter::Published);
+        self.log(Level::Info, format!("[dist] version {} in use", mark.number));
+        self.out.push(Action::Publish(release.version));
+        self.after_publish();
+    }
+
+    /// Spreads the version served, and compares the platform's head with it again.
+    fn after_publish(&mut self) {
+        if self.acting() {
+            self.timers.sooner(Timer::Spread, self.now + self.cfg.preset.batch);
+            self.timers.sooner(Timer::Audit, self.now);
+        }
+        self.pull_done();
+        self.grow_trees();
+        self.judge_head();
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/tree.rs
@@ -0,0 +1,392 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use dw_tables::{Name, VersionMark};
+use dw_wire::{Applied, FrameBody, Offer};
+use tokio::time::Instant;
+
+use crate::{
+    Counter, Node,
+    convert::{mark_from_wire, mark_to_wire},
+    hash,
+    timer::Timer,
+};
+
+/// Wait for the first answer of a child.
+const OFFER_WAIT: Duration = Duration::from_secs(1);
+
+/// Time without report after which a child that has not finished is given up.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// Time between two reports of a node whose subtree has not finished.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
+/// Trees that a node is part of at the same time: one for each relay, and some that end.
+const TREES: usize = 8;
+
+/// Hosts named in one report.
+const NAMES: usize = 32;
+
+/// A child and its subtree.
+#[derive(Debug)]
+struct Child {
+    host: Name,
+    lo: u64,
+    hi: u64,
+    heard: Instant,
+    answered: bool,
+    report: Applied,
+}
+
+/// The part of a node in one distribution tree.
+#[derive(Debug)]
+pub(crate) struct Tree {
+    epoch: u64,
+    mark: VersionMark,
+    parent: Option<SocketAddr>,
+    lo: u64,
+    hi: u64,
+    /// Whether the offer was passed on.
+    grown: bool,
+    children: BTreeMap<SocketAddr, Child>,
+    /// Hosts that did not answer; their children are adopted.
+    failed: BTreeSet<Name>,
+    /// Hosts that do not take the version; their children are adopted.
+    declined: BTreeSet<Name>,
+    sent: Option<Applied>,
+    report_at: Instant,
+}
+
+impl Tree {
+    /// Moves all timeouts by the length of a pause of the process.
+    pub(crate) fn shift(&mut self, late: Duration) {
+        for child in self.children.values_mut() {
+            child.heard += late;
+        }
+    }
+
+    fn done(&self) -> bool {
+        self.grown && self.children.values().all(|child| child.report.done)
+    }
+
+    fn skip(&self) -> BTreeSet<Name> {
+        self.failed.union(&self.declined).cloned().collect()
+    }
+
+    fn next(&self) -> Option<Instant> {
+        let child = self
+            .children
+            .values()
+            .filter(|child| !child.report.done)
+            .map(|child| child.heard + if child.answered { SILENCE } else { OFFER_WAIT })
+            .min();
+        let report =
+            (self.parent.is_some() && self.grown && !self.done()).then_some(self.report_at);
+        child.into_iter().chain(report).min()
+    }
+}
+
+impl Node {
+    /// As a relay, offers the version served to the domain.
+    pub(crate) fn start_tree(&mut self) {
+        let mark = self.store.mark();
+        if !self.acting() || mark.number == 0 {
+            return;
+        }
+        let root = self.me.host.clone();
+        let last = self.trees.get(&root).map_or(0, |tree| tree.epoch);
+        let tree = self.new_tree(last.max(self.me.incarnation) + 1, mark, None, 0, u64::MAX);
+        self.trees.insert(root.clone(), tree);
+        self.grow(&root);
+    }
+
+    fn new_tree(
+        &self,
+        epoch: u64,
+        mark: VersionMark,
+        parent: Option<SocketAddr>,
+        lo: u64,
+        hi: u64,
+    ) -> Tree {
+        Tree {
+            epoch,
+            mark,
+            parent,
+            lo,
+            hi,
+            grown: false,
+            children: BTreeMap::new(),
+            failed: BTreeSet::new(),
+            declined: BTreeSet::new(),
+            sent: None,
+            report_at: self.now + REPORT_EVERY,
+        }
+    }
+
+    pub(crate) fn on_offer(&mut self, from: SocketAddr, offer: &Offer) {
+        let Some(mark) = mark_from_wire(offer.mark.as_ref()) else {
+            self.count(Counter::BadMessage);
+            return;
+        };
+        let served = self.store.mark();
+        let fork = mark.number == served.number && mark.hash != served.hash;
+        if fork {
+            self.may_follow(mark, None);
+        }
+        if offer.lo > offer.hi {
+            return;
+        }
+        if fork || self.was_refused(mark) {
+            self.decline(from, offer);
+            return;
+        }
+        let root = Name::new(&offer.root);
+        if let Some(tree) = self.trees.get_mut(&root) {
+            if tree.epoch > offer.epoch {
+                return;
+            }
+            if tree.epoch == offer.epoch && (tree.lo, tree.hi) == (offer.lo, offer.hi) {
+                // The offer was repeated, or another parent adopted this node.
+                tree.parent = Some(from);
+                tree.sent = None;
+                self.report(&root);
+                return;
+            }
+        } else if self.trees.len() >= TREES {
+            let oldest = self.trees.iter().min_by_key(|(_, tree)| tree.mark.number);
+            let oldest = oldest.map(|(root, _)| root.clone());
+            oldest.and_then(|root| self.trees.remove(&root));
+        }
+        let tree = self.new_tree(offer.epoch, mark, Some(from), offer.lo, offer.hi);
+        self.trees.insert(root.clone(), tree);
+        if served.number >= mark.number {
+            self.grow(&root);
+        } else {
+            self.compare_number(from, mark.number);
+            self.report(&root);
+        }
+    }
+
+    /// Tells the parent that this node does not take the version.
+    fn decline(&mut self, to: SocketAddr, offer: &Offer) {
+        let report = Applied {
+            host: self.me.host.to_string(),
+            root: offer.root.clone(),
+            epoch: offer.epoch,
+            mark: Some(mark_to_wire(self.store.mark())),
+            declined: true,
+            ..Applied::default()
+        };
+        self.send(to, FrameBody::Applied(report));
+    }
+
+    /// Passes on all offers whose version is served now.
+    pub(crate) fn grow_trees(&mut self) {
+        let number = self.store.mark().number;
+        let ready = |tree: &Tree| !tree.grown && tree.mark.number <= number;
+        let roots: Vec<_> =
+            self.trees.iter().filter(|(_, t)| ready(t)).map(|(root, _)| root.clone()).collect();
+        for root in roots {
+            self.grow(&root);
+        }
+    }
+
+    fn grow(&mut self, root: &Name) {
+        let Some(tree) = self.trees.get_mut(root) else { return };
+        tree.grown = true;
+        let (lo, hi) = (tree.lo, tree.hi);
+        self.offer_range(root, lo, hi);
+        self.report(root);
+    }
+
+    /// Offers the tree's version to the heads of the parts of a range.
+    fn offer_range(&mut self, root: &Name, lo: u64, hi: u64) {
+        let Some(tree) = self.trees.get(root) else { return };
+        let (epoch, mark, skip) = (tree.epoch, tree.mark, tree.skip());
+        let key = [root.as_bytes(), &mark.number.to_be_bytes()].concat();
+        let branches = self.branches(&key, lo, hi, &skip);
+        let Some(tree) = self.trees.get_mut(root) else { return };
+        for branch in &branches {
+            let (host, lo, hi) = (branch.host.clone(), branch.lo, branch.hi);
+            let report = Applied::default();
+            let child = Child { host, lo, hi, heard: self.now, answered: false, report };
+            tree.children.insert(branch.peer, child);
+        }
+        for branch in branches {
+            let offer = Offer {
+                root: root.to_string(),
+                epoch,
+                mark: Some(mark_to_wire(mark)),
+                lo: branch.lo,
+                hi: branch.hi,
+            };
+            self.send(branch.peer, FrameBody::Offer(offer));
+        }
+        self.plan_trees();
+    }
+
+    pub(crate) fn on_applied(&mut self, from: SocketAddr, report: &Applied) {
+        if let Some(mark) = mark_from_wire(report.mark.as_ref()) {
+            if let Some(started) = self.roster.get(&report.host).map(|m| m.started) {
+                self.acks.note(&report.host, started, mark.number, mark.hash.prefix());
+            }
+            self.compare_number(from, mark.number);
+        }
+        let root = Name::new(&report.root);
+        let now = self.now;
+        let Some(tree) = self.trees.get_mut(&root).filter(|tree| tree.epoch == report.epoch) else {
+            return;
+        };
+        let Some(child) = tree.children.get_mut(&from) else { return };
+        child.heard = now;
+        child.answered = true;
+        if report.declined {
+            tree.declined.insert(child.host.clone());
+            self.adopt(&root, from);
+            return;
+        }
+        child.report = Applied {
+            behind: report.behind.iter().take(NAMES).cloned().collect(),
+            unreachable: report.unreachable.iter().take(NAMES).cloned().collect(),
+            ..report.clone()
+        };
+        if tree.parent.is_none() && report.done {
+            self.credit(&root, from);
+            self.announce_complete();
+        }
+        self.report(&root);
+        self.plan_trees();
+    }
+
+    /// As the root, takes a finished subtree as acknowledged by each of its members, if the sums
+    /// match this node's view of it. If they do not, the audit finds out.
+    fn credit(&mut self, root: &Name, from: SocketAddr) {
+        let Some(tree) = self.trees.get(root) else { return };
+        let Some(child) = tree.children.get(&from) else { return };
+        let key = [root.as_bytes(), &tree.mark.number.to_be_bytes()].concat();
+        let named = child.report.behind.iter().chain(&child.report.unreachable);
+        let mut skip: BTreeSet<Name> = named.map(|name| name.as_str().into()).collect();
+        skip.extend(tree.skip());
+        skip.insert(self.me.host.clone());
+        // Members outside the child's range that the parent's other children head are not part.
+        let (mut sum, mut count, mut hosts) = (0_u64, 0, Vec::new());
+        for member in self.roster.live(&self.me.domain) {
+            let rank = hash::rank(&key, &member.host);
+            if (child.lo..=child.hi).contains(&rank) && !skip.contains(&member.host) {
+                sum = sum.wrapping_add(hash::process(&member.host, member.started));
+                count += 1;
+                hosts.push((member.host.clone(), member.started));
+            }
+        }
+        if sum != child.report.sum || count != child.report.count {
+            return;
+        }
+        let mark = tree.mark;
+        for (host, started) in hosts {
+            self.acks.note(&host, started, mark.number, mark.hash.prefix());
+        }
+    }
+
+    /// Tells the parent the sums of the subtree: at once when it has finished, else once a second.
+    fn report(&mut self, root: &Name) {
+        let Some(tree) = self.trees.get_mut(root) else { return };
+        let Some(parent) = tree.parent else { return };
+        let done = tree.done();
+        let first = tree.sent.is_none();
+        if !done && !first && self.now < tree.report_at {
+            return;
+        }
+        let mut report = Applied {
+            host: self.me.host.to_string(),
+            root: root.to_string(),
+            epoch: tree.epoch,
+            mark: Some(mark_to_wire(self.store.mark())),
+            done,
+            ..Applied::default()
+        };
+        if tree.grown {
+            report.count = 1;
+            report.sum = hash::process(&self.me.host, self.me.started);
+        }
+        for child in tree.children.values() {
+            report.count = report.count.saturating_add(child.report.count);
+            report.sum = report.sum.wrapping_add(child.report.sum);
+            report.behind.extend(child.report.behind.iter().cloned());
+            report.unreachable.extend(child.report.unreachable.iter().cloned());
+        }
+        report.behind.extend(tree.declined.iter().map(ToString::to_string));
+        report.unreachable.extend(tree.failed.iter().map(ToString::to_string));
+        report.behind.truncate(NAMES);
+        report.unreachable.truncate(NAMES);
+        tree.report_at = self.now + REPORT_EVERY;
+        if done && tree.sent.as_ref() == Some(&report) {
+            return;
+        }
+        tree.sent = Some(report.clone());
+        self.send(parent, FrameBody::Applied(report));
+    }
+
+    /// Gives up children that do not answer, and reports.
+    pub(crate) fn run_trees(&mut self) {
+        let now = self.now;
+        let mut late = Vec::new();
+        for (root, tree) in &self.trees {
+            for (addr, child) in &tree.children {
+                let wait = if child.answered { SILENCE } else { OFFER_WAIT };
+                if !child.report.done && child.heard + wait <= now {
+                    late.push((root.clone(), *addr));
+                }
+            }
+        }
+        for (root, addr) in late {
+            self.give_up(&root, addr);
+        }
+        let roots: Vec<_> = self.trees.keys().cloned().collect();
+        for root in roots {
+            self.report(&root);
+        }
+        self.plan_trees();
+    }
+
+    fn plan_trees(&mut self) {
+        if let Some(next) = self.trees.values().filter_map(Tree::next).min() {
+            self.timers.set(Timer::Tree, next.max(self.now + Duration::from_millis(1)));
+        }
+    }
+
+    /// Gives up a peer as a child in all trees.
+    pub(crate) fn adopt_from(&mut self, addr: SocketAddr) {
+        let open = |tree: &Tree| tree.children.get(&addr).is_some_and(|c| !c.report.done);
+        let roots: Vec<_> =
+            self.trees.iter().filter(|(_, t)| open(t)).map(|(root, _)| root.clone()).collect();
+        for root in roots {
+            self.give_up(&root, addr);
+        }
+    }
+
+    fn give_up(&mut self, root: &Name, addr: SocketAddr) {
+        if let Some(tree) = self.trees.get_mut(root)
+            && let Some(child) = tree.children.get(&addr)
+        {
+            tree.failed.insert(child.host.clone());
+        }
+        self.adopt(root, addr);
+    }
+
+    /// Takes over the children of a child that is given up.
+    fn adopt(&mut self, root: &Name, addr: SocketAddr) {
+        let Some(tree) = self.trees.get_mut(root) else { return };
+        let Some(child) = tree.children.remove(&addr) else { return };
+        self.count(Counter::Adopted);
+        self.offer_range(root, child.lo, child.hi);
+        self.report(root);
+    }
+
+    /// Whether the own tree has finished or there is none.
+    pub(crate) fn tree_done(&self) -> bool {
+        self.trees.get(&self.me.host).is_none_or(Tree::done)
+    }
+}
--- /dev/null
+++ b/crates/mesh/tests/harness/mod.rs
@@ -0,0 +1,509 @@
+//! Runs a handful of nodes with a fake clock, a message queue and a platform, all from one seed,
+//! and checks the invariants after each step.
+
+#![allow(clippy::expect_used, clippy::cast_possible_truncation, clippy::print_stderr, dead_code)]
+
+mod platform;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use dw_mesh::{
+    Action, Counter, Force, Input, LocalEvent, Node, NodeConfig, PlatformCallKind, PlatformEvent,
+    Preset, PresetName, Status,
+};
+use dw_tables::{Hash, Tables, Version, VersionMark, parse_pools, parse_routes, validate};
+use dw_wire::{decode_packet, encode_packet};
+use platform::Store;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::time::Instant;
+
+/// Faults of the network.
+#[derive(Clone, Debug)]
+pub(crate) struct Faults {
+    /// Share of messages lost.
+    pub(crate) loss: f64,
+    /// Share of messages delivered twice.
+    pub(crate) double: f64,
+    /// The longest delay; messages with different delays cross.
+    pub(crate) delay: Duration,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self { loss: 0.0, double: 0.0, delay: Duration::from_millis(2) }
+    }
+}
+
+/// One host: its process, if it runs, and what was seen of it.
+pub(crate) struct Host {
+    pub(crate) cfg: NodeConfig,
+    pub(crate) node: Option<Node>,
+    /// Counts processes; messages of the platform to an earlier process are dropped.
+    pub(crate) process: u64,
+    paused: Option<VecDeque<Input>>,
+    /// The version that the running process serves.
+    pub(crate) served: VersionMark,
+    /// The highest version that any process on the host served.
+    pub(crate) highest: u64,
+    pub(crate) sent: u64,
+    pub(crate) received: u64,
+    pub(crate) counts: BTreeMap<Counter, u64>,
+    pub(crate) poison: Vec<u64>,
+}
+
+enum Event {
+    Deliver { to: usize, process: Option<u64>, input: Input },
+}
+
+/// The simulated fleet.
+pub(crate) struct World {
+    pub(crate) now: Instant,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) platform: Store,
+    pub(crate) faults: Faults,
+    /// Pairs of hosts between which messages do not pass, by direction.
+    pub(crate) cuts: BTreeSet<(usize, usize)>,
+    /// All versions that were accepted, in order.
+    pub(crate) accepted: Vec<Arc<Version>>,
+    /// Whether a process may serve less than its host once did. Only for tests in which no peer
+    /// can remember it.
+    pub(crate) may_forget: bool,
+    queue: BTreeMap<(Instant, u64), Event>,
+    seq: u64,
+    rng: StdRng,
+    clock: u64,
+    checked: Instant,
+    seed: u64,
+}
+
+/// A version with the given number and a text that makes its hash differ.
+pub(crate) fn version(number: u64, text: &str) -> Version {
+    let routes = format!(
+        r#"{{ "routes": [{{ "name": "lookup", "match": {{ "path": "/{text}" }}, "pool": "tally",
+            "deadline": "{number}ms" }}] }}"#
+    );
+    let pools = r#"{ "pools": [{ "name": "tally", "service": "tally" }] }"#;
+    let routes = parse_routes("routes", &routes).expect("routes");
+    let pools = parse_pools("pools", pools).expect("pools");
+    Version::new(number, Tables { routes, pools })
+}
+
+fn addr(host: usize, port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, (host / 250) as u8, (host % 250) as u8 + 1], port))
+}
+
+impl World {
+    /// Domains of the given sizes. Each host joins through the first two hosts of its own domain
+    /// and the first of the next one.
+    pub(crate) fn new(seed: u64, preset: PresetName, sizes: &[usize]) -> Self {
+        let now = Instant::now() + Duration::from_secs(10_000);
+        let mut hosts = Vec::new();
+        let starts: Vec<usize> = sizes
+            .iter()
+            .scan(0, |sum, size| {
+                *sum += size;
+                Some(*sum - size)
+            })
+            .collect();
+        for (domain, size) in sizes.iter().enumerate() {
+            for idx in 0..*size {
+                let id = starts[domain] + idx;
+                let (name, home) = (format!("host-{id}"), format!("domain-{domain}"));
+                let mut cfg = NodeConfig::new(
+                    name.as_str().into(),
+                    home.as_str().into(),
+                    addr(id, 7000),
+                    addr(id, 8000),
+                );
+                let next = starts[(domain + 1) % sizes.len()];
+                let own = starts[domain];
+                cfg.join = vec![addr(own, 7000), addr(own + (1 % size), 7000), addr(next, 7000)];
+                cfg.preset = Preset::new(preset);
+                hosts.push(Host {
+                    cfg,
+                    node: None,
+                    process: 0,
+                    paused: None,
+                    served: VersionMark::default(),
+                    highest: 0,
+                    sent: 0,
+                    received: 0,
+                    counts: BTreeMap::new(),
+                    poison: Vec::new(),
+                });
+            }
+        }
+        Self {
+            now,
+            hosts,
+            platform: Store::default(),
+            faults: Faults::default(),
+            cuts: BTreeSet::new(),
+            accepted: Vec::new(),
+            may_forget: false,
+            queue: BTreeMap::new(),
+            seq: 0,
+            rng: StdRng::seed_from_u64(seed),
+            clock: 1_000_000,
+            checked: now,
+            seed,
+        }
+    }
+
+    /// A fleet that runs and serves version 1 everywhere.
+    pub(crate) fn started(seed: u64, preset: PresetName, sizes: &[usize]) -> Self {
+        let mut world = Self::new(seed, preset, sizes);
+        world.apply();
+        (0..world.hosts.len()).for_each(|id| world.start(id));
+        world.run(Duration::from_secs(20));
+        world.expect_settled();
+        world
+    }
+
+    pub(crate) fn random(&mut self, bound: usize) -> usize {
+        self.rng.random_range(0..bound)
+    }
+
+    pub(crate) fn id(&self, host: &str) -> usize {
+        self.hosts.iter().position(|h| h.cfg.host.as_str() == host).expect("host")
+    }
+
+    /// Starts a process on a host; its wall clock is later than that of all earlier ones.
+    pub(crate) fn start(&mut self, id: usize) {
+        self.clock += 1_000;
+        let seed = self.rng.random();
+        let host = &mut self.hosts[id];
+        host.process += 1;
+        host.cfg.incarnation = self.clock;
+        host.cfg.seed = seed;
+        host.paused = None;
+        host.served = VersionMark::default();
+        host.node = Some(Node::new(host.cfg.clone(), self.now));
+    }
+
+    /// Ends a process without warning.
+    pub(crate) fn crash(&mut self, id: usize) {
+        let host = &mut self.hosts[id];
+        host.node = None;
+        host.paused = None;
+        host.served = VersionMark::default();
+        self.platform.watches.retain(|(owner, _)| *owner != id);
+    }
+
+    pub(crate) fn running(&self, id: usize) -> bool {
+        self.hosts[id].node.is_some()
+    }
+
+    pub(crate) fn pause(&mut self, id: usize) {
+        self.hosts[id].paused = Some(VecDeque::new());
+    }
+
+    pub(crate) fn is_paused(&self, id: usize) -> bool {
+        self.hosts[id].paused.is_some()
+    }
+
+    pub(crate) fn resume(&mut self, id: usize) {
+        let waiting = self.hosts[id].paused.take().unwrap_or_default();
+        for input in waiting {
+            self.feed(id, input);
+        }
+        self.feed(id, Input::Tick);
+    }
+
+    pub(crate) fn local(&mut self, id: usize, event: LocalEvent) {
+        self.feed(id, Input::Local(event));
+    }
+
+    /// Stops messages from one group of hosts to another.
+    pub(crate) fn cut(&mut self, from: &[usize], to: &[usize]) {
+        for a in from {
+            self.cuts.extend(to.iter().filter(|b| *b != a).map(|b| (*a, *b)));
+        }
+    }
+
+    pub(crate) fn domain(&self, domain: &str) -> Vec<usize> {
+        (0..self.hosts.len()).filter(|id| self.hosts[*id].cfg.domain.as_str() == domain).collect()
+    }
+
+    /// Operators accept the next version.
+    pub(crate) fn apply(&mut self) -> u64 {
+        let parent = self.accepted.last().map(|v| v.hash).unwrap_or_default();
+        let number = self.accepted.len() as u64 + 1;
+        let version = Arc::new(version(number, "accepted"));
+        let event = self.platform.write(&version, parent);
+        self.accepted.push(version);
+        self.notify(&event);
+        number
+    }
+
+    /// Puts an arbitrary version in place of the platform's head.
+    pub(crate) fn overwrite(&mut self, version: &Version, parent: Hash) {
+        let event = self.platform.write(version, parent);
+        self.notify(&event);
+    }
+
+    fn notify(&mut self, event: &PlatformEvent) {
+        for (id, process) in self.platform.watches.clone() {
+            if self.platform.reachable(id) {
+                let input = Input::Platform(event.clone());
+                let at = self.now + Duration::from_millis(2);
+                self.enqueue(at, Event::Deliver { to: id, process: Some(process), input });
+            }
+        }
+    }
+
+    /// The platform stops answering, or answers again.
+    pub(crate) fn set_platform_down(&mut self, down: bool) {
+        self.platform.down = down;
+        if down {
+            let all: Vec<usize> = (0..self.hosts.len()).collect();
+            self.break_watches(&all);
+        }
+    }
+
+    /// Cuts hosts off from the platform.
+    pub(crate) fn cut_platform(&mut self, ids: &[usize]) {
+        self.platform.cut.extend(ids);
+        self.break_watches(ids);
+    }
+
+    fn break_watches(&mut self, ids: &[usize]) {
+        for (id, process) in std::mem::take(&mut self.platform.watches) {
+            if !ids.contains(&id) {
+                self.platform.watches.insert((id, process));
+                continue;
+            }
+            let reason = "broken".to_owned();
+            let event = PlatformEvent::Failed { call: PlatformCallKind::WatchHead, reason };
+            let (process, input) = (Some(process), Input::Platform(event));
+            self.enqueue(self.now, Event::Deliver { to: id, process, input });
+        }
+    }
+
+    fn enqueue(&mut self, at: Instant, event: Event) {
+        self.seq += 1;
+        self.queue.insert((at, self.seq), event);
+    }
+
+    /// Runs for a time.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        loop {
+            let message = self.queue.keys().next().map(|(at, _)| *at);
+            let timer = self
+                .hosts
+                .iter()
+                .enumerate()
+                .filter(|(_, host)| host.paused.is_none())
+                .filter_map(|(id, host)| Some((host.node.as_ref()?.deadline()?, id)))
+                .min();
+            let next = message.into_iter().chain(timer.map(|(at, _)| at)).min();
+            let Some(at) = next.filter(|at| *at <= end) else { break };
+            self.now = self.now.max(at);
+            if let Some((due, id)) = timer.filter(|(due, _)| message.is_none_or(|m| *due <= m)) {
+                debug_assert!(due <= self.now);
+                self.feed(id, Input::Tick);
+            } else if let Some((_, Event::Deliver { to, process, input })) = self.queue.pop_first()
+                && process.is_none_or(|process| process == self.hosts[to].process)
+            {
+                self.deliver(to, input);
+            }
+            self.check_status();
+        }
+        self.now = end;
+    }
+
+    fn deliver(&mut self, to: usize, input: Input) {
+        match &mut self.hosts[to].paused {
+            // A paused process has bounded socket buffers.
+            Some(waiting) if waiting.len() < 200 => waiting.push_back(input),
+            Some(_) => {}
+            None => self.feed(to, input),
+        }
+    }
+
+    fn feed(&mut self, id: usize, input: Input) {
+        let now = self.now;
+        let Some(node) = self.hosts[id].node.as_mut() else { return };
+        let actions = node.handle(input, now);
+        for action in actions {
+            self.act(id, action);
+        }
+    }
+
+    fn act(&mut self, id: usize, action: Action) {
+        match action {
+            Action::SendPacket { to, packet } => {
+                let bytes = encode_packet(&packet).expect("a datagram within its limit");
+                self.hosts[id].sent += bytes.len() as u64 + 28;
+                let packet = decode_packet(&bytes).expect("a datagram of the own encoder");
+                let from = self.hosts[id].cfg.peer;
+                let size = bytes.len() as u64 + 28;
+                self.transmit(id, to, size, &Input::Packet { from, packet });
+            }
+            Action::SendFrame { to, frame } => {
+                // 40 bytes of headers for each segment of 1,400 bytes.
+                let size = frame.size() as u64;
+                let size = size + 40 * size.div_ceil(1_400);
+                self.hosts[id].sent += size;
+                let from = self.hosts[id].cfg.peer;
+                self.transmit(id, to, size, &Input::Frame { from, frame });
+            }
+            Action::Platform(call) => {
+                let owner = (id, self.hosts[id].process);
+                let (answer, event) = self.platform.execute(owner, &call, self.now);
+                let at = self.now + self.platform.latency();
+                if let Some(answer) = answer {
+                    let input = Input::Platform(answer);
+                    self.enqueue(at, Event::Deliver { to: id, process: Some(owner.1), input });
+                }
+                if let Some(event) = event {
+                    self.notify(&event);
+                }
+            }
+            Action::Publish(version) => self.check_published(id, &version),
+            Action::Count(counter) => *self.hosts[id].counts.entry(counter).or_default() += 1,
+            Action::Poison(fingerprint) => self.hosts[id].poison.push(fingerprint.0),
+            Action::Log { text, .. } => {
+                if std::env::var_os("MESH_LOG").is_some() {
+                    let at = self.now.duration_since(self.checked).as_millis();
+                    eprintln!("{:?} +{at} {}: {text}", self.now, self.hosts[id].cfg.host);
+                }
+            }
+            Action::Members(_) | Action::Refused(_) => {}
+        }
+    }
+
+    fn transmit(&mut self, from: usize, to: SocketAddr, size: u64, input: &Input) {
+        let Some(id) = self.hosts.iter().position(|host| host.cfg.peer == to) else { return };
+        let delay = self.faults.delay.mul_f64(self.rng.random::<f64>());
+        let at = self.now + Duration::from_micros(300) + delay;
+        let frame = matches!(input, Input::Frame { .. });
+        let cut = self.cuts.contains(&(from, id)) || (frame && self.cuts.contains(&(id, from)));
+        let lost = cut || self.rng.random::<f64>() < self.faults.loss;
+        if lost || !self.running(id) {
+            if frame {
+                let refused = !cut && !self.running(id);
+                let at = if refused { at } else { at + Duration::from_millis(500) };
+                let failed = Input::SendFailed { to, refused };
+                let process = Some(self.hosts[from].process);
+                self.enqueue(at, Event::Deliver { to: from, process, input: failed });
+            }
+            return;
+        }
+        self.hosts[id].received += size;
+        let event = |input: &Input| Event::Deliver { to: id, process: None, input: input.clone() };
+        self.enqueue(at, event(input));
+        if self.rng.random::<f64>() < self.faults.double {
+            let again = self.faults.delay.mul_f64(2.0 * self.rng.random::<f64>());
+            self.enqueue(at + again, event(input));
+        }
+    }
+
+    /// Each published version is one that was accepted, is whole and valid, and is higher than what
+    /// the host served before.
+    fn check_published(&mut self, id: usize, version: &Arc<Version>) {
+        let (seed, host) = (self.seed, &mut self.hosts[id]);
+        let name = host.cfg.host.clone();
+        assert!(
+            self.accepted.iter().any(|accepted| **accepted == **version),
+            "seed {seed}: {name} serves version {} that was not accepted",
+            version.number
+        );
+        let whole = Version::new(version.number, version.tables.clone());
+        assert_eq!(whole.hash, version.hash, "seed {seed}: {name} serves rows of another hash");
+        assert!(validate(&version.tables).is_empty(), "seed {seed}: {name} serves invalid tables");
+        assert!(
+            version.number > host.served.number,
+            "seed {seed}: {name} goes from version {} to {}",
+            host.served.number,
+            version.number
+        );
+        assert!(
+            self.may_forget || version.number >= host.highest,
+            "seed {seed}: {name} serves {} after a restart and served {} before",
+            version.number,
+            host.highest
+        );
+        host.served = version.mark();
+        host.highest = host.highest.max(version.number);
+    }
+
+    /// No node says in-force while a process serves less. Checked every 20 ms for all nodes.
+    fn check_status(&mut self) {
+        if self.now < self.checked + Duration::from_millis(20) {
+            return;
+        }
+        self.checked = self.now;
+        let lowest = self
+            .hosts
+            .iter()
+            .filter(|host| host.served.number > 0)
+            .min_by_key(|host| host.served.number);
+        let Some(lowest) = lowest else { return };
+        for host in &self.hosts {
+            if host.paused.is_some() {
+                continue;
+            }
+            let Some(status) = host.node.as_ref().map(Node::status) else { continue };
+            assert!(
+                status.state != Force::InForce || status.version.number <= lowest.served.number,
+                "seed {}: {} says version {} is in force while {} serves {}: {status:?}",
+                self.seed,
+                host.cfg.host,
+                status.version.number,
+                lowest.cfg.host,
+                lowest.served.number
+            );
+        }
+    }
+
+    /// The status of a host.
+    pub(crate) fn status(&self, id: usize) -> Status {
+        self.hosts[id].node.as_ref().expect("a running process").status()
+    }
+
+    /// The hosts that act as relays in their own view.
+    pub(crate) fn relays(&self) -> Vec<usize> {
+        (0..self.hosts.len())
+            .filter(|id| {
+                let host = &self.hosts[*id];
+                host.node.as_ref().is_some_and(|node| {
+                    let table = node.members();
+                    table.get(&host.cfg.domain, &host.cfg.host).is_some_and(|m| m.relay)
+                })
+            })
+            .collect()
+    }
+
+    /// All running processes serve the newest version, each domain has a relay, and all relays say
+    /// that it is in force.
+    pub(crate) fn expect_settled(&self) {
+        let newest = self.accepted.last().map(|v| v.mark()).unwrap_or_default();
+        let seed = self.seed;
+        for host in self.hosts.iter().filter(|host| host.node.is_some()) {
+            let name = &host.cfg.host;
+            assert_eq!(host.served, newest, "seed {seed}: {name} did not converge");
+        }
+        let relays = self.relays();
+        for host in self.hosts.iter().filter(|host| host.node.is_some()) {
+            let domain = &host.cfg.domain;
+            let led = relays.iter().any(|id| self.hosts[*id].cfg.domain == *domain);
+            assert!(led, "seed {seed}: {domain} has no relay");
+        }
+        for id in relays {
+            let status = self.status(id);
+            assert_eq!(status.state, Force::InForce, "seed {seed}: {status:?}");
+        }
+    }
+
+    /// Sum of a counter over all hosts.
+    pub(crate) fn total(&self, counter: Counter) -> u64 {
+        self.hosts.iter().filter_map(|host| host.counts.get(&counter)).sum()
+    }
+}
--- /dev/null
+++ b/crates/mesh/tests/harness/platform.rs
@@ -0,0 +1,161 @@
+//! The platform's store as the harness plays it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use dw_mesh::{LEASE_TTL, PART_BYTES, PlatformCall, PlatformCallKind, PlatformEvent, RelayRecord};
+use dw_tables::{Hash, Head, Version, split_parts};
+use tokio::time::Instant;
+
+struct Slot {
+    record: RelayRecord,
+    owner: (usize, u64),
+    ends: Instant,
+}
+
+/// Keys of the platform, its faults and its call counts.
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) head: Option<Head>,
+    revision: u64,
+    parts: BTreeMap<Hash, Vec<u8>>,
+    slots: BTreeMap<(String, u32), Slot>,
+    /// Hosts with an open watch, and the process that opened it.
+    pub(crate) watches: BTreeSet<(usize, u64)>,
+    pub(crate) down: bool,
+    pub(crate) cut: BTreeSet<usize>,
+    pub(crate) calls: BTreeMap<PlatformCallKind, u64>,
+}
+
+impl Store {
+    /// Writes the parts of a version and its head. Returns the event for watches.
+    pub(crate) fn write(&mut self, version: &Version, parent: Hash) -> PlatformEvent {
+        let parts = split_parts(&version.tables.canonical(), PART_BYTES);
+        let head = Head {
+            number: version.number,
+            hash: version.hash,
+            parent,
+            change: "edit".into(),
+            parts: parts.iter().map(|(hash, _)| *hash).collect(),
+            author: "operator".into(),
+            time: 0,
+        };
+        self.parts.extend(parts);
+        self.set_head(head)
+    }
+
+    pub(crate) fn set_head(&mut self, head: Head) -> PlatformEvent {
+        self.revision += 1;
+        self.head = Some(head.clone());
+        PlatformEvent::HeadRead { head, revision: self.revision }
+    }
+
+    pub(crate) fn reachable(&self, host: usize) -> bool {
+        !self.down && !self.cut.contains(&host)
+    }
+
+    /// Executes a call. Returns the answer to the caller and the event for all watches.
+    pub(crate) fn execute(
+        &mut self,
+        owner: (usize, u64),
+        call: &PlatformCall,
+        now: Instant,
+    ) -> (Option<PlatformEvent>, Option<PlatformEvent>) {
+        let kind = call.kind();
+        *self.calls.entry(kind).or_default() += 1;
+        if !self.reachable(owner.0) {
+            let reason = "unreachable".to_owned();
+            return (Some(PlatformEvent::Failed { call: kind, reason }), None);
+        }
+        let answer = match call {
+            PlatformCall::ReadHead => match &self.head {
+                Some(head) => {
+                    PlatformEvent::HeadRead { head: head.clone(), revision: self.revision }
+                }
+                None => PlatformEvent::HeadAbsent,
+            },
+            PlatformCall::WatchHead { revision } => {
+                self.watches.insert(owner);
+                let Some(head) = self.head.clone().filter(|_| self.revision > *revision) else {
+                    return (None, None);
+                };
+                PlatformEvent::HeadRead { head, revision: self.revision }
+            }
+            PlatformCall::StopWatch => {
+                self.watches.remove(&owner);
+                return (None, None);
+            }
+            PlatformCall::ReadParts(head) => {
+                let parts = head.parts.iter().filter_map(|hash| self.parts.get(hash)).cloned();
+                PlatformEvent::PartsRead { head: head.clone(), parts: parts.collect() }
+            }
+            PlatformCall::ClaimSlot { slot, record } => self.claim(owner, *slot, record, now),
+            PlatformCall::RenewSlot { slot } => {
+                let held = self.slots.values_mut().find(|s| s.owner == owner && s.ends > now);
+                match held {
+                    Some(held) => {
+                        held.ends = now + LEASE_TTL;
+                        PlatformEvent::SlotRenewed { slot: *slot }
+                    }
+                    None => PlatformEvent::SlotLost { slot: *slot },
+                }
+            }
+            PlatformCall::ReleaseSlot { .. } => {
+                self.slots.retain(|_, held| held.owner != owner);
+                return (None, None);
+            }
+            PlatformCall::ReadRelays => PlatformEvent::RelaysRead {
+                records: self
+                    .slots
+                    .values()
+                    .filter(|held| held.ends > now)
+                    .map(|held| held.record.clone())
+                    .collect(),
+            },
+            PlatformCall::Republish { head, version, revision } => {
+                let current = if self.head.is_some() { self.revision } else { 0 };
+                if current != *revision {
+                    return (
+                        Some(PlatformEvent::RepublishConflict { number: version.number }),
+                        None,
+                    );
+                }
+                let event = self.write(version, head.parent);
+                let number = version.number;
+                return (
+                    Some(PlatformEvent::Republished { number, revision: self.revision }),
+                    Some(event),
+                );
+            }
+        };
+        (Some(answer), None)
+    }
+
+    fn claim(
+        &mut self,
+        owner: (usize, u64),
+        slot: u32,
+        record: &RelayRecord,
+        now: Instant,
+    ) -> PlatformEvent {
+        let key = (record.domain.to_string(), slot);
+        if let Some(held) = self.slots.get(&key).filter(|held| held.ends > now) {
+            return PlatformEvent::SlotTaken { slot, holder: Some(held.record.clone()) };
+        }
+        let ends = now + LEASE_TTL;
+        self.slots.insert(key, Slot { record: record.clone(), owner, ends });
+        PlatformEvent::SlotClaimed { slot }
+    }
+
+    /// The holder of each slot whose lease runs.
+    pub(crate) fn holders(&self, now: Instant) -> Vec<usize> {
+        self.slots.values().filter(|held| held.ends > now).map(|held| held.owner.0).collect()
+    }
+
+    /// The time that an answer takes.
+    pub(crate) fn latency(&self) -> Duration {
+        Duration::from_millis(if self.down { 50 } else { 2 })
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -324,6 +324,9 @@
     /// The domains.
     #[prost(message, repeated, tag = "1")]
     pub domains: Vec<TableDigest>,
+    /// Whether these are all domains that the sender knows.
+    #[prost(bool, tag = "2")]
+    pub full: bool,
 }
 
 /// Records of the buckets in which two tables differ.
@@ -332,9 +335,6 @@
     /// The records.
     #[prost(message, repeated, tag = "1")]
     pub members: Vec<Member>,
-    /// Whether the receiver may answer with records that the sender lacks.
-    #[prost(bool, tag = "2")]
-    pub answer: bool,
 }
 
 /// The request is deferred.
@@ -363,4 +363,10 @@
     pub const fn new(body: FrameBody) -> Self {
         Self { protocol: PROTOCOL, body: Some(body) }
     }
+
+    /// The size on a connection in bytes, with the length that precedes the frame.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        4 + prost::Message::encoded_len(self)
+    }
 }
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -1,5 +1,7 @@
+use prost::Message;
+
 /// Number and hash of a version.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, Message)]
 pub struct Mark {
     /// The version number; 0 stands for no version.
     #[prost(uint64, tag = "1")]
@@ -26,7 +28,7 @@
 }
 
 /// One member of the fleet.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, Message)]
 pub struct Member {
     /// The host name, unique in the fleet.
     #[prost(string, tag = "1")]
@@ -61,7 +63,7 @@
 }
 
 /// One target beside a member.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, Message)]
 pub struct Target {
     /// The index among the host's targets.
     #[prost(uint32, tag = "1")]
@@ -79,3 +81,12 @@
     #[prost(bool, tag = "5")]
     pub draining: bool,
 }
+
+impl Member {
+    /// The encoded size in bytes as part of a message, its tag and length included.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let len = self.encoded_len();
+        1 + prost::length_delimiter_len(len) + len
+    }
+}
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -82,4 +82,10 @@
     pub fn new(body: PacketBody) -> Self {
         Self { protocol: PROTOCOL, body: Some(body), ..Self::default() }
     }
+
+    /// The encoded size in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        prost::Message::encoded_len(self)
+    }
 }
