Test each fault of the control plane, and fix what the tests found

Change: 24 fault tests and a run of random faults. Fixed: a token bucket whose wait rounded to zero woke the node without end; a version that a peer brought before the watch had the older head on the platform refused, so a lower head is now read twice before it is refused; relays by rank during an outage of the platform added to the slot holders and starved each other of summaries.

--- a/crates/mesh/src/bucket.rs
+++ b/crates/mesh/src/bucket.rs
@@ -33,7 +33,9 @@
         self.tokens = (self.tokens + gained).min(self.burst);
         self.filled = now;
         if self.tokens < 1.0 {
-            return Err(Duration::from_secs_f64((1.0 - self.tokens) / self.rate));
+            // Rounding may leave less than a clock step, which would wake the node at once.
+            let wait = Duration::from_secs_f64((1.0 - self.tokens) / self.rate);
+            return Err(wait.max(Duration::from_millis(1)));
         }
         self.tokens -= 1.0;
         Ok(())
--- a/crates/mesh/src/fleet.rs
+++ b/crates/mesh/src/fleet.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    DomainStatus, Force, MemberState, Node, Refused, Status,
+    DomainStatus, Force, MemberState, Node, RELAY_SLOTS, Refused, Status,
     convert::{mark_from_wire, mark_to_wire, names},
     learn::push_records,
     roster::Gone,
@@ -125,7 +125,7 @@
         self.timers.set(Timer::Summary, self.now + self.cfg.preset.summary);
         let summary = self.summary();
         let relays: Vec<_> = self.roster.relays(&self.me.domain).cloned().collect();
-        let share = relays.len().max(1);
+        let share = relays.len().clamp(1, RELAY_SLOTS as usize);
         let place = relays.iter().position(|host| *host == self.me.host).unwrap_or(0);
         self.fleet.cycle = self.fleet.cycle.wrapping_add(1);
         let turn = self.fleet.cycle;
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -18,6 +18,9 @@
 /// Time between two reads of the head beside the watch, in case the watch is lost silently.
 const REREAD: Duration = Duration::from_secs(30);
 
+/// Wait before the head is read after a version came from a peer first.
+const RECHECK: Duration = Duration::from_secs(1);
+
 /// Time between two reads of the relay records by a relay, to find domains it does not know.
 const RELAYS_EVERY: Duration = Duration::from_secs(30);
 
@@ -38,6 +41,8 @@
     /// The head whose parts are being read.
     reading: Option<Head>,
     republishing: Option<Instant>,
+    /// The revision of a lower or absent head that is being read again.
+    doubted: Option<u64>,
 }
 
 impl Node {
@@ -56,9 +61,13 @@
     fn update_role(&mut self) {
         let first = self.rank().is_some_and(|rank| rank < RELAY_SLOTS as usize);
         let down = self.relay.failures >= DOWN;
+        // Slot holders stay relays while the platform is down; more than needed cost bytes.
+        let others = self.roster.relays(&self.me.domain).filter(|host| **host != self.me.host);
+        let others = others.count();
+        let needed = self.me.relay || others < RELAY_SLOTS as usize;
         let relay = self.join.settled
             && self.me.state == MemberState::Alive
-            && (self.relay.held.is_some() || (down && first));
+            && (self.relay.held.is_some() || (down && first && needed));
         if relay == self.me.relay {
             return;
         }
@@ -262,17 +271,37 @@
         self.judge_head();
     }
 
+    /// A version was published: a head that was seen before is compared again once it is read
+    /// again, because the watch may report the newer head in a moment.
+    pub(crate) fn recheck_head(&mut self) {
+        let mark = self.store.mark();
+        let same = |head: &Option<Head>| head.as_ref().is_some_and(|head| head.mark() == mark);
+        match &self.relay.head {
+            Some((head, _)) if !same(head) => {
+                let wait = RECHECK + self.jitter(RECHECK);
+                self.timers.sooner(Timer::Head, self.now + wait);
+            }
+            _ => {}
+        }
+    }
+
     /// Compares the platform's head with the version served: reads the parts of a newer one,
     /// refuses a lower one and a fork, and has a lower one replaced.
-    pub(crate) fn judge_head(&mut self) {
-        let Some((head, _)) = self.relay.head.clone() else { return };
+    fn judge_head(&mut self) {
+        let Some((head, revision)) = self.relay.head.clone() else { return };
         let served = self.store.mark();
-        let Some(head) = head else {
-            if served.number > 0 {
-                self.timers.sooner(Timer::Republish, self.now);
-            }
+        let lower = head.as_ref().map_or(0, |head| head.number) < served.number;
+        if lower && self.relay.doubted != Some(revision) {
+            // A peer may have been faster than the watch: only a second read proves it.
+            self.relay.doubted = Some(revision);
+            self.timers.set(Timer::Head, self.now);
             return;
-        };
+        }
+        self.relay.doubted = None;
+        if lower {
+            self.timers.sooner(Timer::Republish, self.now);
+        }
+        let Some(head) = head else { return };
         let mark = head.mark();
         if mark == served {
             self.store.open = None;
@@ -286,9 +315,6 @@
         }
         if !self.may_follow(mark, Some(head.parent)) {
             self.store.open = Some(mark);
-            if mark.number < served.number {
-                self.timers.sooner(Timer::Republish, self.now);
-            }
             return;
         }
         if self.was_refused(mark) {
--- a/crates/mesh/src/store.rs
+++ b/crates/mesh/src/store.rs
@@ -317,7 +317,7 @@
         self.after_publish();
     }
 
-    /// Spreads the version served, and compares the platform's head with it again.
+    /// Spreads the version served, and has the platform's head read again if it differs.
     fn after_publish(&mut self) {
         if self.acting() {
             self.timers.sooner(Timer::Spread, self.now + self.cfg.preset.batch);
@@ -325,6 +325,6 @@
         }
         self.pull_done();
         self.grow_trees();
-        self.judge_head();
+        self.recheck_head();
     }
 }
--- a/crates/mesh/tests/faults.rs
+++ b/crates/mesh/tests/faults.rs
@@ -6,26 +6,392 @@
 
 use std::time::Duration;
 
-use dw_mesh::PresetName;
-use harness::World;
+use dw_mesh::{Counter, Fingerprint, Force, LocalEvent, MemberState, PlatformCallKind, PresetName};
+use dw_tables::Hash;
+use harness::{World, version};
 
 const fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
 }
 
+fn world(seed: u64) -> World {
+    World::started(seed, PresetName::Verband, &[5, 4, 4])
+}
+
 /// Guards against a daemon that serves nothing because it has no peers.
 #[test]
 fn lone_daemon_serves_the_platform_head() {
     World::started(1, PresetName::Verband, &[1]);
 }
 
-/// Guards against a fleet that does not converge without any fault.
+/// Guards against a fleet that does not converge without any fault, and against a change that takes
+/// longer than the 4 s of the page.
 #[test]
 fn fleet_converges() {
     for preset in [PresetName::Cooperative, PresetName::Verband] {
         let mut world = World::started(2, preset, &[5, 4, 4]);
+        for _ in 0..5 {
+            world.apply();
+            world.run(secs(4));
+            world.expect_settled();
+        }
+    }
+}
+
+/// Guards against a queue of versions that is worked off one by one.
+#[test]
+fn burst_of_changes_collapses_to_the_newest() {
+    let mut world = world(3);
+    let before = world.total(Counter::Published);
+    for _ in 0..50 {
         world.apply();
-        world.run(secs(4));
-        world.expect_settled();
+        world.run(Duration::from_millis(1));
+    }
+    world.run(secs(5));
+    world.expect_settled();
+    let published = world.total(Counter::Published) - before;
+    assert!(published < 13 * 25, "{published} versions published by 13 nodes for 50 changes");
+}
+
+/// Guards against a domain that stays without relay when both die at once.
+#[test]
+fn relays_die_together() {
+    let mut world = world(4);
+    let lost: Vec<_> =
+        world.relays().into_iter().filter(|id| world.domain("domain-0").contains(id)).collect();
+    assert_eq!(lost.len(), 2);
+    lost.iter().for_each(|id| world.crash(*id));
+    world.apply();
+    world.run(secs(25));
+    world.expect_settled();
+    lost.iter().for_each(|id| world.start(*id));
+    world.run(secs(15));
+    world.expect_settled();
+}
+
+/// Guards against a change that waits for the replacement of one dead relay.
+#[test]
+fn other_relay_distributes_when_one_dies() {
+    let mut world = world(5);
+    let lost = world.relays()[0];
+    world.crash(lost);
+    world.apply();
+    world.run(secs(4));
+    let newest = 2;
+    let held = world.hosts.iter().filter(|host| host.served.number == newest).count();
+    assert_eq!(held, 12, "all but the dead relay hold the change");
+}
+
+/// Guards against a restarted domain that stays without members, relays or version.
+#[test]
+fn domain_restarts_as_a_herd() {
+    let mut world = world(6);
+    let herd = world.domain("domain-0");
+    herd.iter().for_each(|id| world.crash(*id));
+    world.apply();
+    world.run(secs(1));
+    herd.iter().for_each(|id| world.start(*id));
+    world.run(secs(25));
+    world.expect_settled();
+}
+
+/// Guards against an outage that stops serving, keeps newcomers out, or ends in a storm of calls.
+#[test]
+fn platform_is_down_for_an_hour() {
+    let mut world = world(7);
+    world.set_platform_down(true);
+    world.run(secs(1_800));
+    world.crash(4);
+    world.run(secs(2));
+    world.start(4);
+    world.run(secs(20));
+    assert_eq!(world.hosts[4].served.number, 1, "a newcomer takes the version of its peers");
+    world.run(secs(1_778));
+    world.expect_settled();
+    world.platform.calls.clear();
+    world.set_platform_down(false);
+    world.run(secs(10));
+    let calls: u64 = world.platform.calls.values().sum();
+    assert!(calls < 200, "{calls} calls in 10 s after the outage: {:?}", world.platform.calls);
+    world.apply();
+    world.run(secs(5));
+    world.expect_settled();
+}
+
+/// Guards against platform calls that grow with the fleet.
+#[test]
+fn platform_calls_do_not_grow_with_the_fleet() {
+    let calls = |sizes: &[usize]| {
+        let mut world = World::started(8, PresetName::Verband, sizes);
+        world.platform.calls.clear();
+        world.run(secs(60));
+        world.platform.calls.values().sum::<u64>()
+    };
+    let (small, large) = (calls(&[6, 6]), calls(&[24, 24]));
+    assert!(large <= small * 5 / 4, "{small} calls for 12 hosts, {large} for 48");
+}
+
+/// Guards against a domain that gets no changes because it cannot reach the platform itself.
+#[test]
+fn domain_cut_off_from_the_platform_is_fed_by_others() {
+    let mut world = world(9);
+    let cut = world.domain("domain-1");
+    world.cut_platform(&cut);
+    world.run(secs(20));
+    world.apply();
+    world.run(secs(6));
+    world.expect_settled();
+}
+
+/// Guards against a false `in-force` while a domain cannot be heard, and against a domain that stays
+/// behind after the cut ends.
+#[test]
+fn domains_are_cut_off_from_each_other() {
+    let mut world = world(10);
+    let (cut, rest) =
+        (world.domain("domain-2"), [world.domain("domain-0"), world.domain("domain-1")].concat());
+    world.cut(&cut, &rest);
+    world.cut(&rest, &cut);
+    world.cut_platform(&cut);
+    world.apply();
+    world.run(secs(30));
+    for id in world.relays() {
+        assert_eq!(world.status(id).state, Force::Unknown, "{:?}", world.status(id));
     }
+    assert!(cut.iter().all(|id| world.hosts[*id].served.number == 1));
+    world.cuts.clear();
+    world.platform.cut.clear();
+    world.run(secs(30));
+    world.expect_settled();
+}
+
+/// Guards against a one-way cut between domains that lets versions or members diverge.
+#[test]
+fn one_way_cut_between_domains() {
+    let mut world = world(11);
+    let (a, b) = (world.domain("domain-0"), world.domain("domain-1"));
+    world.cut(&a, &b);
+    world.run(secs(10));
+    world.apply();
+    world.run(secs(20));
+    assert!(world.hosts.iter().all(|host| host.served.number == 2));
+    world.cuts.clear();
+    world.run(secs(20));
+    world.expect_settled();
+}
+
+/// Guards against a member that receives nothing and so has its whole domain declared dead.
+#[test]
+fn one_way_cut_of_a_member() {
+    let mut world = world(12);
+    let rest: Vec<_> = (0..13).filter(|id| *id != 3).collect();
+    world.cut(&rest, &[3]);
+    world.apply();
+    world.run(secs(40));
+    for id in [0, 1, 2, 4] {
+        let node = world.hosts[id].node.as_ref().expect("running");
+        let table = node.members();
+        for peer in [0, 1, 2, 4] {
+            let member = table.get("domain-0", &world.hosts[peer].cfg.host).expect("member");
+            assert!(member.state <= MemberState::Suspect, "{id} holds {peer} for {}", member.state);
+        }
+    }
+    world.cuts.clear();
+    world.run(secs(40));
+    world.expect_settled();
+}
+
+/// Guards against two halves of a domain that declared each other dead and never meet again.
+#[test]
+fn halves_of_a_domain_meet_again() {
+    let mut world = world(13);
+    world.cut(&[0, 1], &[2, 3, 4]);
+    world.cut(&[2, 3, 4], &[0, 1]);
+    world.run(secs(60));
+    world.apply();
+    world.run(secs(10));
+    world.cuts.clear();
+    world.run(secs(60));
+    world.expect_settled();
+}
+
+/// Guards against a paused process that, once resumed, suspects everyone, distributes an old
+/// version, or reports it as in force.
+#[test]
+fn relay_is_paused_past_its_lease() {
+    let mut world = world(14);
+    let id = world.relays()[0];
+    world.pause(id);
+    world.run(secs(30));
+    world.apply();
+    world.run(secs(10));
+    world.resume(id);
+    world.run(secs(30));
+    world.expect_settled();
+    let suspected = world.hosts[id].counts.get(&Counter::Suspected).copied().unwrap_or(0);
+    assert_eq!(suspected, 0, "the resumed process suspects no member");
+}
+
+/// Guards against a restarted host that serves less than it did before, while peers remember.
+#[test]
+fn restarted_host_does_not_go_back() {
+    let mut world = world(15);
+    world.apply();
+    world.run(secs(5));
+    let old = version(1, "accepted");
+    world.set_platform_down(true);
+    world.crash(3);
+    world.run(secs(1));
+    world.start(3);
+    world.run(secs(10));
+    assert_eq!(world.hosts[3].served.number, 2);
+    world.set_platform_down(false);
+    world.overwrite(&old, Hash::default());
+    world.crash(3);
+    world.start(3);
+    world.run(secs(20));
+    assert_eq!(world.hosts[3].served.number, 2);
+    world.expect_settled();
+}
+
+/// Guards against a platform restored from an older copy that takes an accepted change back.
+#[test]
+fn lower_head_is_refused_and_republished() {
+    let mut world = world(16);
+    world.apply();
+    world.apply();
+    world.run(secs(5));
+    world.overwrite(&version(1, "accepted"), Hash::default());
+    world.run(secs(5));
+    assert_eq!(world.platform.head.as_ref().map(|head| head.number), Some(3));
+    assert!(world.total(Counter::RefusedLower) > 0);
+    assert!(world.total(Counter::Republished) > 0);
+    let shown = world
+        .relays()
+        .iter()
+        .any(|id| world.status(*id).refused.iter().any(|refused| refused.mark.number == 1));
+    assert!(shown, "the refusal is shown");
+    world.run(secs(5));
+    world.expect_settled();
+    world.apply();
+    world.run(secs(5));
+    world.expect_settled();
+}
+
+/// Guards against a lost head that leaves newcomers without configuration.
+#[test]
+fn absent_head_is_republished() {
+    let mut world = world(17);
+    world.platform.head = None;
+    world.run(secs(60));
+    assert_eq!(world.platform.head.as_ref().map(|head| head.number), Some(1));
+}
+
+/// Guards against a fork that replaces the rows of an accepted version.
+#[test]
+fn fork_is_refused_and_shown() {
+    let mut world = world(18);
+    world.overwrite(&version(1, "fork"), Hash::default());
+    world.run(secs(5));
+    for id in world.relays() {
+        assert_eq!(world.status(id).state, Force::Refused);
+    }
+    world.overwrite(&version(2, "fork"), Hash::of(b"other"));
+    world.run(secs(5));
+    assert!(world.hosts.iter().all(|host| host.served.number == 1));
+    assert!(world.total(Counter::RefusedFork) >= 2);
+}
+
+/// Guards against a head that passes its hash but not the validation.
+#[test]
+fn invalid_version_is_refused_whole() {
+    let mut world = world(19);
+    let mut bad = version(2, "bad");
+    bad.tables.pools.clear();
+    let bad = dw_tables::Version::new(2, bad.tables);
+    let parent = world.accepted[0].hash;
+    world.overwrite(&bad, parent);
+    world.run(secs(5));
+    assert!(world.hosts.iter().all(|host| host.served.number == 1));
+    assert!(world.relays().iter().all(|id| world.status(*id).state == Force::Refused));
+    assert!(world.total(Counter::RefusedInvalid) > 0);
+}
+
+/// Guards against a target that still gets work after it announced that it drains.
+#[test]
+fn drain_is_known_everywhere_within_seconds() {
+    let mut world = world(20);
+    world.local(3, LocalEvent::StartDrain);
+    world.run(secs(3));
+    let host = world.hosts[3].cfg.host.clone();
+    for other in &world.hosts {
+        let table = other.node.as_ref().expect("running").members();
+        let member = table.get("domain-0", &host).expect("member");
+        assert_eq!(member.state, MemberState::Leaving, "in the view of {}", other.cfg.host);
+    }
+    world.local(3, LocalEvent::Left);
+    world.run(Duration::from_millis(200));
+    world.crash(3);
+    world.run(secs(3));
+    for other in world.hosts.iter().filter(|other| other.cfg.host != host) {
+        let table = other.node.as_ref().expect("running").members();
+        let member = table.get("domain-0", &host).expect("member");
+        assert_eq!(member.state, MemberState::Left, "in the view of {}", other.cfg.host);
+    }
+    world.apply();
+    world.run(secs(5));
+    world.expect_settled();
+}
+
+/// Guards against a poison fingerprint that stays in its domain.
+#[test]
+fn poison_reaches_every_daemon() {
+    let mut world = world(21);
+    world.local(6, LocalEvent::Poison(Fingerprint(42)));
+    world.run(secs(1));
+    for host in world.hosts.iter().filter(|host| host.cfg.host.as_str() != "host-6") {
+        assert!(host.poison.contains(&42), "{} does not know", host.cfg.host);
+    }
+}
+
+/// Guards against a status that only relays can give.
+#[test]
+fn any_daemon_reports_the_status() {
+    let mut world = world(22);
+    let relays = world.relays();
+    let id = (0..13).find(|id| !relays.contains(id)).expect("a daemon without slot");
+    assert_eq!(world.status(id).state, Force::Unknown);
+    world.local(id, LocalEvent::StatusWanted);
+    world.run(secs(2));
+    assert_eq!(world.status(id).state, Force::InForce);
+}
+
+/// Guards against a false `in-force` while a member is cut off and still serves the old version.
+#[test]
+fn member_cut_off_is_named_as_unreachable() {
+    let mut world = world(23);
+    let rest: Vec<_> = (0..13).filter(|id| *id != 3).collect();
+    world.cut(&rest, &[3]);
+    world.cut(&[3], &rest);
+    world.cut_platform(&[3]);
+    world.apply();
+    world.run(secs(60));
+    let id = *world.relays().iter().find(|id| **id != 3).expect("relay");
+    let status = world.status(id);
+    assert_eq!(status.state, Force::Behind);
+    let named = status.domains.iter().any(|d| d.unreachable.iter().any(|h| h.as_str() == "host-3"));
+    assert!(named, "{status:?}");
+}
+
+/// Guards against relays that are replaced although nothing failed.
+#[test]
+fn quiet_fleet_keeps_its_relays() {
+    let mut world = world(24);
+    let relays = world.relays();
+    world.platform.calls.clear();
+    world.run(secs(300));
+    assert_eq!(world.relays(), relays);
+    assert_eq!(world.total(Counter::Suspected), 0);
+    let parts = world.platform.calls.get(&PlatformCallKind::ReadParts);
+    assert_eq!(parts, None, "parts are read once");
 }
--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -293,6 +293,7 @@
     /// Runs for a time.
     pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
+        let mut steps = (self.now, 0);
         loop {
             let message = self.queue.keys().next().map(|(at, _)| *at);
             let timer = self
@@ -305,6 +306,8 @@
             let next = message.into_iter().chain(timer.map(|(at, _)| at)).min();
             let Some(at) = next.filter(|at| *at <= end) else { break };
             self.now = self.now.max(at);
+            steps = if steps.0 == self.now { (self.now, steps.1 + 1) } else { (self.now, 0) };
+            assert!(steps.1 < 100_000, "seed {}: a node asks for ticks without end", self.seed);
             if let Some((due, id)) = timer.filter(|(due, _)| message.is_none_or(|m| *due <= m)) {
                 debug_assert!(due <= self.now);
                 self.feed(id, Input::Tick);
--- /dev/null
+++ b/crates/mesh/tests/random.rs
@@ -0,0 +1,85 @@
+//! Random faults from fixed seeds. The harness checks the invariants after each step; once the
+//! faults end the fleet has to converge. A seed that ever failed stays as a named case.
+
+#![allow(clippy::expect_used)]
+
+mod harness;
+
+use std::time::Duration;
+
+use dw_mesh::PresetName;
+use harness::{Faults, World};
+
+/// Random faults for 60 s, then 60 s without.
+fn run(seed: u64) {
+    let preset = if seed.is_multiple_of(2) { PresetName::Verband } else { PresetName::Cooperative };
+    let mut world = World::started(seed, preset, &[5, 4, 3]);
+    let count = world.hosts.len();
+    world.faults = Faults { loss: 0.05, double: 0.05, delay: Duration::from_millis(200) };
+    for _ in 0..60 {
+        step(&mut world, count);
+        world.run(Duration::from_secs(1));
+    }
+    world.faults = Faults::default();
+    world.cuts.clear();
+    world.platform.cut.clear();
+    world.set_platform_down(false);
+    for id in 0..count {
+        if !world.running(id) {
+            world.start(id);
+        } else if world.is_paused(id) {
+            world.resume(id);
+        }
+    }
+    world.run(Duration::from_secs(30));
+    world.apply();
+    world.run(Duration::from_secs(60));
+    world.expect_settled();
+}
+
+/// One random event. At most a third of the hosts are down, so that someone remembers the floors.
+fn step(world: &mut World, count: usize) {
+    let id = world.random(count);
+    let down = (0..count).filter(|id| !world.running(*id)).count();
+    match world.random(14) {
+        0..=2 => {
+            world.apply();
+        }
+        3 | 4 if world.running(id) && down < count / 3 => world.crash(id),
+        5 | 6 if !world.running(id) => world.start(id),
+        7 if world.running(id) && !world.is_paused(id) => world.pause(id),
+        8 | 9 => {
+            let paused: Vec<_> = (0..count).filter(|id| world.is_paused(*id)).collect();
+            if let Some(id) = paused.first() {
+                world.resume(*id);
+            }
+        }
+        10 => {
+            let other = world.random(count);
+            world.cut(&[id], &[other]);
+        }
+        11 => {
+            let domains = ["domain-0", "domain-1", "domain-2"];
+            let (a, b) = (world.random(3), world.random(3));
+            let (a, b) = (world.domain(domains[a]), world.domain(domains[b]));
+            world.cut(&a, &b);
+        }
+        12 => {
+            world.cuts.clear();
+            world.platform.cut.clear();
+            world.set_platform_down(false);
+        }
+        13 if world.random(2) == 0 => world.set_platform_down(true),
+        13 => world.cut_platform(&[id]),
+        _ => {}
+    }
+}
+
+/// Guards against faults in combination that the single tests do not show.
+#[test]
+fn random_faults() {
+    let first = std::env::var("MESH_SEED").ok().and_then(|seed| seed.parse().ok());
+    let count = std::env::var("MESH_SEEDS").ok().and_then(|count| count.parse().ok());
+    let first = first.unwrap_or(100);
+    (first..first + count.unwrap_or(6)).for_each(run);
+}
