--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -5,10 +5,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    Counter, Level, Node, NodeConfig, PlatformCall, RelayRecord,
+    Counter, Level, MemberState, Node, NodeConfig, PlatformCall, RelayRecord,
     bucket::{TokenBucket, backoff},
     convert::{mark_to_wire, member_from_wire, member_to_wire},
-    learn::{RECORDS_BYTES, push_records},
+    learn::RECORDS_BYTES,
     timer::Timer,
 };
 
@@ -46,6 +46,10 @@
     asked_relays: bool,
     bucket: TokenBucket,
     floor_from: BTreeSet<SocketAddr>,
+    /// Configured addresses of which nothing is known: a daemon there may be serving.
+    pub(crate) unheard: BTreeSet<SocketAddr>,
+    /// When the node started.
+    pub(crate) since: Instant,
     /// Whether a peer has admitted the node.
     pub(crate) admitted: bool,
     /// Whether the node may act on its view: it was admitted, or nobody could be reached.
@@ -55,8 +59,10 @@
 impl Joining {
     /// A node that joins through the configured addresses.
     pub(crate) fn new(cfg: &NodeConfig, now: Instant) -> Self {
-        let contacts = cfg.join.iter().copied().filter(|addr| *addr != cfg.peer).collect();
+        let contacts: Vec<_> = cfg.join.iter().copied().filter(|addr| *addr != cfg.peer).collect();
         Self {
+            unheard: contacts.iter().copied().collect(),
+            since: now,
             contacts,
             next: 0,
             failures: 0,
@@ -163,19 +169,21 @@
             reply.retry_ms = u32::try_from((wait + jitter).as_millis()).unwrap_or(u32::MAX);
             let live = self.roster.live(&member.domain);
             let hints: Vec<_> = live.cloned().choose_multiple(&mut self.rng, HINTS);
-            push_records(&mut reply.members, room, hints.iter());
+            self.roster.collect(&mut reply.members, room, hints.iter(), self.now);
             self.send(from, FrameBody::JoinReply(reply));
             return;
         }
         self.count(Counter::JoinAdmitted);
         let host = member.host.clone();
-        if self.learn(member) {
+        if self.learn(member, Duration::ZERO) {
             self.urge(&host);
         }
         let own = std::iter::once(&self.me.domain);
         let others = self.roster.domains().filter(|domain| **domain != self.me.domain);
         for domain in own.chain(others) {
-            push_records(&mut reply.members, room, self.roster.live(domain));
+            // Those that are dead may be serving still, which a new relay has to know.
+            let rows = self.roster.members(domain).filter(|m| m.state != MemberState::Left);
+            self.roster.collect(&mut reply.members, room, rows, self.now);
         }
         self.send(from, FrameBody::JoinReply(reply));
     }
