Confirm the members of a lone relay by the platform's records

Change: a node that no peer admitted knows who is there only once it has read the relay records 10 s after its claim; addresses in these records of which it knows nothing make its totals partial.

--- a/crates/mesh/src/fleet.rs
+++ b/crates/mesh/src/fleet.rs
@@ -226,11 +226,13 @@
             && gone.is_some_and(|at| *at + self.cfg.preset.doubt > self.now)
     }
 
-    /// Whether the node can know all members of its domain: it has run for some time, knows who
+    /// Whether the node can know all members of its domain: it has run for some time, was told
+    /// who is there by a peer or by the platform's relay records, knows who
     /// is at each address that it was to join through, and no peer's table differs from its own.
     fn confirmed(&self) -> bool {
         let age = self.now.saturating_duration_since(self.join.since);
         age >= self.cfg.preset.probe * CONFIRM_PERIODS
+            && self.join.informed
             && (self.join.unheard.is_empty() || age >= self.cfg.preset.doubt)
             && self.probe.differs.is_none()
     }
--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -46,8 +46,11 @@
     asked_relays: bool,
     bucket: TokenBucket,
     floor_from: BTreeSet<SocketAddr>,
-    /// Configured addresses of which nothing is known: a daemon there may be serving.
+    /// Configured addresses and those of relay records of which nothing is known: a daemon there
+    /// may be serving.
     pub(crate) unheard: BTreeSet<SocketAddr>,
+    /// Whether a peer or the platform has told who is there.
+    pub(crate) informed: bool,
     /// When the node started.
     pub(crate) since: Instant,
     /// Whether a peer has admitted the node.
@@ -62,6 +65,7 @@
         let contacts: Vec<_> = cfg.join.iter().copied().filter(|addr| *addr != cfg.peer).collect();
         Self {
             unheard: contacts.iter().copied().collect(),
+            informed: false,
             since: now,
             contacts,
             next: 0,
@@ -127,6 +131,10 @@
     pub(crate) fn on_relay_records(&mut self, records: Vec<RelayRecord>) {
         let me = self.me.peer;
         for record in records.into_iter().filter(|r| r.peer != me) {
+            let known = self.roster.at(record.peer).is_some();
+            if !known && self.join.unheard.len() < CONTACTS_LIMIT {
+                self.join.unheard.insert(record.peer);
+            }
             if !self.join.admitted {
                 self.join.add(record.peer);
             } else if self.roster.live_count(&record.domain) == 0 {
@@ -235,6 +243,7 @@
             return;
         }
         self.join.admitted = true;
+        self.join.informed = true;
         self.join.settled = true;
         self.timers.clear(Timer::Join);
         self.timers.sooner(Timer::Claim, self.now + Duration::from_millis(200));
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -24,6 +24,10 @@
 /// Time between two reads of the relay records by a relay, to find domains it does not know.
 const RELAYS_EVERY: Duration = Duration::from_secs(30);
 
+/// Time after which the relay records name the relays of all domains again that the platform serves:
+/// their leases may have ended while it was down, and candidates wait up to 5 s between attempts.
+const RELAYS_SETTLE: Duration = Duration::from_secs(10);
+
 /// Consecutive failures after which the platform counts as down.
 const DOWN: u32 = 3;
 
@@ -32,6 +36,8 @@
 pub(crate) struct Relay {
     /// The slot held.
     pub(crate) held: Option<u32>,
+    /// When it was claimed.
+    claimed: Option<Instant>,
     attempts: u32,
     /// Consecutive failed calls.
     failures: u32,
@@ -169,7 +175,11 @@
             PlatformEvent::RelaysRead { records } => {
                 if self.relay.held.is_some() {
                     let jitter = self.jitter(RELAYS_EVERY);
-                    self.timers.set(Timer::Relays, self.now + RELAYS_EVERY / 2 + jitter);
+                    let next = self.now + RELAYS_EVERY / 2 + jitter;
+                    let settled = self.relay.claimed.map_or(next, |at| at + RELAYS_SETTLE);
+                    self.join.informed |= self.now >= settled;
+                    let next = if self.join.informed { next } else { next.min(settled) };
+                    self.timers.set(Timer::Relays, next);
                 }
                 self.on_relay_records(records);
             }
@@ -197,6 +207,7 @@
             return;
         }
         self.relay.held = Some(slot);
+        self.relay.claimed = Some(self.now);
         self.timers.clear(Timer::Claim);
         self.timers.set(Timer::Renew, self.now + LEASE_RENEWAL);
         self.timers.set(Timer::Head, self.now);
