--- a/crates/mesh/tests/random.rs
+++ b/crates/mesh/tests/random.rs
@@ -96,3 +96,22 @@
 fn relay_records_name_members_that_are_cut_off() {
     run(2115);
 }
+
+/// A restarted host served less than before, because the peers that knew better did not answer in
+/// time.
+#[test]
+fn floor_is_asked_again_under_loss() {
+    [10_339, 10_703].into_iter().for_each(run);
+}
+
+/// Totals of a domain stayed partial on the relays of other domains.
+#[test]
+fn totals_are_complete_once_faults_end() {
+    [10_365, 10_526].into_iter().for_each(run);
+}
+
+/// A restarted daemon that no peer knew yet served a version that a peer had offered to it.
+#[test]
+fn unknown_daemon_serves_nothing_from_peers() {
+    run(10_811);
+}
