Take a floor only from peers that serve a version

Change: the reply to a join tells whether its sender serves a version. Without such a peer a newcomer serves versions of the platform only and asks again with backoff.

--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -53,6 +53,8 @@
     /// Peers that were asked for the floor.
     floor_asked: BTreeSet<SocketAddr>,
     floor_rounds: u32,
+    /// Whether a peer that serves a version has told the floor.
+    floor_heard: bool,
     /// Configured addresses and those of relay records of which nothing is known: a daemon there
     /// may be serving.
     pub(crate) unheard: BTreeSet<SocketAddr>,
@@ -82,6 +84,7 @@
             floor_from: BTreeSet::new(),
             floor_asked: BTreeSet::new(),
             floor_rounds: 0,
+            floor_heard: false,
             admitted: false,
             settled: false,
         }
@@ -121,7 +124,7 @@
             self.log(Level::Info, "[mesh] no peer reached, acting alone".to_owned());
             self.join.settled = true;
             self.timers.set(Timer::Claim, self.now);
-            self.store.alone = true;
+            self.act_alone();
         }
         self.join.asked_relays = false;
         self.join.next = 0;
@@ -172,6 +175,7 @@
             mark: (mark.number > 0).then(|| mark_to_wire(mark)),
             floor_only: join.floor_only,
             incarnation: known.map_or(0, |m| m.incarnation),
+            informed: mark.number > 0,
             ..JoinReply::default()
         };
         let room = &mut RECORDS_BYTES.to_owned();
@@ -207,6 +211,7 @@
 
     pub(crate) fn on_join_reply(&mut self, from: SocketAddr, reply: &JoinReply) {
         self.store.floor = self.store.floor.max(reply.floor);
+        self.join.floor_heard |= reply.informed;
         if reply.incarnation >= self.me.incarnation {
             // The wall clock went back: without this the earlier process's record would win.
             self.me.incarnation = reply.incarnation + 1;
@@ -289,11 +294,22 @@
         if !self.join.admitted || self.store.floor_known {
             return;
         }
-        if self.join.floor_from.is_empty() || self.join.floor_rounds == FLOOR_ROUNDS {
+        let over = self.join.floor_from.is_empty() || self.join.floor_rounds == FLOOR_ROUNDS;
+        if over && self.join.floor_heard {
             self.know_floor();
             return;
         }
         self.join.floor_rounds += 1;
+        if over && !self.join.floor_asked.is_empty() {
+            // A restarted domain: its peers know no more, until one has read the platform.
+            self.act_alone();
+            self.join.floor_asked.clear();
+            self.join.failures += 1;
+            let wait = backoff(&mut self.rng, self.join.failures) + FLOOR_WAIT / 2;
+            self.join.floor_rounds = 0;
+            self.timers.set(Timer::Floor, self.now + wait);
+            return;
+        }
         let live = self.roster.live(&self.me.domain).filter(|m| m.host != self.me.host);
         let mut peers: Vec<_> = live.map(|m| m.peer).collect();
         peers.shuffle(&mut self.rng);
--- a/crates/mesh/src/store.rs
+++ b/crates/mesh/src/store.rs
@@ -94,8 +94,9 @@
 pub(crate) struct Store {
     /// The version served and those before it, newest first.
     held: VecDeque<Release>,
-    /// A version that is checked but not served while the floor is not known.
-    staged: Option<Release>,
+    /// A version that is checked but not served while the floor is not known, and whether it was
+    /// read from the platform.
+    staged: Option<(Release, bool)>,
     /// The lowest number that the node may serve.
     pub(crate) floor: u64,
     pub(crate) floor_known: bool,
@@ -140,13 +141,13 @@
 
     /// Number and hash of the newest version held, served or staged.
     pub(crate) fn newest(&self) -> VersionMark {
-        let staged = self.staged.as_ref().map(|release| release.version.mark());
+        let staged = self.staged.as_ref().map(|(release, _)| release.version.mark());
         staged.unwrap_or_default().max_by_number(self.mark())
     }
 
     /// A version held that may be the base of a delta.
     pub(crate) fn base(&self, mark: VersionMark) -> Option<&Arc<Version>> {
-        let all = self.staged.iter().chain(&self.held);
+        let all = self.staged.iter().map(|(release, _)| release).chain(&self.held);
         all.map(|release| &release.version).find(|version| version.mark() == mark)
     }
 
@@ -284,14 +285,14 @@
         if self.store.may_serve(mark.number, platform) {
             self.publish(release);
         } else {
-            self.store.staged = Some(release);
+            self.store.staged = Some((release, platform));
         }
     }
 
     /// The floor is known: a staged version at or above it is served.
     pub(crate) fn know_floor(&mut self) {
         self.store.floor_known = true;
-        if let Some(release) = self.store.staged.take() {
+        if let Some((release, _)) = self.store.staged.take() {
             if self.store.may_serve(release.version.number, false) {
                 self.publish(release);
             } else {
@@ -302,6 +303,18 @@
         }
     }
 
+    /// No peer knows the floor: a staged version is served if it was read from the platform.
+    pub(crate) fn act_alone(&mut self) {
+        self.store.alone = true;
+        if let Some((release, platform)) = self.store.staged.take() {
+            if self.store.may_serve(release.version.number, platform) {
+                self.publish(release);
+            } else {
+                self.store.staged = Some((release, platform));
+            }
+        }
+    }
+
     fn publish(&mut self, release: Release) {
         let mark = release.version.mark();
         let store = &mut self.store;
--- a/crates/mesh/tests/random.rs
+++ b/crates/mesh/tests/random.rs
@@ -115,3 +115,9 @@
 fn unknown_daemon_serves_nothing_from_peers() {
     run(10_811);
 }
+
+/// A newcomer took the floor from another newcomer, which did not know it.
+#[test]
+fn newcomers_do_not_tell_each_other_the_floor() {
+    run(20_102);
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -108,6 +108,9 @@
     /// The highest incarnation that the sender knows of the newcomer's host.
     #[prost(uint64, tag = "7")]
     pub incarnation: u64,
+    /// Whether the sender serves a version; if not, its floor says nothing.
+    #[prost(bool, tag = "8")]
+    pub informed: bool,
 }
 
 /// Announces a version down the tree to the members whose rank lies in `lo..=hi`.
