Read the daemon's settings and report all findings at once

A settings file with several faults would otherwise cost one restart for each. A data address for requests between daemons is separate from the callers' address, so that a caller cannot send internal headers to it.

--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,190 @@
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use derive_more::{Display, FromStr};
+use dw_tables::{Millis, Name};
+
+mod fields;
+mod parse;
+
+pub use parse::parse_settings;
+
+/// Everything a daemon is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The host's name, unique in the fleet.
+    pub host: Name,
+    /// The failure domain.
+    pub domain: Name,
+    /// The region.
+    pub region: Name,
+    /// Where callers connect, HTTP/1.1 or HTTP/2.
+    pub callers: SocketAddr,
+    /// Where other daemons send control messages: TCP and UDP on the same port.
+    pub peers: SocketAddr,
+    /// Where other daemons send requests, HTTP/2.
+    pub data: SocketAddr,
+    /// Where the admin API listens.
+    pub admin: SocketAddr,
+    /// The targets on this host.
+    pub targets: Vec<TargetSettings>,
+    /// Addresses of the platform's key-value service.
+    pub platform: Vec<SocketAddr>,
+    /// Peer addresses of daemons to join through.
+    pub join: Vec<SocketAddr>,
+    /// Limits of this process.
+    pub limits: ProcessLimits,
+    /// Whether control bytes or convergence time count more.
+    pub preset: PresetName,
+    /// Level and format of the log.
+    pub log: LogSettings,
+    /// The longest wait for requests in flight when the daemon stops.
+    pub grace: Millis,
+}
+
+/// One target on the daemon's host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetSettings {
+    /// The service it runs.
+    pub service: Name,
+    /// Its HTTP/1.1 address.
+    pub address: SocketAddr,
+    /// Requests it runs at the same time.
+    pub slots: u32,
+    /// Connections it accepts.
+    pub connections: u32,
+}
+
+/// Limits of one daemon process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// Requests in flight at the daemon; more are refused as not run.
+    pub requests: u32,
+    /// Bytes of a request body that are kept so that it can be sent again.
+    pub retry_body: u32,
+}
+
+/// The presets of section 3.4 of the design page.
+#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq)]
+#[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
+pub enum PresetName {
+    /// Favours few control bytes.
+    #[default]
+    Cooperative,
+    /// Favours a short convergence time.
+    Verband,
+}
+
+/// Level and format of the log, which goes to standard error.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogSettings {
+    /// The least severe level that is written.
+    pub level: LogLevel,
+    /// The format of a line.
+    pub format: LogFormat,
+}
+
+/// Levels of the log.
+#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq)]
+#[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Nothing is written.
+    Off,
+    /// Faults that need an operator.
+    Error,
+    /// Faults that the daemon handles itself.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Every decision.
+    Debug,
+}
+
+/// Formats of a log line.
+#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq)]
+#[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// Time, level and sentence.
+    #[default]
+    Text,
+    /// One JSON object for each line.
+    Json,
+}
+
+/// The default of `grace`: 30 s.
+const GRACE: Millis = Millis::new(30_000);
+
+impl Settings {
+    /// Settings of a host that listens on free loopback ports and has no targets.
+    #[must_use]
+    pub fn new(host: Name, domain: Name, region: Name) -> Self {
+        let free = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        Self {
+            host,
+            domain,
+            region,
+            callers: free,
+            peers: free,
+            data: free,
+            admin: free,
+            targets: Vec::new(),
+            platform: Vec::new(),
+            join: Vec::new(),
+            limits: ProcessLimits::default(),
+            preset: PresetName::default(),
+            log: LogSettings::default(),
+            grace: GRACE,
+        }
+    }
+
+    /// Adds a target.
+    #[must_use]
+    pub fn with_target(mut self, target: TargetSettings) -> Self {
+        self.targets.push(target);
+        self
+    }
+
+    /// Sets the platform's addresses.
+    #[must_use]
+    pub fn with_platform(mut self, addrs: Vec<SocketAddr>) -> Self {
+        self.platform = addrs;
+        self
+    }
+
+    /// Sets the peers to join through.
+    #[must_use]
+    pub fn with_join(mut self, addrs: Vec<SocketAddr>) -> Self {
+        self.join = addrs;
+        self
+    }
+
+    /// Sets the preset.
+    #[must_use]
+    pub const fn with_preset(mut self, preset: PresetName) -> Self {
+        self.preset = preset;
+        self
+    }
+
+    /// Sets the log level.
+    #[must_use]
+    pub const fn with_log(mut self, level: LogLevel) -> Self {
+        self.log.level = level;
+        self
+    }
+
+    /// Sets the grace of a stop.
+    #[must_use]
+    pub const fn with_grace(mut self, grace: Millis) -> Self {
+        self.grace = grace;
+        self
+    }
+}
+
+impl Default for ProcessLimits {
+    fn default() -> Self {
+        Self { requests: 4096, retry_body: 64 * 1024 }
+    }
+}
