--- /dev/null
+++ b/crates/request/src/attempt.rs
@@ -0,0 +1,120 @@
+use std::{sync::Arc, time::Duration};
+
+use dw_tables::{Name, Repeat, Route};
+use tokio::time::Instant;
+
+use crate::{Endpoint, Fingerprint, Load, Reason, Refusal};
+
+/// What a caller's daemon knows of a request when it arrives.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestInfo<'a> {
+    /// The host, as in the request; a port is ignored.
+    pub host: &'a str,
+    /// The path; a query is ignored for routing.
+    pub path: &'a str,
+    /// The method in upper case.
+    pub method: &'a str,
+    /// The idempotency key.
+    pub key: Option<&'a Name>,
+    /// When the caller first sent the request, from `damaskwick-first-sent`.
+    pub first_sent: Option<Instant>,
+    /// SHA-256 of the body, if it is known before forwarding.
+    pub body: Option<&'a [u8; 32]>,
+    /// Calls above this one in the chain, from `damaskwick-depth`.
+    pub depth: u8,
+    /// Time left according to the caller, from `damaskwick-timeout-ms`.
+    pub timeout: Option<Duration>,
+    /// Whether another level of the chain retries this request, from `damaskwick-retried`.
+    pub retried: bool,
+}
+
+impl RequestInfo<'_> {
+    /// The fingerprint; `None` without a key if the body is not known.
+    #[must_use]
+    pub fn fingerprint(&self) -> Option<Fingerprint> {
+        if let Some(key) = self.key {
+            return Some(Fingerprint::of_key(key));
+        }
+        self.body.map(|body| Fingerprint::of_request(self.method, self.path, body))
+    }
+}
+
+/// Identifies one attempt; never used again within a dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId(pub u64);
+
+/// One request to one target.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// For [`crate::Dispatcher::settle`].
+    pub id: AttemptId,
+    /// Where to send it.
+    pub endpoint: Arc<Endpoint>,
+    /// Time left from the decision (not from the end of a retry's delay) to the whole response.
+    pub timeout: Duration,
+    /// The route of the version that the request began with.
+    pub route: Arc<Route>,
+    /// Whether the request may run more than once.
+    pub repeat: Repeat,
+    /// Value of `damaskwick-retried`: no level below may retry.
+    pub retried: bool,
+    /// Value of `damaskwick-depth` for the daemon beside the target.
+    pub depth: u8,
+    /// For a retry, why the attempt before failed, for the metrics.
+    pub cause: Option<Reason>,
+}
+
+/// What to do with a new request.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// Send it.
+    Forward(Attempt),
+    /// Answer it at once.
+    Refuse(Refusal),
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub enum AttemptOutcome {
+    /// The target responded; the body may still be streaming.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// Reported load, if the response carried it.
+        load: Option<Load>,
+        /// Time from sending to the response head.
+        latency: Duration,
+    },
+    /// It is proven that the target did not start the request.
+    NotRun {
+        /// Why.
+        reason: Reason,
+        /// When the target may be tried again.
+        retry_after: Option<Duration>,
+        /// Reported load, if any.
+        load: Option<Load>,
+    },
+    /// The target may have started it.
+    Unknown {
+        /// Why nothing better is known.
+        reason: Reason,
+    },
+    /// The caller went away; nothing is sent to it.
+    Cancelled,
+}
+
+/// What to do after an attempt.
+#[derive(Clone, Debug)]
+pub enum Next {
+    /// Pass the response on; after a cancellation, or for an attempt settled before, do nothing.
+    Deliver,
+    /// Send the attempt after a delay; it is in flight from now on and must be settled.
+    Retry {
+        /// Delay before it is sent.
+        after: Duration,
+        /// The new attempt.
+        attempt: Attempt,
+    },
+    /// Answer the caller at once.
+    Refuse(Refusal),
+}
--- /dev/null
+++ b/crates/request/src/fingerprint.rs
@@ -0,0 +1,51 @@
+use derive_more::{Debug, Display};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Identifies a request across daemons and repeats, so that one that crashes targets is found.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[debug("{_0:032x}")]
+#[display("{_0:032x}")]
+#[serde(transparent)]
+pub struct Fingerprint(u128);
+
+impl Fingerprint {
+    /// The fingerprint of a request with an idempotency key.
+    #[must_use]
+    pub fn of_key(key: &str) -> Self {
+        Self::digest(&[b"key", key.as_bytes()])
+    }
+
+    /// The fingerprint of a request without a key.
+    #[must_use]
+    pub fn of_request(method: &str, path: &str, body: &[u8; 32]) -> Self {
+        Self::digest(&[b"request", method.as_bytes(), path.as_bytes(), body])
+    }
+
+    /// A fingerprint from its bytes, as broadcast.
+    #[must_use]
+    pub const fn from_bytes(bytes: [u8; 16]) -> Self {
+        Self(u128::from_be_bytes(bytes))
+    }
+
+    /// The bytes, for broadcast.
+    #[must_use]
+    pub const fn to_bytes(self) -> [u8; 16] {
+        self.0.to_be_bytes()
+    }
+
+    /// Hashes the parts with their lengths, so that `("a", "bc")` and `("ab", "c")` differ.
+    fn digest(parts: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        let hash: [u8; 32] = hasher.finalize().into();
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hash[..16]);
+        Self::from_bytes(bytes)
+    }
+}
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -1,1 +1,37 @@
-//! Decisions on a request: routing, balancing, limits, retries, at-most-once and drain. No sockets.
+//! Decisions on a request: routing, balancing, limits, retries, at-most-once, poison and drain.
+//! Pure cores: a [`Dispatcher`] on the caller's side, a [`Gate`] beside each target, and a
+//! [`Keeper`] for the idempotency keys of a failure domain. Time comes in as an argument, and
+//! random numbers come from seeded generators; this crate opens no socket and starts no task.
+
+mod attempt;
+mod dispatcher;
+mod endpoint;
+mod fingerprint;
+mod gate;
+mod keeper;
+mod load;
+mod member;
+mod placement;
+mod poison;
+mod reason;
+mod record;
+mod refusal;
+mod router;
+
+pub use attempt::{Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo};
+pub use dispatcher::{Dispatcher, DispatcherConfig};
+pub use endpoint::{Endpoint, EndpointState};
+pub use fingerprint::Fingerprint;
+pub use gate::{Admission, Arrival, Gate, GateConfig, Permit, RunOutcome, Ticket, Wake};
+pub use keeper::{
+    ANSWER_LIMIT, CLOCK_SKEW, Claim, HandOver, Held, KEEPER_HOLD, Keeper, KeeperConfig,
+    RECORD_WINDOW,
+};
+pub use load::{Load, ParseLoadError};
+pub use member::{Member, MemberState};
+pub use placement::{Ranking, home};
+pub use poison::{Death, POISON_SUSPECTS, POISON_TIME, Poison, Suspects};
+pub use reason::{Outcome, Reason, UnknownReason};
+pub use record::{KeyOutcome, Record, RecordState, StoredAnswer};
+pub use refusal::{RETRY_AFTER, Refusal};
+pub use router::{Entry, Router};
--- /dev/null
+++ b/crates/request/src/router.rs
@@ -0,0 +1,100 @@
+use std::{borrow::Cow, collections::HashMap, sync::Arc};
+
+use dw_tables::{Name, Route, Version};
+
+/// Rows of one host: normalized path prefix to its candidates, most specific first.
+type Paths = HashMap<Name, Vec<Arc<Entry>>>;
+
+/// A row of the table of routes with its pool resolved.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The row.
+    pub route: Arc<Route>,
+    /// Position of its pool in the version's table of pools.
+    pub pool: usize,
+}
+
+/// The routes of one version, indexed by host and path.
+///
+/// A lookup costs one hash access for each path segment, up to the longest prefix in the table,
+/// whatever the number of routes.
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+    hosts: HashMap<Name, Paths>,
+    any: Paths,
+    segments: usize,
+}
+
+impl Router {
+    /// Builds the index. Routes whose pool does not exist are left out; validation refuses them.
+    #[must_use]
+    pub fn new(version: &Version) -> Self {
+        let mut router = Self::default();
+        let pools: HashMap<&str, usize> =
+            version.tables.pools.iter().enumerate().map(|(i, p)| (p.name.as_str(), i)).collect();
+        for route in &version.tables.routes {
+            if let Some(&pool) = pools.get(route.pool.as_str()) {
+                router.add(Entry { route: Arc::new(route.clone()), pool });
+            }
+        }
+        router
+    }
+
+    /// The most specific row of which every condition holds: an exact host before any host, then
+    /// the longest path prefix, then a row that lists the method before one that takes any.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str, method: &str) -> Option<&Entry> {
+        let path = path.split_once(['?', '#']).map_or(path, |(path, _)| path);
+        let exact = match self.hosts.is_empty() {
+            true => None,
+            false => self.hosts.get(normal_host(host).as_ref()),
+        };
+        exact
+            .and_then(|paths| self.longest(paths, path, method))
+            .or_else(|| self.longest(&self.any, path, method))
+    }
+
+    fn longest<'a>(&self, paths: &'a Paths, path: &str, method: &str) -> Option<&'a Entry> {
+        let ends = path.match_indices('/').map(|(idx, _)| idx).chain([path.len()]);
+        ends.take(self.segments + 1)
+            .filter_map(|end| paths.get(&path[..end])?.iter().find(|e| takes(&e.route, method)))
+            .last()
+            .map(AsRef::as_ref)
+    }
+
+    fn add(&mut self, entry: Entry) {
+        let matches = &entry.route.matches;
+        let prefix = Name::new(matches.path.trim_end_matches('/'));
+        self.segments = self.segments.max(prefix.matches('/').count());
+        let paths = match matches.host.is_empty() {
+            true => &mut self.any,
+            false => {
+                let host = Name::new(normal_host(&matches.host).as_ref());
+                self.hosts.entry(host).or_default()
+            }
+        };
+        let rows = paths.entry(prefix).or_default();
+        let at = match matches.methods.is_empty() {
+            true => rows.len(),
+            false => rows.partition_point(|e| !e.route.matches.methods.is_empty()),
+        };
+        rows.insert(at, Arc::new(entry));
+    }
+}
+
+fn takes(route: &Route, method: &str) -> bool {
+    let methods = &route.matches.methods;
+    methods.is_empty() || methods.iter().any(|m| m.as_str() == method)
+}
+
+/// The host in lower case without its port.
+fn normal_host(host: &str) -> Cow<'_, str> {
+    let bare = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    };
+    match bare.bytes().any(|b| b.is_ascii_uppercase()) {
+        true => Cow::Owned(bare.to_ascii_lowercase()),
+        false => Cow::Borrowed(bare),
+    }
+}
