Add a stand-in for the platform's key-value service

Tests, demo and benches need a platform whose faults they control, and no third-party server may run here. The stand-in serves the subset of etcd's v3 JSON gateway in use (range, transactions with compares on mod_revision, leases, watches) from memory, counts the calls, and can be down, slow, paused, over its rate, lose answers after the write took effect, let leases lapse and restore an older copy, by method or over a control endpoint. A pending watch uses up one read a second of the rate. While down, the port stays bound without a listener, so that no other process is given it.

--- /dev/null
+++ b/crates/fakes/src/serve.rs
@@ -0,0 +1,274 @@
+use std::{
+    convert::Infallible,
+    future::{Future, pending},
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering::Relaxed},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+};
+
+pub(crate) type Body = UnsyncBoxBody<Bytes, Infallible>;
+pub(crate) type Answer = Result<Response<Body>, Severed>;
+pub(crate) type Answering = Pin<Box<dyn Future<Output = Answer> + Send>>;
+pub(crate) type Handler = Arc<dyn Fn(Request<Incoming>, Gate) -> Answering + Send + Sync>;
+
+/// Closes the connection instead of answering.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the connection is closed without an answer")]
+pub(crate) struct Severed;
+
+/// Builds a complete body.
+pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// Blocks the connections that are to stop responding.
+#[derive(Clone, Debug)]
+pub(crate) struct Gate {
+    paused: watch::Receiver<bool>,
+    silenced: watch::Receiver<u64>,
+    born: u64,
+}
+
+impl Gate {
+    /// Waits while the server is paused, and forever once this connection is silenced.
+    pub(crate) async fn pass(&mut self) {
+        loop {
+            if *self.silenced.borrow_and_update() > self.born {
+                pending::<()>().await;
+            }
+            if !*self.paused.borrow_and_update() {
+                return;
+            }
+            tokio::select! {
+                Ok(()) = self.paused.changed() => {}
+                Ok(()) = self.silenced.changed() => {}
+                else => pending::<()>().await,
+            }
+        }
+    }
+}
+
+/// Connection counts of a server.
+#[derive(Debug, Default)]
+pub(crate) struct Connections {
+    pub(crate) open: AtomicUsize,
+    pub(crate) peak: AtomicUsize,
+    pub(crate) accepted: AtomicUsize,
+    pub(crate) refused: AtomicUsize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Phase {
+    listening: bool,
+    epoch: u64,
+}
+
+/// An HTTP/1.1 server whose listener and connections can fail on request.
+#[derive(Debug)]
+pub(crate) struct Serve {
+    addr: SocketAddr,
+    phase: watch::Sender<Phase>,
+    applied: watch::Receiver<u64>,
+    paused: watch::Sender<bool>,
+    silenced: watch::Sender<u64>,
+    connections: Arc<Connections>,
+    task: JoinHandle<()>,
+}
+
+impl Serve {
+    /// Binds `addr` and accepts at most `limit` connections at a time.
+    pub(crate) fn start(addr: SocketAddr, limit: usize, handler: Handler) -> io::Result<Self> {
+        let port = Port::reserve(addr)?;
+        let addr = port.addr;
+        let listener = port.listen()?;
+        let (phase, phase_seen) = watch::channel(Phase { listening: true, epoch: 0 });
+        let (applied_set, applied) = watch::channel(0);
+        let (paused, paused_seen) = watch::channel(false);
+        let (silenced, silenced_seen) = watch::channel(0);
+        let connections = Arc::new(Connections::default());
+        let acceptor = Acceptor {
+            port,
+            listener: Some(listener),
+            limit,
+            handler,
+            gate: Gate { paused: paused_seen, silenced: silenced_seen, born: 0 },
+            connections: connections.clone(),
+            tasks: JoinSet::new(),
+        };
+        let task = tokio::spawn(acceptor.run(phase_seen, applied_set));
+        Ok(Self { addr, phase, applied, paused, silenced, connections, task })
+    }
+
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    pub(crate) fn connections(&self) -> &Connections {
+        &self.connections
+    }
+
+    /// Closes all connections; `listening` says whether new ones are accepted afterwards.
+    pub(crate) fn cut(&self, listening: bool) {
+        self.phase.send_modify(|p| *p = Phase { listening, epoch: p.epoch + 1 });
+    }
+
+    /// Waits until the last `cut` has taken effect.
+    pub(crate) async fn cut_done(&self) {
+        let epoch = self.phase.borrow().epoch;
+        // Fails only if the server has ended, and then nothing is open.
+        let _ = self.applied.clone().wait_for(|done| *done >= epoch).await;
+    }
+
+    /// Accepts connections and requests, but neither handles nor answers them while paused.
+    pub(crate) fn pause(&self, paused: bool) {
+        self.paused.send_replace(paused);
+    }
+
+    /// Existing connections never answer again; new ones work.
+    pub(crate) fn silence(&self) {
+        self.silenced.send_modify(|generation| *generation += 1);
+    }
+
+    /// Closes the listener and all connections.
+    pub(crate) async fn close(self) {
+        drop(self.phase);
+        // The task ends by itself; it fails only if a handler panicked.
+        let _ = self.task.await;
+    }
+}
+
+/// Keeps a port while no listener is open: the bound socket refuses connections, and the port
+/// is not given to another process.
+#[derive(Debug)]
+struct Port {
+    addr: SocketAddr,
+    _socket: TcpSocket,
+}
+
+impl Port {
+    fn reserve(addr: SocketAddr) -> io::Result<Self> {
+        let socket = Self::bind(addr)?;
+        Ok(Self { addr: socket.local_addr()?, _socket: socket })
+    }
+
+    fn listen(&self) -> io::Result<TcpListener> {
+        Self::bind(self.addr)?.listen(BACKLOG)
+    }
+
+    fn bind(addr: SocketAddr) -> io::Result<TcpSocket> {
+        let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(addr)?;
+        Ok(socket)
+    }
+}
+
+/// Connections the kernel holds before they are accepted.
+const BACKLOG: u32 = 1024;
+
+/// Pause after a failed accept, for example when no file descriptor is free.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+struct Acceptor {
+    port: Port,
+    listener: Option<TcpListener>,
+    limit: usize,
+    handler: Handler,
+    gate: Gate,
+    connections: Arc<Connections>,
+    tasks: JoinSet<()>,
+}
+
+impl Acceptor {
+    async fn run(mut self, mut phase: watch::Receiver<Phase>, applied: watch::Sender<u64>) {
+        loop {
+            tokio::select! {
+                biased;
+                changed = phase.changed() => {
+                    if changed.is_err() {
+                        break;
+                    }
+                    let now = *phase.borrow_and_update();
+                    self.cut(now.listening).await;
+                    applied.send_replace(now.epoch);
+                }
+                Some(_) = self.tasks.join_next() => {
+                    self.connections.open.store(self.tasks.len(), Relaxed);
+                }
+                accepted = accept(self.listener.as_ref()) => match accepted {
+                    Ok(stream) => self.admit(stream),
+                    Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
+                },
+            }
+        }
+        self.cut(false).await;
+    }
+
+    async fn cut(&mut self, listening: bool) {
+        if !listening {
+            self.listener = None;
+        }
+        self.tasks.shutdown().await;
+        self.connections.open.store(0, Relaxed);
+        while listening && self.listener.is_none() {
+            match self.port.listen() {
+                Ok(listener) => self.listener = Some(listener),
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
+            }
+        }
+    }
+
+    fn admit(&mut self, stream: TcpStream) {
+        if self.tasks.len() >= self.limit {
+            self.connections.refused.fetch_add(1, Relaxed);
+            return;
+        }
+        let gate = Gate { born: *self.gate.silenced.borrow(), ..self.gate.clone() };
+        self.tasks.spawn(connection(stream, self.handler.clone(), gate));
+        self.connections.accepted.fetch_add(1, Relaxed);
+        self.connections.open.store(self.tasks.len(), Relaxed);
+        self.connections.peak.fetch_max(self.tasks.len(), Relaxed);
+    }
+}
+
+async fn accept(listener: Option<&TcpListener>) -> io::Result<TcpStream> {
+    match listener {
+        Some(listener) => Ok(listener.accept().await?.0),
+        None => pending().await,
+    }
+}
+
+async fn connection(stream: TcpStream, handler: Handler, gate: Gate) {
+    // Without this option small answers wait for the acknowledgement of earlier ones.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let (handler, mut gate) = (handler.clone(), gate.clone());
+        async move {
+            gate.pass().await;
+            let answer = handler(request, gate.clone()).await;
+            gate.pass().await;
+            answer
+        }
+    });
+    // A broken connection is the client's to notice.
+    let _ = http1::Builder::new()
+        .header_read_timeout(None)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
--- /dev/null
+++ b/crates/fakes/src/standin.rs
@@ -0,0 +1,388 @@
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering::Relaxed},
+    time::Duration,
+};
+
+use hyper::{Response, body::Body as _};
+use tokio::{
+    sync::{Notify, watch},
+    task::JoinSet,
+    time::Instant,
+};
+
+use crate::{
+    bucket::Bucket,
+    control,
+    counts::Counts,
+    gateway,
+    serve::{Body, Serve},
+    store::Store,
+};
+
+/// Time between progress notifications of a watch.
+const PROGRESS: Duration = Duration::from_secs(2);
+
+/// Changes kept for watches that resume.
+const HISTORY: usize = 10_000;
+
+/// Most connections; far above what tests and benches open.
+const MAX_CONNECTIONS: usize = 100_000;
+
+/// The address that lets the system choose a port on loopback.
+pub(crate) const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Settings of a stand-in for the platform's key-value service.
+#[derive(Clone, Debug)]
+pub struct Standin {
+    addr: SocketAddr,
+    control: SocketAddr,
+    progress: Duration,
+    history: usize,
+    reads: Option<f64>,
+    writes: Option<f64>,
+}
+
+impl Default for Standin {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Standin {
+    /// Any free port on loopback, without rate limits.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            addr: ANY_PORT,
+            control: ANY_PORT,
+            progress: PROGRESS,
+            history: HISTORY,
+            reads: None,
+            writes: None,
+        }
+    }
+
+    /// Serves the gateway at this address.
+    #[must_use]
+    pub fn with_addr(self, addr: SocketAddr) -> Self {
+        Self { addr, ..self }
+    }
+
+    /// Serves the control endpoint at this address.
+    #[must_use]
+    pub fn with_control(self, control: SocketAddr) -> Self {
+        Self { control, ..self }
+    }
+
+    /// Time between progress notifications of a watch, 2 s by default.
+    #[must_use]
+    pub fn with_progress(self, progress: Duration) -> Self {
+        Self { progress, ..self }
+    }
+
+    /// Changes kept for watches that resume, 10,000 by default; older ones are compacted.
+    #[must_use]
+    pub fn with_history(self, history: usize) -> Self {
+        Self { history, ..self }
+    }
+
+    /// Reads and writes admitted a second. Each open watch uses up one read a second.
+    #[must_use]
+    pub fn with_rates(self, reads: f64, writes: f64) -> Self {
+        Self { reads: Some(reads), writes: Some(writes), ..self }
+    }
+
+    /// Binds the addresses and serves until `close`.
+    ///
+    /// # Errors
+    /// An address cannot be bound.
+    #[allow(clippy::unused_async)] // requires a runtime, and binding may come to wait
+    pub async fn start(self) -> io::Result<RunningStandin> {
+        let shared = Arc::new(Shared::new(&self));
+        let gateway = {
+            let shared = shared.clone();
+            let handler = Arc::new(move |request, gate| {
+                Box::pin(gateway::handle(shared.clone(), request, gate)) as _
+            });
+            Arc::new(Serve::start(self.addr, MAX_CONNECTIONS, handler)?)
+        };
+        let inner = Inner { shared: shared.clone(), gateway };
+        let control = control::start(self.control, inner.clone())?;
+        let mut reaper = JoinSet::new();
+        reaper.spawn(expire_leases(shared));
+        Ok(RunningStandin { inner, control, reaper })
+    }
+}
+
+/// An older copy of the store.
+#[derive(Clone, Debug)]
+pub struct Snapshot(Store);
+
+/// A stand-in that serves; dropping it without `close` stops it some time later.
+#[derive(Debug)]
+pub struct RunningStandin {
+    inner: Inner,
+    control: Serve,
+    reaper: JoinSet<()>,
+}
+
+impl RunningStandin {
+    /// Where the gateway is served.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.inner.gateway.addr()
+    }
+
+    /// Where the control endpoint is served.
+    #[must_use]
+    pub fn control_addr(&self) -> SocketAddr {
+        self.control.addr()
+    }
+
+    /// Calls since the start, and the watches open now.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.inner.shared.lock().counts
+    }
+
+    /// Client connections open now.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.inner.gateway.connections().open.load(Relaxed)
+    }
+
+    /// The revision of the store.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.inner.shared.lock().store.revision.unsigned_abs()
+    }
+
+    /// Refuses connections and resets the existing ones.
+    pub async fn down(&self) {
+        self.inner.down().await;
+    }
+
+    /// Accepts connections again.
+    pub async fn up(&self) {
+        self.inner.up().await;
+    }
+
+    /// Closes the existing connections and accepts new ones.
+    pub async fn reset(&self) {
+        self.inner.up().await;
+    }
+
+    /// Handles each call only after `delay`.
+    pub fn slow(&self, delay: Duration) {
+        self.inner.shared.lock().delay = delay;
+    }
+
+    /// Accepts connections and calls, but neither handles nor answers them until `resume`.
+    pub fn pause(&self) {
+        self.inner.gateway.pause(true);
+    }
+
+    /// Ends `pause`.
+    pub fn resume(&self) {
+        self.inner.gateway.pause(false);
+    }
+
+    /// Existing connections never answer again; new ones work.
+    pub fn silence(&self) {
+        self.inner.gateway.silence();
+    }
+
+    /// Limits the reads and writes a second; `None` removes the limit.
+    pub fn limit(&self, reads: Option<f64>, writes: Option<f64>) {
+        self.inner.shared.lock().limit(reads, writes);
+    }
+
+    /// Closes the connection instead of answering, for the next `count` transactions, grants and
+    /// revocations that take effect.
+    pub fn lose_answers(&self, count: u64) {
+        self.inner.shared.lock().lose = count;
+    }
+
+    /// Ends a lease as if its time were over; false if there is none.
+    #[must_use]
+    pub fn lapse(&self, lease: i64) -> bool {
+        self.inner.shared.lapse(lease)
+    }
+
+    /// The leases that have not ended.
+    #[must_use]
+    pub fn leases(&self) -> Vec<i64> {
+        self.inner.shared.lock().store.leases()
+    }
+
+    /// Copies the store.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot(self.inner.shared.lock().store.clone())
+    }
+
+    /// Replaces the store by an older copy and closes all connections. Leases start anew.
+    pub async fn restore(&self, snapshot: &Snapshot) {
+        self.inner.restore(snapshot.clone()).await;
+    }
+
+    /// Forgets the changes before the current revision.
+    pub fn compact(&self) {
+        self.inner.shared.lock().store.compact();
+    }
+
+    /// Closes the listeners and all connections.
+    pub async fn close(mut self) {
+        self.reaper.shutdown().await;
+        self.control.close().await;
+        self.inner.gateway.cut(false);
+        self.inner.gateway.cut_done().await;
+    }
+}
+
+/// The parts that the control endpoint shares.
+#[derive(Clone, Debug)]
+pub(crate) struct Inner {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) gateway: Arc<Serve>,
+}
+
+impl Inner {
+    pub(crate) async fn down(&self) {
+        self.gateway.cut(false);
+        self.gateway.cut_done().await;
+    }
+
+    pub(crate) async fn up(&self) {
+        self.gateway.cut(true);
+        self.gateway.cut_done().await;
+    }
+
+    pub(crate) async fn restore(&self, snapshot: Snapshot) {
+        self.shared.with(|state| {
+            state.store = snapshot.0;
+            state.store.renew_all(Instant::now());
+        });
+        self.up().await;
+    }
+}
+
+/// The stand-in's state and the signals of its changes.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    state: Mutex<State>,
+    pub(crate) revision: watch::Sender<i64>,
+    leases: Notify,
+}
+
+/// Store, counts and switches.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) store: Store,
+    pub(crate) counts: Counts,
+    pub(crate) delay: Duration,
+    pub(crate) lose: u64,
+    pub(crate) progress: Duration,
+    pub(crate) saved: Option<Snapshot>,
+    reads: Bucket,
+    writes: Bucket,
+}
+
+impl State {
+    /// Takes a token of the rate; each open watch holds one read a second.
+    pub(crate) fn admit(&mut self, read: bool) -> bool {
+        let now = Instant::now();
+        if !read {
+            return self.writes.take(0.0, now);
+        }
+        let held = u32::try_from(self.counts.waiting).unwrap_or(u32::MAX);
+        self.reads.take(f64::from(held), now)
+    }
+
+    pub(crate) fn limit(&mut self, reads: Option<f64>, writes: Option<f64>) {
+        let now = Instant::now();
+        self.reads = Bucket::new(reads, now);
+        self.writes = Bucket::new(writes, now);
+    }
+
+    pub(crate) fn lose_answer(&mut self) -> bool {
+        let lost = self.lose > 0;
+        if lost {
+            self.lose -= 1;
+            self.counts.lost += 1;
+        }
+        lost
+    }
+
+    pub(crate) fn count_answer(&mut self, answer: Response<Body>) -> Response<Body> {
+        self.counts.bytes_out += answer.body().size_hint().lower();
+        answer
+    }
+
+    /// Keeps a copy for the control endpoint.
+    pub(crate) fn save(&mut self) {
+        self.saved = Some(Snapshot(self.store.clone()));
+    }
+}
+
+impl Shared {
+    fn new(settings: &Standin) -> Self {
+        let now = Instant::now();
+        let store = Store::new(settings.history);
+        let (revision, _) = watch::channel(store.revision);
+        let state = State {
+            store,
+            counts: Counts::default(),
+            delay: Duration::ZERO,
+            lose: 0,
+            progress: settings.progress,
+            saved: None,
+            reads: Bucket::new(settings.reads, now),
+            writes: Bucket::new(settings.writes, now),
+        };
+        Self { state: Mutex::new(state), revision, leases: Notify::new() }
+    }
+
+    /// The state as it is; only for changes that no watch can see.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the state, after the leases that are due have ended, and wakes the watches.
+    pub(crate) fn with<R>(&self, change: impl FnOnce(&mut State) -> R) -> R {
+        let mut state = self.lock();
+        let expired = state.store.expire(Instant::now());
+        state.counts.expired += expired;
+        let result = change(&mut state);
+        self.revision.send_if_modified(|seen| {
+            std::mem::replace(seen, state.store.revision) != state.store.revision
+        });
+        self.leases.notify_one();
+        result
+    }
+
+    pub(crate) fn lapse(&self, lease: i64) -> bool {
+        self.with(|state| {
+            let ended = state.store.revoke(lease).is_ok();
+            state.counts.expired += u64::from(ended);
+            ended
+        })
+    }
+}
+
+/// Ends leases in time, so that watches see it without another call.
+async fn expire_leases(shared: Arc<Shared>) {
+    loop {
+        let next = shared.lock().store.next_expiry();
+        match next {
+            None => shared.leases.notified().await,
+            Some(at) => tokio::select! {
+                () = tokio::time::sleep_until(at) => shared.with(|_| ()),
+                () = shared.leases.notified() => {}
+            },
+        }
+    }
+}
