Report all findings of both tables with their places

Parsing stopped at the first error and reported line 1 of the file, and validation compared each route with every pool.

Rows are now read from the syntax tree by a description of their fields (ROUTE_FIELDS, POOL_FIELDS), which also drives the validation of assembled tables, so the tool and the daemons apply the same rules. parse_tables takes both files and collects every finding. Routes of the same host, path and method are refused, because canonical text sorts rows by name and their order cannot decide.

--- /dev/null
+++ b/crates/tables/src/change.rs
@@ -0,0 +1,123 @@
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use serde_json::Value as Json;
+
+use crate::{
+    Name, Tables,
+    field::{Row, by_name},
+};
+
+/// One of the two tables.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum TableName {
+    /// The table of routes.
+    #[display("route")]
+    Routes,
+    /// The table of pools.
+    #[display("pool")]
+    Pools,
+}
+
+/// What an edit does to a row.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Change {
+    /// The row is new.
+    #[display("added")]
+    Added,
+    /// The row has other values.
+    #[display("changed")]
+    Changed,
+    /// The row is gone.
+    #[display("removed")]
+    Removed,
+    /// The pool is referenced by a route that is new or has other values.
+    #[display("referenced")]
+    Referenced,
+}
+
+/// A row that differs between two tables.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowChange {
+    /// The table of the row.
+    pub table: TableName,
+    /// The name of the row.
+    pub name: Name,
+    /// What happens to the row.
+    pub change: Change,
+    /// The fields that differ.
+    pub fields: Vec<FieldChange>,
+}
+
+/// A field that differs between two rows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FieldChange {
+    /// The path in the row, such as `limits.queue`.
+    pub path: String,
+    /// The value before, if the row existed.
+    pub old: Option<Json>,
+    /// The value after, if the row still exists.
+    pub new: Option<Json>,
+}
+
+/// The rows that differ between `old` and `new`: routes, then pools, each by name.
+#[must_use]
+pub fn changes(old: &Tables, new: &Tables) -> Vec<RowChange> {
+    let mut list = table_changes(TableName::Routes, &old.routes, &new.routes);
+    list.extend(table_changes(TableName::Pools, &old.pools, &new.pools));
+    list
+}
+
+/// What happens to each row that differs.
+pub(crate) fn row_changes<'a, T: Row + PartialEq>(
+    old: &'a [T],
+    new: &'a [T],
+) -> BTreeMap<&'a Name, Change> {
+    let (before, after) = (by_name(old), by_name(new));
+    let put = new.iter().filter_map(|row| match before.get(row.name()) {
+        None => Some((row.name(), Change::Added)),
+        Some(was) if *was != row => Some((row.name(), Change::Changed)),
+        Some(_) => None,
+    });
+    let gone = old.iter().map(Row::name).filter(|name| !after.contains_key(name));
+    put.chain(gone.map(|name| (name, Change::Removed))).collect()
+}
+
+fn table_changes<T: Row + PartialEq + Serialize>(
+    table: TableName,
+    old: &[T],
+    new: &[T],
+) -> Vec<RowChange> {
+    let (before, after) = (by_name(old), by_name(new));
+    row_changes(old, new)
+        .into_iter()
+        .map(|(name, change)| {
+            let fields = field_changes(before.get(name).copied(), after.get(name).copied());
+            RowChange { table, name: name.clone(), change, fields }
+        })
+        .collect()
+}
+
+fn field_changes<T: Row + Serialize>(old: Option<&T>, new: Option<&T>) -> Vec<FieldChange> {
+    let (old, new) = (old.map(json), new.map(json));
+    let paths = T::FIELDS.iter().map(|field| field.path).filter(|path| *path != "name");
+    paths
+        .filter_map(|path| {
+            let (old, new) = (at(old.as_ref(), path), at(new.as_ref(), path));
+            (old != new).then(|| FieldChange { path: path.to_owned(), old, new })
+        })
+        .collect()
+}
+
+fn json<T: Serialize>(row: &T) -> Json {
+    serde_json::to_value(row).unwrap_or_default()
+}
+
+fn at(row: Option<&Json>, path: &str) -> Option<Json> {
+    row?.pointer(&format!("/{}", path.replace('.', "/"))).cloned()
+}
--- /dev/null
+++ b/crates/tables/src/conflict.rs
@@ -0,0 +1,70 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Change, Name, Route, TableName, Tables,
+    change::row_changes,
+    field::{Row, by_name},
+};
+
+/// A row in which two edits of the same base conflict.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Conflict {
+    /// The table of the row.
+    pub table: TableName,
+    /// The name of the row.
+    pub name: Name,
+    /// What the first edit does to the row.
+    pub mine: Change,
+    /// What the second edit does to the row.
+    pub theirs: Change,
+}
+
+/// The rows in which the edits from `base` to `mine` and from `base` to `theirs` conflict: both
+/// change the row and the results differ, or one removes a pool which a route that the other adds
+/// or changes references.
+#[must_use]
+pub fn conflicts(base: &Tables, mine: &Tables, theirs: &Tables) -> Vec<Conflict> {
+    let mut list = table_conflicts(TableName::Routes, &base.routes, &mine.routes, &theirs.routes);
+    list.extend(table_conflicts(TableName::Pools, &base.pools, &mine.pools, &theirs.pools));
+    for name in references(base, mine, theirs) {
+        let (mine, theirs) = (Change::Removed, Change::Referenced);
+        list.push(Conflict { table: TableName::Pools, name, mine, theirs });
+    }
+    for name in references(base, theirs, mine) {
+        let (mine, theirs) = (Change::Referenced, Change::Removed);
+        list.push(Conflict { table: TableName::Pools, name, mine, theirs });
+    }
+    list
+}
+
+fn table_conflicts<T: Row + PartialEq>(
+    table: TableName,
+    base: &[T],
+    mine: &[T],
+    theirs: &[T],
+) -> Vec<Conflict> {
+    let (my_rows, their_rows) = (by_name(mine), by_name(theirs));
+    let their_changes = row_changes(base, theirs);
+    row_changes(base, mine)
+        .into_iter()
+        .filter(|(name, _)| my_rows.get(name) != their_rows.get(name))
+        .filter_map(|(name, mine)| {
+            let theirs = *their_changes.get(name)?;
+            Some(Conflict { table, name: name.clone(), mine, theirs })
+        })
+        .collect()
+}
+
+/// Pools removed from `base` by `remover` that a route added or changed by `user` references.
+fn references(base: &Tables, remover: &Tables, user: &Tables) -> BTreeSet<Name> {
+    let removed: BTreeMap<&Name, Change> = row_changes(&base.pools, &remover.pools)
+        .into_iter()
+        .filter(|(_, change)| *change == Change::Removed)
+        .collect();
+    let edited = row_changes(&base.routes, &user.routes);
+    let uses =
+        |route: &&Route| edited.contains_key(&route.name) && removed.contains_key(&route.pool);
+    user.routes.iter().filter(uses).map(|route| route.pool.clone()).collect()
+}
--- a/crates/tables/src/delta.rs
+++ b/crates/tables/src/delta.rs
@@ -1,7 +1,12 @@
+use std::collections::HashSet;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{Name, Pool, Route, Tables, Version, VersionMark};
+use crate::{
+    Name, Pool, Route, Tables, Version, VersionMark,
+    field::{Row, by_name},
+};
 
 /// The rows in which one version differs from an earlier one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,14 +53,10 @@
         Self {
             base: old.mark(),
             target: new.mark(),
-            routes: b.routes.iter().filter(|r| !a.routes.contains(r)).cloned().collect(),
-            pools: b.pools.iter().filter(|p| !a.pools.contains(p)).cloned().collect(),
-            gone_routes: gone(a.routes.iter().map(|r| &r.name), |n| {
-                b.routes.iter().any(|r| r.name == *n)
-            }),
-            gone_pools: gone(a.pools.iter().map(|p| &p.name), |n| {
-                b.pools.iter().any(|p| p.name == *n)
-            }),
+            routes: put(&a.routes, &b.routes),
+            pools: put(&a.pools, &b.pools),
+            gone_routes: gone(&a.routes, &b.routes),
+            gone_pools: gone(&a.pools, &b.pools),
         }
     }
 
@@ -67,15 +68,8 @@
         if self.base != old.mark() {
             return Err(DeltaError::Base { wanted: self.base.number, held: old.number });
         }
-        let Tables { mut routes, mut pools } = old.tables.clone();
-        routes.retain(|r| {
-            !self.gone_routes.contains(&r.name) && self.routes.iter().all(|n| n.name != r.name)
-        });
-        pools.retain(|p| {
-            !self.gone_pools.contains(&p.name) && self.pools.iter().all(|n| n.name != p.name)
-        });
-        routes.extend(self.routes.iter().cloned());
-        pools.extend(self.pools.iter().cloned());
+        let routes = merged(&old.tables.routes, &self.routes, &self.gone_routes);
+        let pools = merged(&old.tables.pools, &self.pools, &self.gone_pools);
         let new = Version::new(self.target.number, Tables { routes, pools });
         if new.mark() != self.target {
             return Err(DeltaError::Hash { number: self.target.number });
@@ -84,6 +78,18 @@
     }
 }
 
-fn gone<'a>(old: impl Iterator<Item = &'a Name>, kept: impl Fn(&Name) -> bool) -> Vec<Name> {
-    old.filter(|name| !kept(name)).cloned().collect()
+fn put<T: Row + Clone + PartialEq>(old: &[T], new: &[T]) -> Vec<T> {
+    let old = by_name(old);
+    new.iter().filter(|row| old.get(row.name()) != Some(row)).cloned().collect()
+}
+
+fn gone<T: Row>(old: &[T], new: &[T]) -> Vec<Name> {
+    let new = by_name(new);
+    old.iter().map(Row::name).filter(|name| !new.contains_key(name)).cloned().collect()
+}
+
+fn merged<T: Row + Clone>(old: &[T], put: &[T], gone: &[Name]) -> Vec<T> {
+    let replaced: HashSet<&Name> = put.iter().map(Row::name).chain(gone).collect();
+    let kept = old.iter().filter(|row| !replaced.contains(row.name()));
+    kept.chain(put).cloned().collect()
 }
--- /dev/null
+++ b/crates/tables/src/field.rs
@@ -0,0 +1,102 @@
+use std::collections::HashMap;
+
+use derive_more::Display;
+
+use crate::{Millis, Name, kind::Kind};
+
+/// A field of a row: its path in the row, what it accepts, and its default.
+///
+/// Parsing, validation and the page `docs/tables.md` all follow [`ROUTE_FIELDS`] and
+/// [`POOL_FIELDS`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Field {
+    /// The path in the row, such as `limits.queue`.
+    pub path: &'static str,
+    /// What is accepted.
+    pub kind: Kind,
+    /// The default as written in a table, or `None` where the field is required.
+    pub default: Option<&'static str>,
+}
+
+/// The smallest and the largest value accepted.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{min} to {max}")]
+pub struct Bounds {
+    /// The smallest value.
+    pub min: u64,
+    /// The largest value.
+    pub max: u64,
+}
+
+/// The value of a field, borrowed from its row.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Value<'a> {
+    Text(&'a str),
+    List(&'a [Name]),
+    Count(u64),
+    Time(Millis),
+    /// The type of the field leaves no other value.
+    Closed,
+}
+
+/// A row of either table.
+pub(crate) trait Row {
+    /// The fields of the table.
+    const FIELDS: &'static [Field];
+
+    fn name(&self) -> &Name;
+
+    /// The values of [`Self::FIELDS`], in the same order.
+    fn values(&self) -> Vec<Value<'_>>;
+}
+
+/// Indexes rows by their names.
+pub(crate) fn by_name<T: Row>(rows: &[T]) -> HashMap<&Name, &T> {
+    rows.iter().map(|row| (row.name(), row)).collect()
+}
+
+/// The longest deadline of a route, in ms. A keeper's records are held for 30 s after its death
+/// (`KEEPER_HOLD`), and a request may start until its deadline plus a clock skew below 500 ms; a
+/// longer deadline would let a repeat run twice.
+pub const MAX_DEADLINE: u64 = 29_000;
+
+/// The longest drain and the longest ejection, in ms.
+const HOUR: u64 = 3_600_000;
+
+/// Percent of a pool that may be ejected: a third, so that ejection cannot empty a pool.
+const MAX_SHARE: u64 = 33;
+
+/// The fields of a route.
+pub const ROUTE_FIELDS: &[Field] = &[
+    required("name", Kind::Name),
+    required("match.path", Kind::Path),
+    optional("match.host", Kind::Host, "\"\""),
+    optional("match.methods", Kind::Methods, "[]"),
+    required("pool", Kind::Name),
+    optional("repeat", Kind::Choice(&["idempotent", "once"]), "\"once\""),
+    optional("deadline", Kind::Time(Bounds { min: 1, max: MAX_DEADLINE }), "\"2s\""),
+    optional("retries", Kind::Count(Bounds { min: 0, max: 5 }), "1"),
+];
+
+/// The fields of a pool.
+pub const POOL_FIELDS: &[Field] = &[
+    required("name", Kind::Name),
+    required("service", Kind::Name),
+    optional("balance", Kind::Choice(&["two-choices", "round-robin"]), "\"two-choices\""),
+    optional("limits.in_flight", Kind::Count(Bounds { min: 1, max: 1_000_000 }), "1024"),
+    optional("limits.queue", Kind::Count(Bounds { min: 1, max: 100_000 }), "32"),
+    optional("limits.queue_wait", Kind::Time(Bounds { min: 1, max: MAX_DEADLINE }), "\"100ms\""),
+    optional("prefer", Kind::Choice(&["domain", "region", "any"]), "\"domain\""),
+    optional("drain", Kind::Time(Bounds { min: 1, max: HOUR }), "\"30s\""),
+    optional("ejection.failures", Kind::Count(Bounds { min: 1, max: 1000 }), "5"),
+    optional("ejection.share", Kind::Count(Bounds { min: 1, max: MAX_SHARE }), "33"),
+    optional("ejection.time", Kind::Time(Bounds { min: 1, max: HOUR }), "\"10s\""),
+];
+
+const fn required(path: &'static str, kind: Kind) -> Field {
+    Field { path, kind, default: None }
+}
+
+const fn optional(path: &'static str, kind: Kind, default: &'static str) -> Field {
+    Field { path, kind, default: Some(default) }
+}
--- a/crates/tables/src/finding.rs
+++ b/crates/tables/src/finding.rs
@@ -1,29 +1,41 @@
+use std::fmt;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// Where a finding was made.
-#[derive(
-    Clone, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
-#[display("{file}:{line}")]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Place {
     /// The file as the operator named it.
     pub file: String,
-    /// The line, from 1.
+    /// The line, from 1; 0 where the rows were not read from a file.
     pub line: usize,
     /// The row in its table, from 1; 0 where the finding belongs to no row.
     pub row: usize,
 }
 
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.file)?;
+        if self.line > 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        if self.row > 0 {
+            write!(f, ": row {}", self.row)?;
+        }
+        Ok(())
+    }
+}
+
 /// One reason why a table or a settings file is refused.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
-#[display("{place}: row {}: {name:?}: {message}; accepted: {accepted}", place.row)]
+#[display("{place}: {name:?}: {message}; accepted: {accepted}")]
 pub struct Finding {
     /// Where it was found.
     pub place: Place,
-    /// The name at fault: of a row, a field or a reference.
+    /// The name of the row at fault, or of the field where the finding belongs to no row.
     pub name: String,
     /// What is wrong, in one sentence.
     pub message: String,
@@ -64,8 +76,8 @@
     }
 }
 
-impl std::fmt::Display for Findings {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (idx, finding) in self.list.iter().enumerate() {
             if idx > 0 {
                 writeln!(f)?;
--- /dev/null
+++ b/crates/tables/src/kind.rs
@@ -0,0 +1,142 @@
+use std::collections::HashSet;
+
+use crate::{Bounds, Millis, Name, field::Value};
+
+/// The longest name of a row or service, in bytes.
+pub const MAX_NAME: usize = 64;
+/// The longest host, in bytes, as in the domain name system.
+pub const MAX_HOST: usize = 253;
+/// The longest path prefix, in bytes.
+pub const MAX_PATH: usize = 1024;
+/// The methods a route may list.
+pub const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
+
+/// What a field accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The name of a row or of a service.
+    Name,
+    /// The host of a request, or empty.
+    Host,
+    /// A path prefix.
+    Path,
+    /// A list of request methods.
+    Methods,
+    /// One of a closed set.
+    Choice(&'static [&'static str]),
+    /// A whole number.
+    Count(Bounds),
+    /// A duration in ms.
+    Time(Bounds),
+}
+
+impl Kind {
+    /// What is accepted, as findings and `docs/tables.md` word it.
+    #[must_use]
+    pub fn accepted(self) -> String {
+        match self {
+            Self::Name => format!(
+                "a text of 1 to {MAX_NAME} letters, digits, '.', '_' or '-' that starts with a \
+                 letter or digit"
+            ),
+            Self::Host => format!(
+                "\"\" for any host, or a host name in lower case without port, of at most \
+                 {MAX_HOST} bytes"
+            ),
+            Self::Path => format!(
+                "\"/\", or a path such as \"/credits/new\" without '/' at the end, empty or dot \
+                 segments, query or fragment, of at most {MAX_PATH} bytes"
+            ),
+            Self::Methods => {
+                format!("[] for any method, or a list of different ones of {}", METHODS.join(", "))
+            }
+            Self::Choice(list) => {
+                let list: Vec<String> = list.iter().map(|one| format!("{one:?}")).collect();
+                format!("one of {}", list.join(", "))
+            }
+            Self::Count(bounds) => format!("a whole number from {bounds}"),
+            Self::Time(Bounds { min, max }) => {
+                let (min, max) = (Millis::new(min), Millis::new(max));
+                format!("a duration from {min} to {max}, as a whole number and ms, s, m or h")
+            }
+        }
+    }
+
+    /// What is wrong with `value`, if anything.
+    pub(crate) fn fault(self, value: Value<'_>) -> Option<String> {
+        match (self, value) {
+            (Self::Name, Value::Text(text)) => name_fault(text),
+            (Self::Host, Value::Text(text)) => host_fault(text),
+            (Self::Path, Value::Text(text)) => path_fault(text),
+            (Self::Methods, Value::List(list)) => methods_fault(list),
+            (Self::Count(bounds), Value::Count(count)) => {
+                bounds_fault(bounds, count, &count.to_string())
+            }
+            (Self::Time(bounds), Value::Time(time)) => {
+                bounds_fault(bounds, time.get(), &time.to_string())
+            }
+            _ => None,
+        }
+    }
+}
+
+fn bounds_fault(bounds: Bounds, value: u64, shown: &str) -> Option<String> {
+    match value {
+        0 if bounds.min > 0 => Some(format!("{shown} is a limit of zero")),
+        v if v < bounds.min => Some(format!("{shown} is too small")),
+        v if v > bounds.max => Some(format!("{shown} is too large")),
+        _ => None,
+    }
+}
+
+fn name_fault(text: &str) -> Option<String> {
+    if text.is_empty() {
+        return Some("the name is empty".to_owned());
+    }
+    if text.len() > MAX_NAME {
+        return Some(format!("the name has {} bytes", text.len()));
+    }
+    let inner = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+    let valid = text.bytes().all(inner) && text.as_bytes()[0].is_ascii_alphanumeric();
+    (!valid).then(|| format!("{text:?} is not a name"))
+}
+
+fn host_fault(text: &str) -> Option<String> {
+    if text.len() > MAX_HOST {
+        return Some(format!("the host has {} bytes", text.len()));
+    }
+    let label = |label: &str| {
+        let inner = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+        !label.is_empty()
+            && !label.starts_with('-')
+            && !label.ends_with('-')
+            && label.bytes().all(inner)
+    };
+    let valid = text.is_empty() || text.split('.').all(label);
+    (!valid).then(|| format!("{text:?} is not a host name"))
+}
+
+fn path_fault(text: &str) -> Option<String> {
+    if text.len() > MAX_PATH {
+        return Some(format!("the path has {} bytes", text.len()));
+    }
+    if text == "/" {
+        return None;
+    }
+    let Some(rest) = text.strip_prefix('/') else {
+        return Some(format!("the path {text:?} does not start with '/'"));
+    };
+    let inner = |b: u8| b.is_ascii_graphic() && !matches!(b, b'?' | b'#');
+    let segment = |s: &str| !matches!(s, "" | "." | "..") && s.bytes().all(inner);
+    let valid = rest.split('/').all(segment);
+    (!valid).then(|| format!("{text:?} is not a path prefix"))
+}
+
+fn methods_fault(list: &[Name]) -> Option<String> {
+    let mut seen = HashSet::new();
+    list.iter().find_map(|method| match method.as_str() {
+        text if !METHODS.contains(&text) => Some(format!("{text:?} is not a known method")),
+        text if !seen.insert(text) => Some(format!("method {text:?} is listed twice")),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/tables/src/leaf.rs
@@ -0,0 +1,76 @@
+use jsonc_parser::ast::Value as Ast;
+use serde_json::Value as Json;
+
+use crate::{Kind, Millis, Name, field::Value};
+
+/// Reads the value of a field of the given kind, or says what is wrong with it.
+pub(crate) fn read_leaf(kind: Kind, value: &Ast<'_>) -> Result<Json, String> {
+    match kind {
+        Kind::Name | Kind::Host | Kind::Path => {
+            let text = text(value)?;
+            check(kind, Value::Text(text))?;
+            Ok(text.into())
+        }
+        Kind::Methods => methods(kind, value),
+        Kind::Choice(list) => {
+            let text = text(value)?;
+            let known = list.contains(&text);
+            known.then(|| text.into()).ok_or_else(|| format!("{text:?} is not known"))
+        }
+        Kind::Count(_) => {
+            let count = count(value)?;
+            check(kind, Value::Count(count))?;
+            Ok(count.into())
+        }
+        Kind::Time(_) => {
+            let text = text(value)?;
+            let time: Millis = text.parse().map_err(|_| format!("{text:?} is not a duration"))?;
+            check(kind, Value::Time(time))?;
+            Ok(text.into())
+        }
+    }
+}
+
+fn check(kind: Kind, value: Value<'_>) -> Result<(), String> {
+    kind.fault(value).map_or(Ok(()), Err)
+}
+
+fn methods(kind: Kind, value: &Ast<'_>) -> Result<Json, String> {
+    let Ast::Array(array) = value else {
+        return Err(format!("{} is not a list", shown(value)));
+    };
+    let list: Result<Vec<&str>, String> = array.elements.iter().map(text).collect();
+    let list = list?;
+    let names: Vec<Name> = list.iter().copied().map(Name::new).collect();
+    check(kind, Value::List(&names))?;
+    Ok(list.into())
+}
+
+fn text<'a>(value: &'a Ast<'_>) -> Result<&'a str, String> {
+    match value {
+        Ast::StringLit(text) => Ok(&text.value),
+        other => Err(format!("{} is not a text", shown(other))),
+    }
+}
+
+fn count(value: &Ast<'_>) -> Result<u64, String> {
+    let Ast::NumberLit(number) = value else {
+        return Err(format!("{} is not a whole number", shown(value)));
+    };
+    let digits = number.value;
+    if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_digit()) {
+        return Err(format!("{digits} is not a whole number"));
+    }
+    digits.parse().map_err(|_| format!("{digits} is too large"))
+}
+
+fn shown(value: &Ast<'_>) -> String {
+    match value {
+        Ast::StringLit(text) => format!("{:?}", text.value),
+        Ast::NumberLit(number) => format!("the number {}", number.value),
+        Ast::BooleanLit(boolean) => boolean.value.to_string(),
+        Ast::Object(_) => "an object".to_owned(),
+        Ast::Array(_) => "a list".to_owned(),
+        Ast::NullKeyword(_) => "null".to_owned(),
+    }
+}
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -2,22 +2,38 @@
 //! every finding, validation, content hash, versions and row deltas. This crate opens no socket and
 //! reads no file; text comes in, values and findings go out.
 
+mod change;
+mod check;
+mod conflict;
 mod delta;
 mod duration;
+mod field;
 mod finding;
 mod head;
+mod kind;
+mod leaf;
+mod matches;
 mod name;
 mod pool;
+mod read;
 mod route;
+mod source;
 mod tables;
 mod version;
 
+pub use change::{Change, FieldChange, RowChange, TableName, changes};
+pub use check::{MAX_ROWS, MAX_TEXT};
+pub use conflict::{Conflict, conflicts};
 pub use delta::{Delta, DeltaError};
 pub use duration::{Millis, ParseMillisError};
+pub use field::{Bounds, Field, MAX_DEADLINE, POOL_FIELDS, ROUTE_FIELDS};
 pub use finding::{Finding, Findings, Place};
-pub use head::{Head, join_parts, split_parts};
+pub use head::{HEAD_KEY, Head, PART_LIMIT, history_key, join_parts, part_key, split_parts};
+pub use kind::{Kind, MAX_HOST, MAX_NAME, MAX_PATH, METHODS};
+pub use matches::Match;
 pub use name::Name;
 pub use pool::{Balance, Ejection, Limits, Pool, Prefer};
-pub use route::{Match, Repeat, Route};
-pub use tables::{Tables, parse_pools, parse_routes, validate};
+pub use route::{Repeat, Route};
+pub use source::{MAX_FILE, Source};
+pub use tables::{Tables, parse_pools, parse_routes, parse_tables, validate};
 pub use version::{Hash, Version, VersionMark};
--- a/crates/tables/src/pool.rs
+++ b/crates/tables/src/pool.rs
@@ -1,6 +1,9 @@
 use serde::{Deserialize, Serialize};
 
-use crate::{Millis, Name};
+use crate::{
+    Millis, Name,
+    field::{Field, POOL_FIELDS, Row, Value},
+};
 
 /// The targets of one service and how calls are spread over them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,7 +78,7 @@
 pub struct Ejection {
     /// Consecutive failures that eject.
     pub failures: u32,
-    /// Percent of the pool that may be ejected at once, 0 to 100.
+    /// Percent of the pool that may be ejected at once, 1 to 33.
     pub share: u32,
     /// Time until probation.
     pub time: Millis,
@@ -87,6 +90,30 @@
     }
 }
 
+impl Row for Pool {
+    const FIELDS: &'static [Field] = POOL_FIELDS;
+
+    fn name(&self) -> &Name {
+        &self.name
+    }
+
+    fn values(&self) -> Vec<Value<'_>> {
+        vec![
+            Value::Text(&self.name),
+            Value::Text(&self.service),
+            Value::Closed,
+            Value::Count(u64::from(self.limits.in_flight)),
+            Value::Count(u64::from(self.limits.queue)),
+            Value::Time(self.limits.queue_wait),
+            Value::Closed,
+            Value::Time(self.drain),
+            Value::Count(u64::from(self.ejection.failures)),
+            Value::Count(u64::from(self.ejection.share)),
+            Value::Time(self.ejection.time),
+        ]
+    }
+}
+
 const fn default_drain() -> Millis {
     Millis::new(30_000)
 }
--- a/crates/tables/src/route.rs
+++ b/crates/tables/src/route.rs
@@ -1,7 +1,10 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{Millis, Name};
+use crate::{
+    Match, Millis, Name,
+    field::{Field, ROUTE_FIELDS, Row, Value},
+};
 
 /// Sends the requests that match to a pool.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,18 +28,6 @@
     pub retries: u32,
 }
 
-/// Conditions on a request; all of them must hold.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Match {
-    /// The host of the request in lower case; empty takes any host.
-    pub host: Name,
-    /// A prefix of the path that ends at a segment; `/` takes any path.
-    pub path: Name,
-    /// Methods in upper case; empty takes any method.
-    pub methods: Vec<Name>,
-}
-
 /// Whether a request may run more than once.
 #[derive(
     Clone,
@@ -63,6 +54,27 @@
     Once,
 }
 
+impl Row for Route {
+    const FIELDS: &'static [Field] = ROUTE_FIELDS;
+
+    fn name(&self) -> &Name {
+        &self.name
+    }
+
+    fn values(&self) -> Vec<Value<'_>> {
+        vec![
+            Value::Text(&self.name),
+            Value::Text(&self.matches.path),
+            Value::Text(&self.matches.host),
+            Value::List(&self.matches.methods),
+            Value::Text(&self.pool),
+            Value::Closed,
+            Value::Time(self.deadline),
+            Value::Count(u64::from(self.retries)),
+        ]
+    }
+}
+
 const fn default_deadline() -> Millis {
     Millis::new(2000)
 }
--- a/crates/tables/src/tables.rs
+++ b/crates/tables/src/tables.rs
@@ -1,6 +1,10 @@
 use serde::{Deserialize, Serialize};
 
-use crate::{Finding, Findings, Place, Pool, Route};
+use crate::{
+    Findings, Pool, Route, Source,
+    check::{Placed, check_references, check_shadowed, check_size},
+    read::read_rows,
+};
 
 /// The two tables that operators edit.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,12 +40,36 @@
     }
 }
 
-/// Reads the table of routes from JSON with comments.
+/// Reads both tables from JSON with comments and checks them.
+///
+/// # Errors
+/// Every finding of both files, with its place. A file with a syntax error gives only that one,
+/// and then references to its rows are not checked.
+pub fn parse_tables(routes: Source<'_>, pools: Source<'_>) -> Result<Tables, Findings> {
+    let mut findings = Findings::default();
+    let read_routes = read_rows::<Route>(routes, "routes", &mut findings);
+    let read_pools = read_rows::<Pool>(pools, "pools", &mut findings);
+    check(
+        &Placed::read(routes.file, &read_routes),
+        &Placed::read(pools.file, &read_pools),
+        &mut findings,
+    );
+    let tables = Tables { routes: read_routes.list, pools: read_pools.list };
+    check_size(&tables, &mut findings);
+    findings.or_else(tables)
+}
+
+/// Reads the table of routes from JSON with comments. References to pools are not checked.
 ///
 /// # Errors
 /// Every finding with its place.
 pub fn parse_routes(file: &str, text: &str) -> Result<Vec<Route>, Findings> {
-    parse_rows(file, text, "routes")
+    let mut findings = Findings::default();
+    let rows = read_rows::<Route>(Source::new(file, text), "routes", &mut findings);
+    let placed = Placed::read(file, &rows);
+    placed.check_rows(&mut findings);
+    check_shadowed(&placed, &mut findings);
+    findings.or_else(rows.list)
 }
 
 /// Reads the table of pools from JSON with comments.
@@ -49,45 +77,26 @@
 /// # Errors
 /// Every finding with its place.
 pub fn parse_pools(file: &str, text: &str) -> Result<Vec<Pool>, Findings> {
-    parse_rows(file, text, "pools")
-}
-
-fn parse_rows<T: serde::de::DeserializeOwned>(
-    file: &str,
-    text: &str,
-    key: &str,
-) -> Result<Vec<T>, Findings> {
-    let refuse = |message: String| {
-        let place = Place { file: file.to_owned(), line: 1, row: 0 };
-        let accepted = format!("an object with the array {key:?}");
-        Findings { list: vec![Finding { place, name: key.to_owned(), message, accepted }] }
-    };
-    let value: serde_json::Value =
-        jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default())
-            .map_err(|e| refuse(e.to_string()))?
-            .ok_or_else(|| refuse("the file is empty".to_owned()))?;
-    let rows = value.get(key).cloned().ok_or_else(|| refuse(format!("{key:?} is missing")))?;
-    serde_json::from_value(rows).map_err(|e| refuse(e.to_string()))
+    let mut findings = Findings::default();
+    let rows = read_rows::<Pool>(Source::new(file, text), "pools", &mut findings);
+    Placed::read(file, &rows).check_rows(&mut findings);
+    findings.or_else(rows.list)
 }
 
-/// Checks rows against each other and against the limits of their fields.
+/// Checks assembled tables by the same rules as [`parse_tables`]; places have no line.
 #[must_use]
 pub fn validate(tables: &Tables) -> Findings {
     let mut findings = Findings::default();
-    for (idx, route) in tables.routes.iter().enumerate() {
-        if tables.pools.iter().all(|pool| pool.name != route.pool) {
-            let place = Place { file: "routes".to_owned(), line: 0, row: idx + 1 };
-            let names: Vec<&str> = tables.pools.iter().map(|p| p.name.as_str()).collect();
-            findings.push(Finding {
-                place,
-                name: route.pool.to_string(),
-                message: format!(
-                    "route {:?} names a pool that does not exist",
-                    route.name.as_str()
-                ),
-                accepted: format!("one of: {}", names.join(", ")),
-            });
-        }
-    }
+    let routes = Placed::assembled("routes", &tables.routes);
+    let pools = Placed::assembled("pools", &tables.pools);
+    check(&routes, &pools, &mut findings);
+    check_size(tables, &mut findings);
     findings
 }
+
+fn check(routes: &Placed<'_, Route>, pools: &Placed<'_, Pool>, findings: &mut Findings) {
+    routes.check_rows(findings);
+    pools.check_rows(findings);
+    check_shadowed(routes, findings);
+    check_references(routes, pools, findings);
+}
--- a/crates/tables/tests/delta.rs
+++ b/crates/tables/tests/delta.rs
@@ -2,7 +2,10 @@
 
 #![allow(clippy::expect_used)]
 
-use dw_tables::{Delta, DeltaError, Tables, Version, parse_pools, parse_routes};
+use dw_tables::{
+    Change, Delta, DeltaError, RowChange, TableName, Tables, Version, changes, conflicts,
+    parse_pools, parse_routes,
+};
 use googletest::prelude::*;
 
 fn version(number: u64, deadline: &str) -> Version {
@@ -24,3 +27,53 @@
     expect_that!(delta.apply(&old), ok(eq(&new)));
     expect_that!(delta.apply(&new), err(eq(&DeltaError::Base { wanted: 1, held: 2 })));
 }
+
+/// Guards against a diff that hides which field an edit changes.
+#[gtest]
+fn changes_name_the_fields() -> Result<()> {
+    let list = changes(&version(1, "1s").tables, &version(2, "2s").tables);
+    let [RowChange { table: TableName::Routes, change: Change::Changed, fields, .. }] = &list[..]
+    else {
+        return fail!("{list:?}");
+    };
+    expect_that!(fields, len(eq(1)));
+    expect_that!(fields[0].path, eq("deadline"));
+    verify_that!(fields[0].new, some(eq("2s")))
+}
+
+/// Guards against a refused edit that does not show where it meets the other operator's.
+#[gtest]
+fn conflicts_name_the_rows_of_both_edits() {
+    let (base, mine, theirs) = (version(1, "1s"), version(2, "2s"), version(2, "3s"));
+    let list = conflicts(&base.tables, &mine.tables, &theirs.tables);
+    expect_that!(list, len(eq(1)));
+    expect_that!(list[0].name.as_str(), eq("lookup"));
+    let mut removed = base.tables.clone();
+    removed.pools.clear();
+    let list = conflicts(&base.tables, &removed, &theirs.tables);
+    expect_that!(list, len(eq(1)));
+    expect_that!((list[0].mine, list[0].theirs), eq((Change::Removed, Change::Referenced)));
+}
+
+/// Guards against deltas and conflicts that lose rows of tables of the largest size.
+#[gtest]
+fn large_tables_are_compared() {
+    let version = |number, deadline: u64| {
+        let mut tables = version(1, "1s").tables;
+        let row = tables.routes.remove(0);
+        tables.routes = (0..10_000_u64)
+            .map(|idx| {
+                let mut row = row.clone();
+                row.name = format!("r{idx}").into();
+                row.deadline = (deadline + idx % 2).into();
+                row
+            })
+            .collect();
+        Version::new(number, tables)
+    };
+    let (old, new) = (version(1, 1), version(2, 2));
+    let delta = Delta::between(&old, &new);
+    expect_that!(delta.routes, len(eq(10_000)));
+    expect_that!(delta.apply(&old), ok(eq(&new)));
+    expect_that!(conflicts(&old.tables, &new.tables, &version(2, 3).tables), len(eq(10_000)));
+}
