Test which route takes a request

A path that does not begin with a slash, such as the asterisk of OPTIONS, found no route even where a row takes any path. The lookup now always tries the root prefix first. The table test covers hosts, segment boundaries, queries and methods.

--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -55,7 +55,8 @@
     }
 
     fn longest<'a>(&self, paths: &'a Paths, path: &str, method: &str) -> Option<&'a Entry> {
-        let ends = path.match_indices('/').map(|(idx, _)| idx).chain([path.len()]);
+        let slashes = path.match_indices('/').map(|(idx, _)| idx).filter(|idx| *idx > 0);
+        let ends = [0].into_iter().chain(slashes).chain([path.len()]);
         ends.take(self.segments + 1)
             .filter_map(|end| paths.get(&path[..end])?.iter().find(|e| takes(&e.route, method)))
             .last()
--- /dev/null
+++ b/crates/request/tests/router.rs
@@ -0,0 +1,62 @@
+//! Which route takes a request.
+
+mod support;
+
+use dw_request::Router;
+use googletest::prelude::*;
+use support::version;
+
+fn routes() -> Router {
+    Router::new(&version(
+        1,
+        r#"{"name": "any", "match": {"path": "/"}, "pool": "p"},
+           {"name": "api", "match": {"path": "/api/"}, "pool": "p"},
+           {"name": "post", "match": {"path": "/api/credit", "methods": ["POST"]}, "pool": "p"},
+           {"name": "credit", "match": {"path": "/api/credit"}, "pool": "p"},
+           {"name": "put", "match": {"path": "/api/lead", "methods": ["PUT"]}, "pool": "p"},
+           {"name": "desk", "match": {"host": "Desk.Example", "path": "/api"}, "pool": "p"}"#,
+        r#"{"name": "p", "service": "p"}"#,
+    ))
+}
+
+/// Guards against requests that reach the pool of a less specific or a wrong row.
+#[gtest]
+fn most_specific_row_wins() {
+    let router = routes();
+    for (host, path, method, wanted) in [
+        ("x", "/", "GET", "any"),
+        ("x", "", "GET", "any"),
+        ("x", "*", "OPTIONS", "any"),
+        ("x", "/apix", "GET", "any"),
+        ("x", "/api", "GET", "api"),
+        ("x", "/api/", "GET", "api"),
+        ("x", "/api/other/deep/path/of/many/segments", "GET", "api"),
+        ("x", "/api/credit", "POST", "post"),
+        ("x", "/api/credit/7?next=/x/y", "POST", "post"),
+        ("x", "/api/credit?a=b", "GET", "credit"),
+        ("x", "/api/credits", "POST", "api"),
+        ("x", "/api/lead", "PUT", "put"),
+        ("x", "/api/lead", "GET", "api"),
+        ("desk.example", "/api/credit", "POST", "desk"),
+        ("DESK.example:8080", "/api/credit", "POST", "desk"),
+        ("desk.example", "/other", "GET", "any"),
+    ] {
+        let found = router.find(host, path, method).map(|e| e.route.name.as_str());
+        expect_that!(found, some(eq(wanted)), "{method} {host} {path}");
+    }
+}
+
+/// Guards against a request that is sent somewhere although no row takes it.
+#[gtest]
+fn no_row_no_route() {
+    let router = Router::new(&version(
+        1,
+        r#"{"name": "a", "match": {"host": "h", "path": "/a", "methods": ["GET"]}, "pool": "p"}"#,
+        r#"{"name": "p", "service": "p"}"#,
+    ));
+    for (host, path, method) in
+        [("g", "/a", "GET"), ("h", "/b", "GET"), ("h", "/a", "POST"), ("h", "/ab", "GET")]
+    {
+        expect_that!(router.find(host, path, method).is_none(), eq(true), "{method} {host} {path}");
+    }
+}
