Choose targets and retries on the caller's side

The first dispatcher chose any alive target and never retried. It now prefers near targets with a spill that grows linearly from 70% to 100% of the local slots, takes the better of two random targets by requests, latency, outcomes and reported load, warms up cold targets over 10 s, ejects outliers within the pool's share and readmits them on probation, and limits a pool's concurrency adaptively. Retries need a proven not-run or an idempotent route, a budget of one tenth of the requests, time before the deadline, and a pool that does not shed load.

--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -1,14 +1,27 @@
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
-use dw_tables::{Name, Version};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use dw_tables::{Name, Repeat, Version};
+use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
 use crate::{
-    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, EndpointState, Entry, Next, Poison,
-    Reason, Refusal, RequestInfo, Router,
+    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, Fingerprint, Next, Poison, Reason,
+    Refusal, RequestInfo, Router, backoff,
+    balancer::Wish,
+    flight::{Flight, LostAttempts},
+    locality::Place,
+    target::Seen,
+    upstream::Upstream,
+    verdict::{Verdict, is_local},
 };
 
+/// Calls above a request beyond which it is taken for a loop; real chains have up to 8.
+const MAX_DEPTH: u8 = 16;
+
 /// Where the dispatcher runs.
 #[derive(Clone, Debug, Default)]
 pub struct DispatcherConfig {
@@ -25,14 +38,17 @@
 /// Decides on the caller's side where each request goes, and what follows each attempt.
 #[derive(Debug)]
 pub struct Dispatcher {
-    #[expect(dead_code, reason = "read by the locality rules")]
-    config: DispatcherConfig,
+    place: Place,
     version: Arc<Version>,
     router: Arc<Router>,
-    endpoints: Vec<Arc<Endpoint>>,
+    /// State of the pools; `pools` holds the keys in the order of the version's table.
+    upstreams: BTreeMap<u64, Upstream>,
+    pools: Vec<u64>,
+    services: HashMap<Name, Vec<Arc<Endpoint>>>,
     poison: Poison,
+    lost: LostAttempts,
     rng: SmallRng,
-    flights: HashMap<u64, Entry>,
+    flights: HashMap<u64, Flight>,
     next: u64,
     draining: bool,
 }
@@ -41,29 +57,56 @@
     /// A dispatcher without a version; it refuses requests as not ready.
     #[must_use]
     pub fn new(config: DispatcherConfig) -> Self {
-        let rng = SmallRng::seed_from_u64(config.seed);
         Self {
-            config,
+            place: Place { domain: config.domain, region: config.region },
             version: Arc::default(),
             router: Arc::default(),
-            endpoints: Vec::new(),
+            upstreams: BTreeMap::new(),
+            pools: Vec::new(),
+            services: HashMap::new(),
             poison: Poison::default(),
-            rng,
+            lost: LostAttempts::default(),
+            rng: SmallRng::seed_from_u64(config.seed),
             flights: HashMap::new(),
             next: 0,
             draining: false,
         }
     }
 
-    /// Starts to use a version; requests in flight keep the one they began with.
+    /// Starts to use a version; requests in flight keep the routes and pools they began with.
     pub fn set_version(&mut self, version: Arc<Version>) {
         self.router = Arc::new(Router::new(&version));
         self.version = version;
+        self.upstreams.values_mut().for_each(|upstream| upstream.current = false);
+        let old: HashMap<Name, u64> =
+            self.upstreams.iter().map(|(key, u)| (u.pool.name.clone(), *key)).collect();
+        self.pools.clear();
+        for pool in &self.version.tables.pools {
+            let kept = old.get(&pool.name).copied().filter(|key| self.upstreams[key].is(pool));
+            let key = kept.unwrap_or_else(|| {
+                self.next += 1;
+                self.upstreams.insert(self.next, Upstream::new(pool.clone(), self.place.clone()));
+                self.next
+            });
+            self.pools.push(key);
+            if let Some(upstream) = self.upstreams.get_mut(&key) {
+                upstream.adopt(pool);
+                upstream.update(self.services.get(&pool.service).map_or(&[], Vec::as_slice));
+            }
+        }
+        self.upstreams.retain(|_, upstream| upstream.current || upstream.in_flight > 0);
     }
 
     /// Replaces the view of the targets of all services.
     pub fn set_endpoints(&mut self, endpoints: Vec<Endpoint>) {
-        self.endpoints = endpoints.into_iter().map(Arc::new).collect();
+        self.services.clear();
+        for endpoint in endpoints {
+            self.services.entry(endpoint.service.clone()).or_default().push(Arc::new(endpoint));
+        }
+        for upstream in self.upstreams.values_mut() {
+            let list = self.services.get(upstream.service()).map_or(&[][..], Vec::as_slice);
+            upstream.update(list);
+        }
     }
 
     /// The routes of the current version, for lookups before a request begins.
@@ -77,69 +120,230 @@
         &mut self.poison
     }
 
+    /// A target died: returns the requests that this daemon had in flight there or lost there a
+    /// short time ago, for [`Poison::report`]. Attempts still in flight must be settled as usual.
+    pub fn target_died(&mut self, host: &Name, target: u16, now: Instant) -> Vec<Fingerprint> {
+        let open = self.flights.values();
+        let open = open.filter(|f| f.endpoint.host == *host && f.endpoint.target == target);
+        self.lost.at(host, target, now).chain(open.filter_map(|f| f.print)).collect()
+    }
+
     /// Decides on a new request.
     pub fn begin(&mut self, info: RequestInfo<'_>, now: Instant) -> Decision {
+        match self.admit(info, now) {
+            Ok(attempt) => Decision::Forward(attempt),
+            Err(reason) => Decision::Refuse(self.refusal(reason)),
+        }
+    }
+
+    /// Decides what follows an attempt. Each attempt is settled once; a cancelled one is settled as
+    /// cancelled even if it waits for its delay.
+    pub fn settle(&mut self, id: AttemptId, outcome: AttemptOutcome, now: Instant) -> Next {
+        let Some(mut flight) = self.flights.remove(&id.0) else { return Next::Deliver };
+        self.land(&flight, &outcome, now);
+        let idempotent = flight.route.repeat == Repeat::Idempotent;
+        let (cause, hint, again) = match outcome {
+            AttemptOutcome::Cancelled => return self.done(&flight, Next::Deliver),
+            AttemptOutcome::Answered { status: 502..=504, .. } if idempotent => {
+                (Reason::ServerError, None, true)
+            }
+            AttemptOutcome::Answered { .. } => return self.done(&flight, Next::Deliver),
+            AttemptOutcome::NotRun { reason, retry_after, .. } => {
+                (reason, retry_after, is_local(reason))
+            }
+            AttemptOutcome::Unknown { reason } => (reason, None, idempotent),
+        };
+        let unknown = !matches!(outcome, AttemptOutcome::NotRun { .. });
+        let denied = match again {
+            true => match self.retry(&mut flight, cause, hint, unknown, now) {
+                Ok(next) => return next,
+                Err(denied) => Some(denied),
+            },
+            false => unknown.then_some(Reason::RetryUnsafe),
+        };
+        if matches!(outcome, AttemptOutcome::Answered { .. }) {
+            return self.done(&flight, Next::Deliver);
+        }
+        let mut refusal = self.refusal(cause);
+        refusal.no_retry = denied;
+        refusal.retry_after = refusal.retry_after.max(hint.unwrap_or_default());
+        let refusal = if unknown || flight.unknown { refusal.with_unknown() } else { refusal };
+        self.done(&flight, Next::Refuse(refusal))
+    }
+
+    /// Refuses new requests as not run from now on.
+    pub const fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Attempts in flight, including retries that wait for their delay.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Targets that are ejected or on probation, and all targets, of a pool.
+    #[must_use]
+    pub fn ejected(&self, pool: &str) -> Option<(usize, usize)> {
+        let mut current = self.upstreams.values().filter(|u| u.current);
+        current.find(|u| u.pool.name.as_str() == pool).map(|u| u.balancer.ejected())
+    }
+
+    fn admit(&mut self, info: RequestInfo<'_>, now: Instant) -> Result<Attempt, Reason> {
         if self.draining {
-            return Decision::Refuse(Refusal::new(Reason::Draining));
+            return Err(Reason::Draining);
         }
         if self.version.number == 0 {
-            return Decision::Refuse(Refusal::new(Reason::NotReady));
+            return Err(Reason::NotReady);
+        }
+        let entry =
+            self.router.find(info.host, info.path, info.method).ok_or(Reason::NoRoute)?.clone();
+        if info.depth >= MAX_DEPTH {
+            return Err(Reason::DepthLimit);
+        }
+        let full = Duration::from(entry.route.deadline);
+        let timeout = info.timeout.map_or(full, |timeout| timeout.min(full));
+        if timeout.is_zero() {
+            return Err(Reason::DeadlinePassed);
         }
-        let Some(entry) = self.router.find(info.host, info.path, info.method).cloned() else {
-            return Decision::Refuse(Refusal::new(Reason::NoRoute));
+        let print = info.fingerprint();
+        if print.is_some_and(|print| self.poison.refuses(print, now)) {
+            return Err(Reason::Poisoned);
+        }
+        let pool = self.pools[entry.pool];
+        let upstream = self.upstreams.get_mut(&pool).ok_or(Reason::NoTarget)?;
+        if upstream.in_flight >= upstream.limiter.limit() {
+            return Err(Reason::PoolLimit);
+        }
+        let wish = Wish { tried: &[], idempotent: entry.route.repeat == Repeat::Idempotent };
+        let (uid, endpoint) = upstream
+            .balancer
+            .choose(&upstream.pool, wish, &mut self.rng, now)
+            .ok_or(Reason::NoTarget)?;
+        upstream.budget.deposit();
+        upstream.in_flight += 1;
+        let flight = Flight {
+            pool,
+            route: entry.route,
+            endpoint,
+            uid,
+            tried: Vec::new(),
+            deadline: now + timeout,
+            timeout,
+            depth: info.depth + 1,
+            retried: info.retried,
+            unknown: false,
+            print,
         };
-        if info.fingerprint().is_some_and(|print| self.poison.refuses(print, now)) {
-            return Decision::Refuse(Refusal::new(Reason::Poisoned));
-        }
-        let pool = &self.version.tables.pools[entry.pool];
-        let alive: Vec<&Arc<Endpoint>> = self
-            .endpoints
-            .iter()
-            .filter(|e| e.service == pool.service && e.state == EndpointState::Alive)
-            .collect();
-        if alive.is_empty() {
-            return Decision::Refuse(Refusal::new(Reason::NoTarget));
-        }
-        let endpoint = Arc::clone(alive[self.rng.random_range(0..alive.len())]);
+        Ok(self.launch(flight, None))
+    }
+
+    /// Records the flight and describes its attempt.
+    fn launch(&mut self, flight: Flight, cause: Option<Reason>) -> Attempt {
         self.next += 1;
-        let timeout = info.timeout.unwrap_or(entry.route.deadline.into());
         let attempt = Attempt {
             id: AttemptId(self.next),
-            endpoint,
-            timeout: timeout.min(entry.route.deadline.into()),
-            route: Arc::clone(&entry.route),
-            repeat: entry.route.repeat,
-            retried: info.retried,
-            depth: info.depth.saturating_add(1),
-            cause: None,
+            endpoint: Arc::clone(&flight.endpoint),
+            timeout: flight.timeout,
+            route: Arc::clone(&flight.route),
+            repeat: flight.route.repeat,
+            retried: flight.retried || cause.is_some(),
+            depth: flight.depth,
+            cause,
         };
-        self.flights.insert(self.next, entry);
-        Decision::Forward(attempt)
+        self.flights.insert(self.next, flight);
+        attempt
     }
 
-    /// Decides what follows an attempt. Each attempt is settled once.
-    pub fn settle(&mut self, id: AttemptId, outcome: AttemptOutcome, _now: Instant) -> Next {
-        if self.flights.remove(&id.0).is_none() {
-            return Next::Deliver;
+    /// Takes over what the end of an attempt says about its target and pool.
+    fn land(&mut self, flight: &Flight, outcome: &AttemptOutcome, now: Instant) {
+        let fair = flight.timeout >= Duration::from(flight.route.deadline) / 2;
+        let verdict = Verdict::of(outcome, fair);
+        if let (AttemptOutcome::Unknown { .. }, Some(print)) = (outcome, flight.print) {
+            self.lost.push(&flight.endpoint, print, now);
         }
-        match outcome {
-            AttemptOutcome::Answered { .. } | AttemptOutcome::Cancelled => Next::Deliver,
-            AttemptOutcome::NotRun { reason, retry_after, .. } => {
-                let refusal = Refusal::new(reason);
-                Next::Refuse(refusal.with_retry_after(retry_after.unwrap_or(refusal.retry_after)))
+        let Some(upstream) = self.upstreams.get_mut(&flight.pool) else { return };
+        let uid = flight.uid;
+        let policy = &upstream.pool.ejection;
+        upstream.balancer.finish(uid, verdict.seen, verdict.load, policy, now);
+        if verdict.leaving {
+            upstream.balancer.mark_leaving(uid, now);
+        }
+        match verdict.seen {
+            Seen::Success(_) => {
+                upstream.limiter.succeeded(upstream.in_flight);
+                upstream.shed.record(false, now);
             }
-            AttemptOutcome::Unknown { reason } => Next::Refuse(Refusal::new(reason).with_unknown()),
+            Seen::Shed => {
+                upstream.shed.record(true, now);
+                if upstream.shed.is_shedding(now) {
+                    upstream.limiter.shed(upstream.in_flight, now);
+                }
+            }
+            Seen::Failure => upstream.shed.record(false, now),
+            Seen::Neutral => {}
         }
     }
 
-    /// Refuses new requests as not run from now on.
-    pub const fn drain(&mut self) {
-        self.draining = true;
+    /// Starts another attempt, or says why there is none.
+    fn retry(
+        &mut self,
+        flight: &mut Flight,
+        cause: Reason,
+        hint: Option<Duration>,
+        unknown: bool,
+        now: Instant,
+    ) -> Result<Next, Reason> {
+        if flight.retried {
+            return Err(Reason::RetryLevel);
+        }
+        let count = u32::try_from(flight.tried.len()).unwrap_or(u32::MAX).saturating_add(1);
+        if count > flight.route.retries {
+            return Err(Reason::RetryLimit);
+        }
+        let upstream = self.upstreams.get_mut(&flight.pool).ok_or(Reason::NoTarget)?;
+        if upstream.shed.is_shedding(now) {
+            return Err(Reason::RetryShedding);
+        }
+        let left = flight.deadline.saturating_duration_since(now);
+        flight.tried.push(flight.uid);
+        let idempotent = flight.route.repeat == Repeat::Idempotent;
+        let wish = Wish { tried: &flight.tried, idempotent };
+        let chosen = upstream.balancer.choose(&upstream.pool, wish, &mut self.rng, now);
+        let (uid, endpoint) = chosen.ok_or(Reason::NoTarget)?;
+        // The time that a target asked for matters only if there is no other target.
+        let again = flight.tried.contains(&uid);
+        let after =
+            backoff::delay(count, &mut self.rng).max(hint.filter(|_| again).unwrap_or_default());
+        let denied = match after >= left {
+            true => Some(Reason::RetryDeadline),
+            false if upstream.budget.take() => None,
+            false => Some(Reason::RetryBudget),
+        };
+        if let Some(denied) = denied {
+            upstream.balancer.finish(uid, Seen::Neutral, None, &upstream.pool.ejection, now);
+            return Err(denied);
+        }
+        flight.uid = uid;
+        flight.endpoint = endpoint;
+        flight.timeout = left;
+        flight.unknown |= unknown;
+        let attempt = self.launch(flight.clone(), Some(cause));
+        Ok(Next::Retry { after, attempt })
     }
 
-    /// Attempts in flight, including retries that wait for their delay.
-    #[must_use]
-    pub fn in_flight(&self) -> usize {
-        self.flights.len()
+    /// Ends a request.
+    fn done(&mut self, flight: &Flight, next: Next) -> Next {
+        if let Some(upstream) = self.upstreams.get_mut(&flight.pool) {
+            upstream.in_flight = upstream.in_flight.saturating_sub(1);
+            if upstream.in_flight == 0 && !upstream.current {
+                self.upstreams.remove(&flight.pool);
+            }
+        }
+        next
+    }
+
+    fn refusal(&mut self, reason: Reason) -> Refusal {
+        Refusal::new(reason).with_retry_after(backoff::retry_after(&mut self.rng))
     }
 }
--- /dev/null
+++ b/crates/request/src/flight.rs
@@ -0,0 +1,72 @@
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use dw_tables::{Name, Route};
+use tokio::time::Instant;
+
+use crate::{Endpoint, Fingerprint};
+
+/// Attempts whose end was not seen that are remembered for a report of a death.
+const LOST: usize = 1024;
+
+/// How long before a death is noticed its lost attempts may have ended; longer than it takes
+/// membership to declare a daemon dead.
+const NOTICE: Duration = Duration::from_secs(15);
+
+/// One request of which an attempt is in flight.
+#[derive(Clone, Debug)]
+pub(crate) struct Flight {
+    /// Key of the pool's state.
+    pub(crate) pool: u64,
+    pub(crate) route: Arc<Route>,
+    pub(crate) endpoint: Arc<Endpoint>,
+    /// The target of the current attempt.
+    pub(crate) uid: u64,
+    /// The targets of earlier attempts.
+    pub(crate) tried: Vec<u64>,
+    pub(crate) deadline: Instant,
+    /// Time that the current attempt was given.
+    pub(crate) timeout: Duration,
+    pub(crate) depth: u8,
+    /// Whether another level of the chain retries.
+    pub(crate) retried: bool,
+    /// Whether an earlier attempt may have run.
+    pub(crate) unknown: bool,
+    pub(crate) print: Option<Fingerprint>,
+}
+
+/// Attempts that ended without a response a short time ago.
+#[derive(Debug, Default)]
+pub(crate) struct LostAttempts {
+    list: VecDeque<(Instant, Arc<Endpoint>, Fingerprint)>,
+}
+
+impl LostAttempts {
+    pub(crate) fn push(&mut self, endpoint: &Arc<Endpoint>, print: Fingerprint, now: Instant) {
+        self.expire(now);
+        if self.list.len() >= LOST {
+            self.list.pop_front();
+        }
+        self.list.push_back((now, Arc::clone(endpoint), print));
+    }
+
+    /// The requests lost at a target.
+    pub(crate) fn at(
+        &mut self,
+        host: &Name,
+        target: u16,
+        now: Instant,
+    ) -> impl Iterator<Item = Fingerprint> {
+        self.expire(now);
+        self.list
+            .iter()
+            .filter(move |(_, e, _)| e.host == *host && e.target == target)
+            .map(|(_, _, print)| *print)
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while self.list.front().is_some_and(|(at, ..)| now.saturating_duration_since(*at) > NOTICE)
+        {
+            self.list.pop_front();
+        }
+    }
+}
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -4,21 +4,33 @@
 //! random numbers come from seeded generators; this crate opens no socket and starts no task.
 
 mod attempt;
+mod backoff;
+mod balancer;
+mod budget;
 mod dispatcher;
 mod endpoint;
 mod fingerprint;
+mod flight;
 mod gate;
 mod keeper;
+mod limiter;
 mod load;
+mod locality;
 mod member;
+mod outlier;
 mod placement;
 mod poison;
 mod reason;
 mod record;
 mod refusal;
 mod router;
+mod shed;
+mod target;
+mod upstream;
+mod verdict;
 
 pub use attempt::{Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo};
+pub use budget::RetryBudget;
 pub use dispatcher::{Dispatcher, DispatcherConfig};
 pub use endpoint::{Endpoint, EndpointState};
 pub use fingerprint::Fingerprint;
@@ -27,6 +39,7 @@
     ANSWER_LIMIT, CLOCK_SKEW, Claim, HandOver, Held, KEEPER_HOLD, Keeper, KeeperConfig,
     RECORD_WINDOW,
 };
+pub use limiter::Limiter;
 pub use load::{Load, ParseLoadError};
 pub use member::{Member, MemberState};
 pub use placement::{Ranking, home};
--- /dev/null
+++ b/crates/request/src/locality.rs
@@ -0,0 +1,76 @@
+use dw_tables::{Name, Prefer};
+use rand::Rng;
+
+use crate::Endpoint;
+
+/// Distances that are told apart.
+pub(crate) const TIERS: usize = 3;
+
+/// Utilization of the local slots above which requests spill over.
+const SPILL_FROM: f64 = 0.7;
+
+/// Utilization at which every request spills over.
+const SPILL_ALL: f64 = 1.0;
+
+/// Where the caller's daemon is.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Place {
+    pub(crate) domain: Name,
+    pub(crate) region: Name,
+}
+
+impl Place {
+    /// The tier of a target: 0 is the nearest.
+    pub(crate) fn tier(&self, prefer: Prefer, endpoint: &Endpoint) -> usize {
+        match prefer {
+            Prefer::Domain if endpoint.domain == self.domain => 0,
+            Prefer::Domain | Prefer::Region if endpoint.region == self.region => 1,
+            Prefer::Domain | Prefer::Region => 2,
+            Prefer::Any => 0,
+        }
+    }
+}
+
+/// The usable targets at one distance.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tier {
+    /// Their positions.
+    pub(crate) list: Vec<usize>,
+    /// Requests at them.
+    pub(crate) busy: f64,
+    /// Their slots, fewer for cold targets.
+    pub(crate) slots: f64,
+}
+
+impl Tier {
+    pub(crate) fn clear(&mut self) {
+        self.list.clear();
+        self.busy = 0.0;
+        self.slots = 0.0;
+    }
+
+    fn usage(&self) -> f64 {
+        self.busy / self.slots.max(f64::MIN_POSITIVE)
+    }
+
+    /// Share of requests that leave this tier, 0 to 1; it grows linearly between the two bounds, so
+    /// that load moves gradually.
+    pub(crate) fn spill(&self) -> f64 {
+        ((self.usage() - SPILL_FROM) / (SPILL_ALL - SPILL_FROM)).clamp(0.0, 1.0)
+    }
+}
+
+/// Chooses the distance: the nearest tier unless the request spills over, and the least used one if
+/// it spills out of all.
+pub(crate) fn choose_tier(tiers: &[Tier; TIERS], rng: &mut impl Rng) -> Option<usize> {
+    let mut used = (0..TIERS).filter(|t| !tiers[*t].list.is_empty());
+    let first = used.clone().next()?;
+    used.find(|t| {
+        let spill = tiers[*t].spill();
+        spill <= 0.0 || rng.random::<f64>() >= spill
+    })
+    .or_else(|| {
+        let used = (first..TIERS).filter(|t| !tiers[*t].list.is_empty());
+        used.min_by(|a, b| tiers[*a].usage().total_cmp(&tiers[*b].usage()))
+    })
+}
--- a/crates/request/src/refusal.rs
+++ b/crates/request/src/refusal.rs
@@ -49,11 +49,4 @@
         }
         self
     }
-
-    /// The same refusal with the reason why it was not retried.
-    #[must_use]
-    pub const fn with_no_retry(mut self, reason: Reason) -> Self {
-        self.no_retry = Some(reason);
-        self
-    }
 }
--- /dev/null
+++ b/crates/request/src/upstream.rs
@@ -0,0 +1,60 @@
+use std::sync::Arc;
+
+use dw_tables::{Name, Pool};
+
+use crate::{Endpoint, Limiter, RetryBudget, balancer::Balancer, locality::Place, shed::ShedMeter};
+
+/// Lower end of the adaptive limit at the caller's side, so that a pool is always tried.
+const MIN_LIMIT: u32 = 4;
+
+/// What one daemon knows of one pool on the caller's side.
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) balancer: Balancer,
+    pub(crate) budget: RetryBudget,
+    pub(crate) limiter: Limiter,
+    pub(crate) shed: ShedMeter,
+    pub(crate) in_flight: u32,
+    /// Whether the current version has the pool. A pool that it does not have serves the retries of
+    /// requests that began with it.
+    pub(crate) current: bool,
+}
+
+impl Upstream {
+    pub(crate) fn new(pool: Pool, place: Place) -> Self {
+        Self {
+            limiter: Limiter::new(MIN_LIMIT, pool.limits.in_flight),
+            pool: Arc::new(pool),
+            balancer: Balancer::new(place),
+            budget: RetryBudget::default(),
+            shed: ShedMeter::default(),
+            in_flight: 0,
+            current: true,
+        }
+    }
+
+    /// Whether this is the pool of the row, so that its state carries over to a new version.
+    pub(crate) fn is(&self, pool: &Pool) -> bool {
+        self.pool.name == pool.name && self.pool.service == pool.service
+    }
+
+    /// Takes over the limits and policies of a new version.
+    pub(crate) fn adopt(&mut self, pool: &Pool) {
+        self.limiter.set_max(pool.limits.in_flight);
+        self.current = true;
+        if *self.pool != *pool {
+            self.pool = Arc::new(pool.clone());
+        }
+    }
+
+    /// Takes over the targets of the pool's service.
+    pub(crate) fn update(&mut self, endpoints: &[Arc<Endpoint>]) {
+        self.balancer.update(endpoints, &self.pool.ejection);
+    }
+
+    /// The service that the targets announce.
+    pub(crate) fn service(&self) -> &Name {
+        &self.pool.service
+    }
+}
--- /dev/null
+++ b/crates/request/src/verdict.rs
@@ -0,0 +1,72 @@
+use std::time::Duration;
+
+use crate::{AttemptOutcome, Load, Reason, target::Seen};
+
+/// What an attempt's outcome means for its target and its pool.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Verdict {
+    pub(crate) seen: Seen,
+    pub(crate) load: Option<Load>,
+    /// The target is leaving.
+    pub(crate) leaving: bool,
+}
+
+impl Verdict {
+    /// `fair` tells whether the attempt was given enough time for a timeout to speak against the
+    /// target rather than against the caller's deadline.
+    pub(crate) const fn of(outcome: &AttemptOutcome, fair: bool) -> Self {
+        let (seen, load, leaving) = match *outcome {
+            AttemptOutcome::Answered { status, load, latency } => {
+                (of_status(status, latency), load, false)
+            }
+            AttemptOutcome::NotRun { reason, load, .. } => (
+                of_refusal(reason),
+                load,
+                matches!(reason, Reason::Draining | Reason::UnknownTarget),
+            ),
+            AttemptOutcome::Unknown { reason: Reason::TimedOut } if !fair => {
+                (Seen::Neutral, None, false)
+            }
+            AttemptOutcome::Unknown { .. } => (Seen::Failure, None, false),
+            AttemptOutcome::Cancelled => (Seen::Neutral, None, false),
+        };
+        Self { seen, load, leaving }
+    }
+}
+
+const fn of_status(status: u16, latency: Duration) -> Seen {
+    match status {
+        429 | 503 => Seen::Shed,
+        500 | 502 | 504 => Seen::Failure,
+        _ => Seen::Success(latency),
+    }
+}
+
+const fn of_refusal(reason: Reason) -> Seen {
+    match reason {
+        Reason::ConnectFailed => Seen::Failure,
+        Reason::QueueFull
+        | Reason::QueueWait
+        | Reason::QueuePreempted
+        | Reason::DeadlineUnmet
+        | Reason::Shedding => Seen::Shed,
+        _ => Seen::Neutral,
+    }
+}
+
+/// Whether a proven not-run for this reason may succeed at another target.
+pub(crate) const fn is_local(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::ConnectFailed
+            | Reason::StreamRefused
+            | Reason::Draining
+            | Reason::UnknownTarget
+            | Reason::NotReady
+            | Reason::QueueFull
+            | Reason::QueueWait
+            | Reason::QueuePreempted
+            | Reason::DeadlineUnmet
+            | Reason::Shedding
+    )
+}
--- /dev/null
+++ b/crates/request/tests/retry.rs
@@ -0,0 +1,192 @@
+//! What follows an attempt that did not succeed.
+
+mod support;
+
+use dw_request::{AttemptOutcome, Dispatcher, Next, Outcome, Reason, RequestInfo, RetryBudget};
+use googletest::prelude::*;
+use support::{
+    answered, dispatcher, endpoint, forwarded, get, given_up, ms, not_run, refused, retried,
+    targets, two_routes, unknown, version,
+};
+use tokio::time::Instant;
+
+fn calm(start: Instant) -> Dispatcher {
+    dispatcher(11, two_routes(), targets(8, "portland", "new-england", start))
+}
+
+/// Guards against running a non-idempotent request twice (P6) and against giving up on a request
+/// that may be sent again.
+#[gtest]
+fn only_safe_attempts_are_repeated() {
+    let now = Instant::now();
+    for (path, outcome, retry) in [
+        ("/lookup", unknown(Reason::ConnectionLost), true),
+        ("/lookup", unknown(Reason::TimedOut), true),
+        ("/lookup", not_run(Reason::QueueFull), true),
+        ("/lookup", answered(503), true),
+        ("/lookup", answered(500), false),
+        ("/lookup", not_run(Reason::Poisoned), false),
+        ("/lookup", AttemptOutcome::Cancelled, false),
+        ("/credit", unknown(Reason::ConnectionLost), false),
+        ("/credit", unknown(Reason::QueueFull), false),
+        ("/credit", answered(503), false),
+        ("/credit", not_run(Reason::QueueFull), true),
+        ("/credit", not_run(Reason::ConnectFailed), true),
+        ("/credit", not_run(Reason::DeadlinePassed), false),
+    ] {
+        let mut d = calm(now);
+        let first = forwarded(d.begin(get(path), now));
+        match d.settle(first.id, outcome, now) {
+            Next::Retry { after, attempt } => {
+                expect_that!(retry, eq(true), "{path} {outcome:?}");
+                expect_that!(after, le(ms(5)));
+                expect_that!(attempt.endpoint.host, not(eq(&first.endpoint.host)));
+                expect_that!((attempt.retried, attempt.cause.is_some()), eq((true, true)));
+            }
+            _ => expect_that!(retry, eq(false), "{path} {outcome:?}"),
+        }
+        expect_that!(d.in_flight(), eq(usize::from(retry)));
+    }
+}
+
+/// Guards against a wrong "not run" (P5): a final refusal after an attempt that may have run is
+/// unknown, whatever the last attempt said.
+#[gtest]
+fn an_earlier_unknown_attempt_is_remembered() {
+    let now = Instant::now();
+    for first in [unknown(Reason::ConnectionLost), answered(503)] {
+        let mut d = calm(now);
+        let attempt = forwarded(d.begin(get("/lookup"), now));
+        let (_, attempt) = retried(d.settle(attempt.id, first, now));
+        let (_, attempt) = retried(d.settle(attempt.id, not_run(Reason::Draining), now));
+        let refusal = given_up(d.settle(attempt.id, not_run(Reason::Draining), now));
+        expect_that!((refusal.status, refusal.outcome), eq((502, Outcome::Unknown)));
+        expect_that!(refusal.no_retry, some(eq(Reason::RetryLimit)));
+    }
+    let mut d = calm(now);
+    let attempt = forwarded(d.begin(get("/credit"), now));
+    let refusal = given_up(d.settle(attempt.id, unknown(Reason::QueueFull), now));
+    expect_that!((refusal.status, refusal.outcome), eq((502, Outcome::Unknown)));
+    expect_that!(refusal.no_retry, some(eq(Reason::RetryUnsafe)));
+}
+
+/// Guards against load that multiplies at each level of a call chain.
+#[gtest]
+fn one_level_retries() {
+    let now = Instant::now();
+    let mut d = calm(now);
+    let below = RequestInfo { retried: true, depth: 2, ..get("/lookup") };
+    let attempt = forwarded(d.begin(below, now));
+    expect_that!((attempt.retried, attempt.depth), eq((true, 3)));
+    let refusal = given_up(d.settle(attempt.id, not_run(Reason::QueueFull), now));
+    expect_that!(refusal.no_retry, some(eq(Reason::RetryLevel)));
+    expect_that!(refusal.outcome, eq(Outcome::NotRun));
+    let looping = RequestInfo { depth: 200, ..get("/lookup") };
+    expect_that!(refused(d.begin(looping, now)).reason, eq(Reason::DepthLimit));
+}
+
+/// Guards against retries that make an overload worse: the budget bounds them while few attempts
+/// are shed, and none is made while the pool sheds.
+#[gtest]
+fn budget_and_shedding_bound_retries() {
+    let mut now = Instant::now();
+    let mut d = calm(now);
+    let (mut retries, mut denied) = (0, 0);
+    for _ in 0..1000 {
+        now += ms(1);
+        let mut next = forwarded(d.begin(get("/lookup"), now));
+        while let Next::Retry { attempt, .. } =
+            d.settle(next.id, not_run(Reason::ConnectFailed), now)
+        {
+            retries += 1;
+            next = attempt;
+        }
+    }
+    expect_that!(retries, all!(gt(50), le(RetryBudget::bound(1000))));
+
+    let mut d = calm(now);
+    for _ in 0..100 {
+        now += ms(1);
+        let attempt = forwarded(d.begin(get("/lookup"), now));
+        match d.settle(attempt.id, not_run(Reason::QueueFull), now) {
+            Next::Retry { attempt, .. } => {
+                d.settle(attempt.id, not_run(Reason::QueueFull), now);
+            }
+            next => denied += u32::from(given_up(next).no_retry == Some(Reason::RetryShedding)),
+        }
+    }
+    expect_that!(denied, ge(97));
+    // A quiet time later, retries are made again.
+    now += ms(10_000);
+    let attempt = forwarded(d.begin(get("/lookup"), now));
+    retried(d.settle(attempt.id, not_run(Reason::QueueFull), now));
+}
+
+/// Guards against work for a caller that no longer waits.
+#[gtest]
+fn deadlines_shrink_and_end() {
+    let start = Instant::now();
+    let mut d = calm(start);
+    let done = RequestInfo { timeout: Some(ms(0)), ..get("/lookup") };
+    let refusal = refused(d.begin(done, start));
+    expect_that!((refusal.reason, refusal.outcome), eq((Reason::DeadlinePassed, Outcome::NotRun)));
+    let long = RequestInfo { timeout: Some(ms(60_000)), ..get("/lookup") };
+    let attempt = forwarded(d.begin(long, start));
+    expect_that!(attempt.timeout, eq(ms(2000)));
+    let (_, attempt) = retried(d.settle(attempt.id, unknown(Reason::TimedOut), start + ms(1500)));
+    expect_that!(attempt.timeout, eq(ms(500)));
+    let late = given_up(d.settle(attempt.id, unknown(Reason::TimedOut), start + ms(2000)));
+    expect_that!(late.no_retry, some(eq(Reason::RetryDeadline)));
+    expect_that!(late.status, eq(504));
+}
+
+/// Guards against a retry that hits the only target before the time it asked for.
+#[gtest]
+fn the_only_target_is_not_tried_again_too_early() {
+    let now = Instant::now();
+    let only = vec![endpoint("only", "portland", "new-england", now)];
+    for (hint, wanted) in [(ms(700), true), (ms(5000), false)] {
+        let mut d = dispatcher(1, two_routes(), only.clone());
+        let attempt = forwarded(d.begin(get("/lookup"), now));
+        let refusal = AttemptOutcome::NotRun {
+            reason: Reason::QueueFull,
+            retry_after: Some(hint),
+            load: None,
+        };
+        match d.settle(attempt.id, refusal, now) {
+            Next::Retry { after, .. } => expect_that!((wanted, after), eq((true, hint))),
+            next => {
+                expect_that!(wanted, eq(false));
+                expect_that!(given_up(next).retry_after, ge(hint));
+                expect_that!(d.in_flight(), eq(0));
+            }
+        }
+    }
+}
+
+/// Guards against new work at a daemon that stops, and against an attempt that counts for ever or
+/// is settled twice.
+#[gtest]
+fn drain_and_double_settle() {
+    let now = Instant::now();
+    let mut d = calm(now);
+    let attempt = forwarded(d.begin(get("/lookup"), now));
+    d.drain();
+    let refusal = refused(d.begin(get("/lookup"), now));
+    expect_that!((refusal.reason, refusal.outcome), eq((Reason::Draining, Outcome::NotRun)));
+    let (_, retry) = retried(d.settle(attempt.id, not_run(Reason::Draining), now));
+    expect_that!(matches!(d.settle(attempt.id, answered(200), now), Next::Deliver), eq(true));
+    d.settle(retry.id, answered(200), now);
+    expect_that!(d.in_flight(), eq(0));
+}
+
+/// Guards against requests before the first version and for pools without a row.
+#[gtest]
+fn without_configuration_nothing_is_forwarded() {
+    let now = Instant::now();
+    let mut d = dispatcher(1, version(0, "", ""), targets(1, "portland", "new-england", now));
+    expect_that!(refused(d.begin(get("/lookup"), now)).reason, eq(Reason::NotReady));
+    d.set_version(two_routes());
+    let refusal = refused(d.begin(get("/other"), now));
+    expect_that!((refusal.reason, refusal.status), eq((Reason::NoRoute, 404)));
+}
