Refuse requests that crash targets

A fingerprint that was in flight at the deaths of two different targets is refused for 10 minutes. Partial reports of one death by several callers are combined before the limit of 32 suspects is applied, and an excess heard of later withdraws a conviction.

Such a refusal says unknown, not not-run: the request was at a target twice, so that it may have been run.

--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -16,7 +16,7 @@
     locality::Place,
     target::Seen,
     upstream::Upstream,
-    verdict::{Verdict, is_local},
+    verdict::{Verdict, is_final, is_local},
 };
 
 /// Calls above a request beyond which it is taken for a loop; real chains have up to 8.
@@ -151,7 +151,7 @@
             AttemptOutcome::NotRun { reason, retry_after, .. } => {
                 (reason, retry_after, is_local(reason))
             }
-            AttemptOutcome::Unknown { reason } => (reason, None, idempotent),
+            AttemptOutcome::Unknown { reason } => (reason, None, idempotent && !is_final(reason)),
         };
         let unknown = !matches!(outcome, AttemptOutcome::NotRun { .. });
         let denied = match again {
@@ -159,7 +159,7 @@
                 Ok(next) => return next,
                 Err(denied) => Some(denied),
             },
-            false => unknown.then_some(Reason::RetryUnsafe),
+            false => (unknown && !is_final(cause)).then_some(Reason::RetryUnsafe),
         };
         if matches!(outcome, AttemptOutcome::Answered { .. }) {
             return self.done(&flight, Next::Deliver);
--- a/crates/request/src/poison.rs
+++ b/crates/request/src/poison.rs
@@ -1,4 +1,7 @@
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use dw_tables::Name;
 use serde::{Deserialize, Serialize};
@@ -13,6 +16,12 @@
 /// How long a request is refused, and how long a death is remembered.
 pub const POISON_TIME: Duration = Duration::from_secs(600);
 
+/// Deaths that are remembered at most. At target scale about 280 hosts die or are replaced a day.
+const DEATHS: usize = 1024;
+
+/// Requests that are refused at most.
+const REFUSED: usize = 4096;
+
 /// One death of one target. Reports of the same death by several daemons carry the same value.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Death {
@@ -38,6 +47,7 @@
 /// Finds requests that crash the targets that run them, and refuses them for a time.
 #[derive(Debug, Default)]
 pub struct Poison {
+    deaths: VecDeque<(Instant, Suspects)>,
     refused: HashMap<Fingerprint, Instant>,
 }
 
@@ -65,8 +75,59 @@
     }
 
     /// Takes over a broadcast report and returns the requests that are refused because of it.
-    pub fn merge(&mut self, _suspects: &Suspects, _now: Instant) -> Vec<Fingerprint> {
-        Vec::new()
+    ///
+    /// Reports of one death by several daemons are combined. If they name too many requests
+    /// together, the death counts for none, also not for those refused because of it before.
+    pub fn merge(&mut self, suspects: &Suspects, now: Instant) -> Vec<Fingerprint> {
+        self.expire(now);
+        let known = self.deaths.iter().position(|(_, s)| s.death == suspects.death);
+        let at = known.unwrap_or_else(|| {
+            if self.deaths.len() >= DEATHS {
+                self.deaths.pop_front();
+            }
+            let death = suspects.death.clone();
+            self.deaths.push_back((now, Suspects { death, prints: Vec::new(), more: false }));
+            self.deaths.len() - 1
+        });
+        let old = self.deaths[at].1.prints.clone();
+        let entry = &mut self.deaths[at].1;
+        entry.prints.extend(suspects.prints.iter().take(POISON_SUSPECTS + 1));
+        entry.prints.sort_unstable();
+        entry.prints.dedup();
+        entry.more |= suspects.more || entry.prints.len() > POISON_SUSPECTS;
+        if entry.more {
+            entry.prints.clear();
+            for print in &old {
+                if !self.is_convicted(*print) {
+                    self.refused.remove(print);
+                }
+            }
+            return Vec::new();
+        }
+        let new: Vec<Fingerprint> = self.deaths[at].1.prints.clone();
+        let new: Vec<Fingerprint> =
+            new.into_iter().filter(|p| !old.contains(p) && self.is_convicted(*p)).collect();
+        for print in &new {
+            self.refuse(*print, now + POISON_TIME);
+        }
+        new
+    }
+
+    /// Whether the request was in flight at the deaths of two different targets.
+    fn is_convicted(&self, print: Fingerprint) -> bool {
+        let mut deaths = self.deaths.iter().filter(|(_, s)| s.prints.contains(&print));
+        let Some((_, first)) = deaths.next() else { return false };
+        let first = (&first.death.host, first.death.target);
+        deaths.any(|(_, s)| (&s.death.host, s.death.target) != first)
+    }
+
+    fn refuse(&mut self, print: Fingerprint, until: Instant) {
+        if self.refused.len() >= REFUSED && !self.refused.contains_key(&print) {
+            let first = self.refused.iter().min_by_key(|(_, until)| **until).map(|(p, _)| *p);
+            first.map(|print| self.refused.remove(&print));
+        }
+        let entry = self.refused.entry(print).or_insert(until);
+        *entry = (*entry).max(until);
     }
 
     /// Whether the request is refused.
@@ -89,14 +150,13 @@
     /// Takes over refused requests from another daemon's list.
     pub fn merge_list(&mut self, list: &[(Fingerprint, Duration)], now: Instant) {
         for (print, left) in list {
-            let until = now + (*left).min(POISON_TIME);
-            let entry = self.refused.entry(*print).or_insert(until);
-            *entry = (*entry).max(until);
+            self.refuse(*print, now + (*left).min(POISON_TIME));
         }
     }
 
     /// Removes what has expired.
     pub fn expire(&mut self, now: Instant) {
         self.refused.retain(|_, until| now < *until);
+        self.deaths.retain(|(at, _)| now.saturating_duration_since(*at) < POISON_TIME);
     }
 }
--- a/crates/request/src/reason.rs
+++ b/crates/request/src/reason.rs
@@ -98,8 +98,8 @@
     DeadlinePassed = "deadline-passed", 503, NotRun;
     /// The daemon or target is leaving.
     Draining = "draining", 503, NotRun;
-    /// The request was in flight at two targets when they died.
-    Poisoned = "poisoned", 503, NotRun;
+    /// The request was in flight at two targets when they died, so it may have been run.
+    Poisoned = "poisoned", 502, Unknown;
     /// No slot is free and the queue is full.
     QueueFull = "queue-full", 503, NotRun;
     /// No slot became free within the longest wait.
--- a/crates/request/src/verdict.rs
+++ b/crates/request/src/verdict.rs
@@ -27,6 +27,7 @@
             AttemptOutcome::Unknown { reason: Reason::TimedOut } if !fair => {
                 (Seen::Neutral, None, false)
             }
+            AttemptOutcome::Unknown { reason } if is_final(reason) => (Seen::Neutral, None, false),
             AttemptOutcome::Unknown { .. } => (Seen::Failure, None, false),
             AttemptOutcome::Cancelled => (Seen::Neutral, None, false),
         };
@@ -70,3 +71,18 @@
             | Reason::Shedding
     )
 }
+
+/// Whether the reason concerns the request or its key, so that it says nothing about the target and
+/// no further attempt can change it.
+pub(crate) const fn is_final(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::Poisoned
+            | Reason::InProgress
+            | Reason::RecordUnknown
+            | Reason::RecordLost
+            | Reason::AnswerNotKept
+            | Reason::KeeperUnreachable
+            | Reason::Cancelled
+    )
+}
--- /dev/null
+++ b/crates/request/tests/poison.rs
@@ -0,0 +1,124 @@
+//! Requests that crash the targets that run them.
+
+mod support;
+
+use dw_request::{
+    Death, Decision, Fingerprint, Outcome, POISON_TIME, Poison, Reason, RequestInfo, Suspects,
+};
+use dw_tables::Name;
+use googletest::prelude::*;
+use support::{answered, dispatcher, endpoint, forwarded, get, ms, refused, two_routes, unknown};
+use tokio::time::Instant;
+
+fn death(host: &str, start: u64) -> Death {
+    Death { host: host.into(), target: 0, start }
+}
+
+fn print(number: usize) -> Fingerprint {
+    Fingerprint::of_key(&format!("key-{number}"))
+}
+
+fn report(host: &str, start: u64, prints: impl IntoIterator<Item = usize>) -> Suspects {
+    Suspects {
+        death: death(host, start),
+        prints: prints.into_iter().map(print).collect(),
+        more: false,
+    }
+}
+
+/// Guards against a request that goes on crashing targets, and against refusing one on weak
+/// evidence: one death, the same death reported twice, one faulty target, or too many suspects.
+#[gtest]
+fn two_deaths_of_different_targets_convict() {
+    let now = Instant::now();
+    for (reports, refused) in [
+        (vec![report("a", 1, [7])], false),
+        (vec![report("a", 1, [7]), report("a", 1, [7])], false),
+        (vec![report("a", 1, [7]), report("a", 2, [7])], false),
+        (vec![report("a", 1, [7]), report("b", 1, [8])], false),
+        (vec![report("a", 1, [7]), report("b", 1, [7])], true),
+        (vec![report("a", 1, 0..32), report("b", 1, 0..32)], true),
+        (vec![report("a", 1, 0..33), report("b", 1, 0..32)], false),
+        // The parts of a report together name more than 32.
+        (vec![report("a", 1, 0..20), report("a", 1, 20..40), report("b", 1, [7])], false),
+        // The excess is heard of only after the conviction.
+        (vec![report("a", 1, [7]), report("b", 1, [7]), report("a", 1, 20..60)], false),
+    ] {
+        let mut poison = Poison::default();
+        for report in &reports {
+            poison.merge(report, now);
+        }
+        expect_that!(poison.refuses(print(7), now), eq(refused), "{reports:?}");
+        expect_that!(poison.refuses(print(99), now), eq(false));
+    }
+}
+
+/// Guards against refusing for ever, against a newcomer that does not know the list, and against
+/// growth without bound.
+#[gtest]
+fn refusals_expire_and_are_bounded() {
+    let now = Instant::now();
+    let (mut poison, mut newcomer) = (Poison::default(), Poison::default());
+    poison.merge(&report("a", 1, [1, 2]), now);
+    let new = poison.merge(&report("b", 1, [2, 3]), now);
+    expect_that!(new, elements_are![eq(&print(2))]);
+    newcomer.merge_list(&poison.list(now + ms(1000)), now + ms(1000));
+    for (list, at, refused) in [
+        (&poison, POISON_TIME - ms(1), true),
+        (&newcomer, POISON_TIME - ms(1), true),
+        (&poison, POISON_TIME, false),
+        (&newcomer, POISON_TIME, false),
+    ] {
+        expect_that!(list.refuses(print(2), now + at), eq(refused), "{at:?}");
+    }
+    for host in 0..400 {
+        let prints = (host / 2 * 32..host / 2 * 32 + 32).map(print);
+        poison.report(death(&host.to_string(), 1), prints, now);
+    }
+    expect_that!(poison.list(now).len(), all!(gt(1000), le(4096)));
+}
+
+/// Guards against a report that misses requests whose connections broke before the death was
+/// noticed, or that names requests which had ended well.
+#[gtest]
+fn callers_report_what_was_lost_at_a_dead_target() {
+    let now = Instant::now();
+    let only = vec![endpoint("only", "portland", "new-england", now)];
+    let mut d = dispatcher(1, two_routes(), only);
+    let keys: Vec<Name> = ["open", "lost", "fine"].map(Name::new).to_vec();
+    let mut attempts = Vec::new();
+    for key in &keys {
+        let info = RequestInfo { key: Some(key), ..get("/credit") };
+        attempts.push(forwarded(d.begin(info, now)));
+    }
+    d.settle(attempts[1].id, unknown(Reason::ConnectionLost), now);
+    d.settle(attempts[2].id, answered(200), now);
+    let lost = d.target_died(&"only".into(), 0, now + ms(3000));
+    let wanted = [Fingerprint::of_key("open"), Fingerprint::of_key("lost")];
+    expect_that!(lost, unordered_elements_are![eq(&wanted[0]), eq(&wanted[1])]);
+    expect_that!(d.target_died(&"other".into(), 0, now), is_empty());
+
+    let suspects = d.poison_mut().report(death("only", 1), lost, now);
+    expect_that!(suspects.map(|s| s.prints.len()), some(eq(2)));
+    d.poison_mut()
+        .merge(&Suspects { death: death("b", 1), prints: wanted[..1].to_vec(), more: false }, now);
+    let repeat = RequestInfo { key: Some(&keys[0]), ..get("/credit") };
+    let refusal = refused(d.begin(repeat, now));
+    expect_that!((refusal.reason, refusal.outcome), eq((Reason::Poisoned, Outcome::Unknown)));
+    let other = RequestInfo { key: Some(&keys[1]), ..get("/credit") };
+    expect_that!(matches!(d.begin(other, now), Decision::Forward(_)), eq(true));
+}
+
+/// Guards against different requests with one fingerprint, and one request with two.
+#[gtest]
+fn fingerprints_identify_requests() {
+    let (body, other) = ([1; 32], [2; 32]);
+    let of = |method, path, body| Fingerprint::of_request(method, path, body);
+    expect_that!(of("PUT", "/a", &body), eq(of("PUT", "/a", &body)));
+    for differs in [of("PUT", "/a", &other), of("POST", "/a", &body), of("PU", "T/a", &body)] {
+        expect_that!(of("PUT", "/a", &body), not(eq(differs)));
+    }
+    let print = of("PUT", "/a", &body);
+    expect_that!(Fingerprint::from_bytes(print.to_bytes()), eq(print));
+    expect_that!(get("/lookup").fingerprint(), none());
+}
