Add the HTTP client of the platform with budget and backoff

Daemons and tools need the platform through its published gateway, with errors that say whether a write may have taken effect. HttpPlatform uses hyper's pooled client: a failed connection goes on to the next address, a write that was sent but not answered is Unanswered and never sent again, reads and renewals are. A watch reads its key first: an unchanged key is watched from the present revision on, so that compaction cannot lock out an old key, and a platform that is behind the caller's revision (restored from an older copy) is reported as Compacted instead of being waited for. A watch without a sign of life for 10 s ends with Unanswered.

--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -110,10 +110,11 @@
     /// The lease has ended.
     #[error("the lease has ended")]
     LeaseGone,
-    /// The watch starts before the oldest revision the platform still has.
-    #[error("the watch starts at a compacted revision")]
+    /// The platform has no history from the watch's start: it was compacted, or the platform was
+    /// restored from an older copy. Read the key again and watch from there.
+    #[error("the platform no longer has the revision at which the watch starts")]
     Compacted,
-    /// The answer does not follow the protocol.
+    /// The answer does not follow the protocol; a write may have taken effect.
     #[error("the platform's answer cannot be read: {0}")]
     Protocol(String),
 }
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,359 @@
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering::Relaxed},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::Instant;
+
+use crate::{
+    Budget, CallReason, Commit, Entry, HttpWatch, LeaseId, Platform, PlatformError, Txn,
+    failure::{refusal, stream_error},
+    messages::{LeaseAnswer, RangeAnswer, RangeRequest, Streamed, TxnAnswer},
+    requests::{encode, grant_request, lease_request, txn_request, unreadable, watch_request},
+};
+
+/// Largest value in bytes that the platform accepts.
+pub const MAX_VALUE: usize = 1 << 20;
+
+/// Largest answer in bytes that is read; a range may return many values.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// Idle connections kept to each address; a relay makes few calls at a time.
+const MAX_IDLE: usize = 2;
+
+/// How long an idle connection is kept.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Time limits of the client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timeouts {
+    /// For a new connection, 500 ms by default.
+    pub connect: Duration,
+    /// For a call from its start to the end of its answer, 2 s by default. A call that also has
+    /// to connect may run into it before `connect` if it is the shorter of the two.
+    pub call: Duration,
+    /// For a watch on which nothing arrives, 10 s by default. It should be a multiple of the
+    /// platform's progress notification interval; otherwise quiet watches are opened anew.
+    pub quiet: Duration,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            call: Duration::from_secs(2),
+            quiet: Duration::from_secs(10),
+        }
+    }
+}
+
+/// A client of etcd's v3 JSON gateway. Clones share connections and budget.
+///
+/// A call that no connection could be made for goes on to the next address. A read or renewal
+/// that was sent but not answered does so too; any other write does not, and is `Unanswered`.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    addrs: Arc<[SocketAddr]>,
+    preferred: Arc<AtomicUsize>,
+    http: Client<HttpConnector, Full<Bytes>>,
+    timeouts: Timeouts,
+    budget: Budget,
+}
+
+/// Whether a call that was sent but not answered may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Repeat {
+    Safe,
+    Never,
+}
+
+impl HttpPlatform {
+    /// A client of the platform that serves at all of these addresses.
+    #[must_use]
+    pub fn new(addrs: Vec<SocketAddr>) -> Self {
+        let timeouts = Timeouts::default();
+        Self {
+            addrs: addrs.into(),
+            preferred: Arc::default(),
+            http: http_client(timeouts),
+            timeouts,
+            budget: Budget::default(),
+        }
+    }
+
+    /// Sets the time limits.
+    #[must_use]
+    pub fn with_timeouts(self, timeouts: Timeouts) -> Self {
+        Self { http: http_client(timeouts), timeouts, ..self }
+    }
+
+    /// Sets the call budget.
+    #[must_use]
+    pub fn with_budget(self, budget: Budget) -> Self {
+        Self { budget, ..self }
+    }
+
+    /// The call budget, with the counts of refusals, failures and retries.
+    #[must_use]
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
+    /// Makes later calls start at the address after this one.
+    pub(crate) fn avoid(&self, index: usize) {
+        self.preferred.store(index + 1, Relaxed);
+    }
+
+    /// Runs `attempt` at one address after the other until it is answered.
+    async fn each<T, F>(
+        &self,
+        repeat: Repeat,
+        attempt: impl Fn(usize, SocketAddr) -> F + Send,
+    ) -> Result<T, PlatformError>
+    where
+        F: Future<Output = Result<T, PlatformError>> + Send,
+    {
+        let first = self.preferred.load(Relaxed);
+        let mut failure = PlatformError::Unreachable { addr: "(no address)".to_owned() };
+        for tried in 0..self.addrs.len() {
+            let index = (first + tried) % self.addrs.len();
+            if !self.budget.take(Instant::now()) {
+                return Err(if tried == 0 { PlatformError::Budget } else { failure });
+            }
+            if tried > 0 {
+                self.budget.count(retry_reason(&failure));
+            }
+            match attempt(index, self.addrs[index]).await {
+                Err(PlatformError::Unanswered) => {
+                    self.avoid(index);
+                    failure = PlatformError::Unanswered;
+                    if repeat == Repeat::Never {
+                        break;
+                    }
+                }
+                Err(unreachable @ PlatformError::Unreachable { .. }) => {
+                    // An earlier attempt may have taken effect without an answer.
+                    if failure != PlatformError::Unanswered {
+                        failure = unreachable;
+                    }
+                }
+                answered => {
+                    self.preferred.store(index, Relaxed);
+                    return answered;
+                }
+            }
+        }
+        Err(failure)
+    }
+
+    async fn call<A: DeserializeOwned>(
+        &self,
+        repeat: Repeat,
+        path: &str,
+        request: &impl Serialize,
+        size: usize,
+    ) -> Result<A, PlatformError> {
+        let body = encode(request)?;
+        let answer = self.each(repeat, |_, addr| self.whole(addr, path, body.clone(), size)).await;
+        let answer = answer.inspect_err(|error| self.count(error))?;
+        serde_json::from_slice(&answer).map_err(|error| unreadable(&error))
+    }
+
+    fn count(&self, error: &PlatformError) {
+        let reason = match error {
+            PlatformError::Unreachable { .. } => CallReason::Unreachable,
+            PlatformError::Unanswered => CallReason::Unanswered,
+            PlatformError::Overloaded => CallReason::Overloaded,
+            PlatformError::TooLarge { .. } => CallReason::TooLarge,
+            // The budget counts its refusals itself; the others are answers.
+            PlatformError::Budget
+            | PlatformError::LeaseGone
+            | PlatformError::Compacted
+            | PlatformError::Protocol(_) => return,
+        };
+        self.budget.count(reason);
+    }
+
+    /// Sends a call to one address and reads the complete answer.
+    async fn whole(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: Bytes,
+        size: usize,
+    ) -> Result<Bytes, PlatformError> {
+        let exchange = async {
+            let response = self.exchange(addr, path, body).await?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
+            let body = body.map_err(|_| PlatformError::Unanswered)?.to_bytes();
+            if status == StatusCode::OK { Ok(body) } else { Err(refusal(status, &body, size)) }
+        };
+        tokio::time::timeout(self.timeouts.call, exchange)
+            .await
+            .unwrap_or(Err(PlatformError::Unanswered))
+    }
+
+    /// Sends a call to one address and reads the head of the answer.
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, PlatformError> {
+        let mut request = Request::post(format!("http://{addr}{path}"))
+            .body(Full::new(body))
+            .map_err(|error| PlatformError::Protocol(error.to_string()))?;
+        let json = HeaderValue::from_static("application/json");
+        request.headers_mut().insert(CONTENT_TYPE, json);
+        // Errors other than a failed connection may come after the request was sent.
+        self.http.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                PlatformError::Unreachable { addr: addr.to_string() }
+            } else {
+                PlatformError::Unanswered
+            }
+        })
+    }
+
+    async fn open_watch(
+        &self,
+        index: usize,
+        addr: SocketAddr,
+        body: Bytes,
+        revision: u64,
+    ) -> Result<HttpWatch, PlatformError> {
+        let open = async {
+            let response = self.exchange(addr, "/v3/watch", body).await?;
+            let status = response.status();
+            if status == StatusCode::OK {
+                return HttpWatch::open(self.clone(), index, response.into_body(), revision).await;
+            }
+            let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
+            let body = body.map_err(|_| PlatformError::Unanswered)?.to_bytes();
+            Err(refusal(status, &body, 0))
+        };
+        tokio::time::timeout(self.timeouts.call, open)
+            .await
+            .unwrap_or(Err(PlatformError::Unanswered))
+    }
+
+    /// How long a watch may stay without a sign of life.
+    pub(crate) fn quiet(&self) -> Duration {
+        self.timeouts.quiet
+    }
+}
+
+impl Platform for HttpPlatform {
+    type Watch = HttpWatch;
+
+    async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
+        let request = RangeRequest::key(key);
+        let answer: RangeAnswer = self.call(Repeat::Safe, "/v3/kv/range", &request, 0).await?;
+        Ok(answer.entries()?.pop())
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Vec<Entry>, PlatformError> {
+        let request = RangeRequest::prefix(prefix);
+        let answer: RangeAnswer = self.call(Repeat::Safe, "/v3/kv/range", &request, 0).await?;
+        answer.entries()
+    }
+
+    async fn commit(&self, txn: Txn) -> Result<Commit, PlatformError> {
+        let size = txn.puts.iter().map(|put| put.value.len()).max().unwrap_or_default();
+        if size > MAX_VALUE {
+            self.budget.count(CallReason::TooLarge);
+            return Err(PlatformError::TooLarge { size, limit: MAX_VALUE });
+        }
+        let request = txn_request(txn);
+        let answer: TxnAnswer = self.call(Repeat::Never, "/v3/kv/txn", &request, size).await?;
+        if answer.succeeded {
+            return Ok(Commit::Done { revision: answer.header.revision.revision() });
+        }
+        let ranges = answer.responses.into_iter().filter_map(|response| response.response_range);
+        let present = ranges.map(RangeAnswer::entries).collect::<Result<Vec<_>, _>>()?;
+        Ok(Commit::Conflict { present: present.concat() })
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, PlatformError> {
+        let request = grant_request(ttl);
+        let answer: LeaseAnswer = self.call(Repeat::Never, "/v3/lease/grant", &request, 0).await?;
+        Ok(LeaseId(answer.id.0))
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<(), PlatformError> {
+        let request = lease_request(lease);
+        let answer: Streamed<LeaseAnswer> =
+            self.call(Repeat::Safe, "/v3/lease/keepalive", &request, 0).await?;
+        match answer {
+            Streamed::Result(renewed) if renewed.ttl.0 > 0 => Ok(()),
+            Streamed::Result(_) => Err(PlatformError::LeaseGone),
+            Streamed::Error(error) => Err(stream_error(&error)),
+        }
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<(), PlatformError> {
+        let request = lease_request(lease);
+        let _: serde_json::Value =
+            self.call(Repeat::Never, "/v3/lease/revoke", &request, 0).await?;
+        Ok(())
+    }
+
+    /// Reads the key first, which makes a watch two calls: a key that has not changed since
+    /// `revision` is watched from the present revision on, so that a compaction that has passed
+    /// an old key does not keep it from being watched.
+    async fn watch(&self, key: &str, revision: u64) -> Result<HttpWatch, PlatformError> {
+        let request = RangeRequest::key(key);
+        let answer: RangeAnswer = self.call(Repeat::Safe, "/v3/kv/range", &request, 0).await?;
+        let present = answer.header.revision.revision();
+        if present < revision {
+            // The platform was restored from an older copy; a watch would miss the changes
+            // until it reaches this revision again.
+            return Err(PlatformError::Compacted);
+        }
+        let changed = match answer.entries()?.pop() {
+            Some(entry) => entry.revision > revision,
+            None => revision > 0,
+        };
+        let from = if changed { revision } else { present };
+        let body = encode(&watch_request(key, from + 1))?;
+        let open = |index, addr| self.open_watch(index, addr, body.clone(), from);
+        self.each(Repeat::Safe, open).await.inspect_err(|error| self.count(error))
+    }
+}
+
+fn http_client(timeouts: Timeouts) -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(timeouts.connect));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE)
+        .pool_max_idle_per_host(MAX_IDLE)
+        .build(connector)
+}
+
+fn retry_reason(failure: &PlatformError) -> CallReason {
+    if *failure == PlatformError::Unanswered {
+        CallReason::RetryRead
+    } else {
+        CallReason::RetryConnect
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,7 +1,19 @@
 //! The platform's key-value service as damaskwick uses it: one narrow trait for reads,
 //! compare-and-swap transactions, leases and watches, and an HTTP client that speaks the JSON
-//! gateway of etcd v3. Another store costs one more implementation of the trait.
+//! gateway of etcd v3, with a call budget and backoff. Another store costs one more
+//! implementation of the trait.
 
 mod api;
+mod backoff;
+mod budget;
+mod client;
+mod failure;
+mod messages;
+mod requests;
+mod watch;
 
 pub use api::{Commit, Entry, Event, Guard, LeaseId, Platform, PlatformError, Put, Txn, Watch};
+pub use backoff::Backoff;
+pub use budget::{Budget, CallReason};
+pub use client::{HttpPlatform, MAX_VALUE, Timeouts};
+pub use watch::HttpWatch;
