--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,14 @@
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
+
+/// The wall clock in ms since the Unix epoch.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The moment of a wall-clock time; a time in the future is now.
+pub(crate) fn from_unix_ms(ms: u64) -> Option<Instant> {
+    Instant::now().checked_sub(Duration::from_millis(unix_ms().saturating_sub(ms)))
+}
--- /dev/null
+++ b/crates/daemon/src/counters.rs
@@ -0,0 +1,262 @@
+use std::{
+    collections::BTreeMap,
+    fmt,
+    sync::{Arc, atomic::AtomicI64},
+};
+
+use dw_request::{Outcome, Reason};
+use dw_tables::VersionMark;
+use prometheus_client::{
+    encoding::text::encode,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+type Label = [(&'static str, &'static str); 1];
+type ByLabel = Family<Label, Counter>;
+
+/// The kinds of control messages, for counters that exist from the start.
+pub(crate) const KINDS: [&str; 18] = [
+    "ping",
+    "ping-req",
+    "ack",
+    "hello",
+    "join",
+    "join-reply",
+    "offer",
+    "pull",
+    "delta",
+    "snapshot",
+    "applied",
+    "broadcast",
+    "summary",
+    "sync-members",
+    "sync-reply",
+    "busy",
+    "status-pull",
+    "status-reply",
+];
+
+/// The calls to the platform, for counters that exist from the start.
+pub(crate) const CALLS: [&str; 7] = ["get", "range", "commit", "grant", "renew", "revoke", "watch"];
+
+/// The counters of one daemon. Clones count together.
+#[derive(Clone)]
+pub(crate) struct Counters(Arc<Inner>);
+
+struct Inner {
+    registry: Registry,
+    sent: ByLabel,
+    received: ByLabel,
+    dropped: Counter,
+    calls: ByLabel,
+    failed_calls: ByLabel,
+    events: Family<[(&'static str, String); 1], Counter>,
+    refusals: ByLabel,
+    retries: ByLabel,
+    unretried: ByLabel,
+    requests: ByLabel,
+    latency: Histogram,
+    held: Gauge,
+    served: Gauge,
+    in_flight: Gauge<i64, AtomicI64>,
+}
+
+/// Counts at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Counts {
+    /// Bytes of control messages sent, with their framing, by kind.
+    pub sent: BTreeMap<&'static str, u64>,
+    /// Bytes of control messages received, with their framing, by kind.
+    pub received: BTreeMap<&'static str, u64>,
+    /// Calls to the platform, by kind.
+    pub calls: BTreeMap<&'static str, u64>,
+    /// Requests of callers, by outcome.
+    pub requests: BTreeMap<&'static str, u64>,
+}
+
+impl Counts {
+    /// Bytes of control messages in both directions.
+    #[must_use]
+    pub fn control_bytes(&self) -> u64 {
+        self.sent.values().chain(self.received.values()).sum()
+    }
+
+    /// Calls to the platform of all kinds.
+    #[must_use]
+    pub fn platform_calls(&self) -> u64 {
+        self.calls.values().sum()
+    }
+}
+
+impl Default for Counters {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("damaskwick");
+        let inner = Inner {
+            sent: by_label(&mut registry, "control_sent_bytes", "Control bytes sent"),
+            received: by_label(&mut registry, "control_received_bytes", "Control bytes received"),
+            dropped: add(&mut registry, "control_dropped", "Control messages dropped, queue full"),
+            calls: by_label(&mut registry, "platform_calls", "Calls to the platform"),
+            failed_calls: by_label(&mut registry, "platform_failures", "Failed platform calls"),
+            events: add(&mut registry, "control_events", "Events of the control plane"),
+            refusals: by_label(&mut registry, "refusals", "Requests refused, by reason"),
+            retries: by_label(&mut registry, "retries", "Requests sent again, by reason"),
+            unretried: by_label(&mut registry, "not_retried", "Failures not retried, by reason"),
+            requests: by_label(&mut registry, "requests", "Requests of callers, by outcome"),
+            latency: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
+            held: add(&mut registry, "version_held", "Number of the newest version held"),
+            served: add(&mut registry, "version_served", "Number of the version served"),
+            in_flight: add(&mut registry, "in_flight", "Requests in flight"),
+            registry,
+        };
+        let mut inner = inner;
+        let name = "request_seconds";
+        inner.registry.register(name, "Time to the response head", inner.latency.clone());
+        inner.prepare();
+        Self(Arc::new(inner))
+    }
+}
+
+impl fmt::Debug for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Counters")
+    }
+}
+
+impl Inner {
+    /// Creates every series, so that a reader sees 0 and not a gap.
+    fn prepare(&self) {
+        for kind in KINDS {
+            drop(self.sent.get_or_create(&[("kind", kind)]));
+            drop(self.received.get_or_create(&[("kind", kind)]));
+        }
+        for call in CALLS {
+            drop(self.calls.get_or_create(&[("call", call)]));
+            drop(self.failed_calls.get_or_create(&[("call", call)]));
+        }
+        for reason in Reason::ALL {
+            let label = [("reason", reason.as_str())];
+            drop(self.refusals.get_or_create(&label));
+            drop(self.retries.get_or_create(&label));
+            drop(self.unretried.get_or_create(&label));
+        }
+        for outcome in [Outcome::Run, Outcome::NotRun, Outcome::Unknown] {
+            drop(self.requests.get_or_create(&[("outcome", outcome.as_str())]));
+        }
+    }
+}
+
+impl Counters {
+    /// Counts a control message that is sent, with its framing.
+    pub(crate) fn sent(&self, kind: &'static str, bytes: usize) {
+        self.0.sent.get_or_create(&[("kind", kind)]).inc_by(bytes as u64);
+    }
+
+    /// Counts a control message that arrived, with its framing.
+    pub(crate) fn received(&self, kind: &'static str, bytes: usize) {
+        self.0.received.get_or_create(&[("kind", kind)]).inc_by(bytes as u64);
+    }
+
+    /// Counts a control message that was dropped because a queue is full.
+    pub(crate) fn dropped(&self) {
+        self.0.dropped.inc();
+    }
+
+    /// Counts a call to the platform.
+    pub(crate) fn call(&self, call: &'static str, good: bool) {
+        self.0.calls.get_or_create(&[("call", call)]).inc();
+        if !good {
+            self.0.failed_calls.get_or_create(&[("call", call)]).inc();
+        }
+    }
+
+    /// Counts an event of the control plane.
+    pub(crate) fn event(&self, event: dw_mesh::Counter) {
+        self.0.events.get_or_create(&[("event", event.to_string())]).inc();
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn refused(&self, reason: Reason) {
+        self.0.refusals.get_or_create(&[("reason", reason.as_str())]).inc();
+    }
+
+    /// Counts a request that is sent again because of `reason`.
+    pub(crate) fn retried(&self, reason: Reason) {
+        self.0.retries.get_or_create(&[("reason", reason.as_str())]).inc();
+    }
+
+    /// Counts a failure that was not retried because of `reason`.
+    pub(crate) fn not_retried(&self, reason: Reason) {
+        self.0.unretried.get_or_create(&[("reason", reason.as_str())]).inc();
+    }
+
+    /// Counts a caller's request and the time to its response head.
+    pub(crate) fn request(&self, outcome: Outcome, seconds: f64) {
+        self.0.requests.get_or_create(&[("outcome", outcome.as_str())]).inc();
+        self.0.latency.observe(seconds);
+    }
+
+    /// Adds to the requests in flight.
+    pub(crate) fn flight(&self, change: i64) {
+        self.0.in_flight.inc_by(change);
+    }
+
+    /// Shows the versions held and served.
+    pub(crate) fn versions(&self, held: VersionMark, served: VersionMark) {
+        self.0.held.set(i64::try_from(held.number).unwrap_or(i64::MAX));
+        self.0.served.set(i64::try_from(served.number).unwrap_or(i64::MAX));
+    }
+
+    /// The refusals so far, by reason.
+    pub(crate) fn reasons(&self) -> BTreeMap<&'static str, [u64; 3]> {
+        let count = |family: &ByLabel, reason: &Reason| {
+            family.get_or_create(&[("reason", reason.as_str())]).get()
+        };
+        let all = |reason: &Reason| {
+            let inner = &self.0;
+            [&inner.refusals, &inner.retries, &inner.unretried].map(|family| count(family, reason))
+        };
+        Reason::ALL.iter().map(|reason| (reason.as_str(), all(reason))).collect()
+    }
+
+    /// The counts at this moment.
+    pub(crate) fn counts(&self) -> Counts {
+        let read = |family: &ByLabel, label: &'static str, names: &[&'static str]| {
+            let value = |name: &'static str| family.get_or_create(&[(label, name)]).get();
+            names.iter().map(|name| (*name, value(name))).collect()
+        };
+        let outcomes = [Outcome::Run, Outcome::NotRun, Outcome::Unknown].map(Outcome::as_str);
+        Counts {
+            sent: read(&self.0.sent, "kind", &KINDS),
+            received: read(&self.0.received, "kind", &KINDS),
+            calls: read(&self.0.calls, "call", &CALLS),
+            requests: read(&self.0.requests, "outcome", &outcomes),
+        }
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.0.registry);
+        text
+    }
+}
+
+fn by_label(registry: &mut Registry, name: &str, help: &str) -> ByLabel {
+    add(registry, name, help)
+}
+
+fn add<M>(registry: &mut Registry, name: &str, help: &str) -> M
+where
+    M: prometheus_client::registry::Metric + Clone + Default,
+{
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,242 @@
+use std::{io, net::SocketAddr, sync::Arc};
+
+use dw_mesh::{Member, MemberState, Node, NodeConfig, Preset, Target};
+use dw_platform::HttpPlatform;
+use spdlog::Logger;
+use thiserror::Error;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::{mpsc, watch},
+    time::Instant,
+};
+
+use crate::{
+    Running, Settings, TargetSettings,
+    admin::Admin,
+    counters::Counters,
+    link::{Datagrams, Links},
+    log::build_logger,
+    node::{NodeTask, View},
+    platform::PlatformTask,
+    proxy::{Proxy, Server},
+    running::Addrs,
+    tasks::Tasks,
+};
+
+/// Messages that wait for a task. A full queue makes senders wait and loses datagrams.
+const QUEUE: usize = 1024;
+
+/// Ports tried where TCP and UDP must have the same free one.
+const PORT_TRIES: u32 = 16;
+
+/// A daemon that has not been started.
+#[derive(Clone, Debug)]
+pub struct Daemon {
+    settings: Settings,
+}
+
+/// Why a daemon did not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {addr} for {purpose}: {source}")]
+    Listen {
+        /// The name of the address in the settings.
+        purpose: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The log cannot be set up.
+    #[error("cannot set up the log: {0}")]
+    Log(#[from] spdlog::Error),
+}
+
+/// The sockets of a daemon.
+struct Sockets {
+    callers: TcpListener,
+    peers: TcpListener,
+    datagrams: UdpSocket,
+    data: TcpListener,
+    admin: TcpListener,
+    addrs: Addrs,
+}
+
+impl Daemon {
+    /// A daemon with the given settings.
+    #[must_use]
+    pub const fn new(settings: Settings) -> Self {
+        Self { settings }
+    }
+
+    /// Listens on all addresses and starts the daemon's tasks.
+    ///
+    /// # Errors
+    /// An address that cannot be listened on, or a log that cannot be set up.
+    pub async fn start(self) -> Result<Running, StartError> {
+        let mut settings = self.settings;
+        let log = build_logger(settings.log)?;
+        let sockets = Sockets::bind(&settings).await?;
+        // From here on the settings name the ports that were chosen.
+        let addrs = sockets.addrs;
+        (settings.callers, settings.peers) = (addrs.callers, addrs.peers);
+        (settings.data, settings.admin) = (addrs.data, addrs.admin);
+        Ok(launch(&settings, sockets, log))
+    }
+}
+
+fn launch(settings: &Settings, sockets: Sockets, log: Arc<Logger>) -> Running {
+    let (tasks, counters) = (Tasks::default(), Counters::default());
+    let (node_in, node_out) = mpsc::channel(QUEUE);
+    let (links_in, links_out) = mpsc::channel(QUEUE);
+    let (datagrams_in, datagrams_out) = mpsc::channel(QUEUE);
+    let (platform_in, platform_out) = mpsc::channel(QUEUE);
+    let (view_in, view) = watch::channel(View::default());
+
+    let config = node_config(settings);
+    let own = own_member(&config);
+    let proxy = Proxy::new(settings, own, counters.clone(), log.clone(), &tasks);
+    proxy.set_node(node_in.clone());
+
+    let links = Links {
+        host: settings.host.clone(),
+        peer: settings.peers,
+        control: links_in.clone(),
+        node: node_in.clone(),
+        counters: counters.clone(),
+        tasks: tasks.clone(),
+    };
+    tasks.spawn(links.clone().accept(sockets.peers));
+    tasks.spawn(links.run(links_out));
+    let datagrams =
+        Datagrams { socket: sockets.datagrams, node: node_in.clone(), counters: counters.clone() };
+    tasks.spawn(datagrams.run(datagrams_out));
+    let platform = PlatformTask {
+        client: (!settings.platform.is_empty())
+            .then(|| HttpPlatform::new(settings.platform.clone())),
+        domain: settings.domain.clone(),
+        node: node_in.clone(),
+        counters: counters.clone(),
+        tasks: tasks.clone(),
+        leases: Arc::default(),
+    };
+    tasks.spawn(platform.run(platform_out));
+    let node = NodeTask {
+        node: Node::new(config, Instant::now()),
+        proxy: proxy.clone(),
+        links: links_in,
+        datagrams: datagrams_in,
+        platform: platform_in,
+        view: view_in,
+        counters: counters.clone(),
+        log: log.clone(),
+    };
+    tasks.spawn(node.run(node_out));
+
+    let server = Server {
+        proxy: proxy.clone(),
+        tasks: tasks.clone(),
+        drain: Default::default(),
+        end: Default::default(),
+        open: Default::default(),
+    };
+    tasks.spawn(server.clone().callers(sockets.callers));
+    tasks.spawn(server.clone().daemons(sockets.data));
+    let admin = Admin {
+        view: view.clone(),
+        node: node_in.clone(),
+        proxy: proxy.clone(),
+        counters: counters.clone(),
+        tasks: tasks.clone(),
+    };
+    tasks.spawn(admin.run(sockets.admin));
+    let (host, domain) = (&settings.host, &settings.domain);
+    spdlog::info!(logger: log, "[proxy] host {host} in domain {domain} listens");
+    Running {
+        addrs: sockets.addrs,
+        grace: settings.grace.into(),
+        view,
+        node: node_in,
+        proxy,
+        server,
+        counters,
+        log,
+        tasks,
+    }
+}
+
+fn node_config(settings: &Settings) -> NodeConfig {
+    let target = |(target, index): (&TargetSettings, u32)| Target {
+        index,
+        service: target.service.clone(),
+        slots: target.slots,
+        connections: target.connections,
+        draining: false,
+    };
+    let (host, domain) = (settings.host.clone(), settings.domain.clone());
+    NodeConfig {
+        incarnation: crate::clock::unix_ms(),
+        region: settings.region.clone(),
+        targets: settings.targets.iter().zip(0..).map(target).collect(),
+        preset: Preset::new(settings.preset.into()),
+        join: settings.join.clone(),
+        seed: rand::random(),
+        ..NodeConfig::new(host, domain, settings.peers, settings.data)
+    }
+}
+
+fn own_member(config: &NodeConfig) -> Member {
+    Member {
+        host: config.host.clone(),
+        incarnation: config.incarnation,
+        started: config.incarnation,
+        domain: config.domain.clone(),
+        region: config.region.clone(),
+        peer: config.peer,
+        data: config.data,
+        state: MemberState::Alive,
+        relay: false,
+        targets: config.targets.clone(),
+    }
+}
+
+impl Sockets {
+    async fn bind(settings: &Settings) -> Result<Self, StartError> {
+        let callers = listen("callers", settings.callers).await?;
+        let (peers, datagrams) = listen_peers(settings.peers).await?;
+        let data = listen("data", settings.data).await?;
+        let admin = listen("admin", settings.admin).await?;
+        let addrs = Addrs {
+            callers: local("callers", &callers)?,
+            peers: local("peers", &peers)?,
+            data: local("data", &data)?,
+            admin: local("admin", &admin)?,
+        };
+        Ok(Self { callers, peers, datagrams, data, admin, addrs })
+    }
+}
+
+async fn listen(purpose: &'static str, addr: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(addr).await.map_err(|source| StartError::Listen { purpose, addr, source })
+}
+
+/// TCP and UDP on the same port. A free TCP port may be taken for UDP; then another one is tried.
+async fn listen_peers(addr: SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
+    let purpose = "peers";
+    let mut tries = PORT_TRIES;
+    loop {
+        let listener = listen(purpose, addr).await?;
+        let bound = local(purpose, &listener)?;
+        match UdpSocket::bind(bound).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(_) if addr.port() == 0 && tries > 0 => tries -= 1,
+            Err(source) => return Err(StartError::Listen { purpose, addr: bound, source }),
+        }
+    }
+}
+
+fn local(purpose: &'static str, listener: &TcpListener) -> Result<SocketAddr, StartError> {
+    let addr = SocketAddr::from(([0, 0, 0, 0], 0));
+    listener.local_addr().map_err(|source| StartError::Listen { purpose, addr, source })
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,8 +1,23 @@
 //! The daemon `damaskwickd` as a library: settings, the tasks that own sockets, the proxy, the admin
 //! API, logs and metrics. Decisions are made in `dw_mesh` and `dw_request`; this crate moves bytes.
+//! Many daemons fit in one process: none has a thread or global state of its own.
 
+mod admin;
+mod clock;
+mod counters;
+mod daemon;
+mod link;
+mod log;
+mod node;
+mod platform;
+mod proxy;
+mod running;
 mod settings;
+mod tasks;
 
+pub use counters::Counts;
+pub use daemon::{Daemon, StartError};
+pub use running::{Addrs, Running};
 pub use settings::{
     LogFormat, LogLevel, LogSettings, PresetName, ProcessLimits, Settings, TargetSettings,
     parse_settings,
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,142 @@
+use std::{sync::Arc, time::Duration};
+
+use dw_mesh::{Action, Counter, Input, Level, LocalEvent, MemberTable, Node, PlatformCall, Status};
+use dw_tables::Version;
+use spdlog::Logger;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    counters::Counters,
+    link::{ToDatagrams, ToLinks},
+    proxy::Proxy,
+};
+
+/// Time given to a relay's totals to arrive before the status is read.
+const STATUS_WAIT: Duration = Duration::from_millis(50);
+
+/// A message for the task that owns the node.
+#[derive(Debug)]
+#[expect(clippy::large_enum_variant, reason = "nearly all messages are inputs")]
+pub(crate) enum ToNode {
+    /// Something the node is told.
+    Input(Input),
+    /// Somebody asks for the status.
+    Status(oneshot::Sender<Status>),
+}
+
+/// What the node publishes to the rest of the daemon.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct View {
+    /// The version served; number 0 for none.
+    pub(crate) version: Arc<Version>,
+    /// The members of the fleet.
+    pub(crate) members: Arc<MemberTable>,
+}
+
+/// The task that owns the node and turns its actions into messages to the other tasks.
+pub(crate) struct NodeTask {
+    /// The decisions.
+    pub(crate) node: Node,
+    /// Takes versions, members and poison.
+    pub(crate) proxy: Arc<Proxy>,
+    /// The task of the connections to peers.
+    pub(crate) links: mpsc::Sender<ToLinks>,
+    /// The task of the UDP socket.
+    pub(crate) datagrams: mpsc::Sender<ToDatagrams>,
+    /// The task of the platform.
+    pub(crate) platform: mpsc::Sender<PlatformCall>,
+    /// Where versions and members are published.
+    pub(crate) view: watch::Sender<View>,
+    /// Counts events.
+    pub(crate) counters: Counters,
+    /// The log.
+    pub(crate) log: Arc<Logger>,
+}
+
+impl NodeTask {
+    /// Runs until the daemon is closed.
+    pub(crate) async fn run(mut self, mut inbox: mpsc::Receiver<ToNode>) {
+        loop {
+            let message = match self.node.deadline() {
+                Some(at) => tokio::select! {
+                    message = inbox.recv() => message,
+                    () = sleep_until(at) => Some(ToNode::Input(Input::Tick)),
+                },
+                None => inbox.recv().await,
+            };
+            match message {
+                Some(ToNode::Input(input)) => {
+                    for action in self.node.handle(input, Instant::now()) {
+                        self.act(action).await;
+                    }
+                }
+                Some(ToNode::Status(reply)) => {
+                    // The reader may have gone away.
+                    let _ = reply.send(self.node.status());
+                }
+                None => return,
+            }
+        }
+    }
+
+    async fn act(&self, action: Action) {
+        // The receiving tasks never wait for this one, so that waiting for them cannot deadlock.
+        match action {
+            Action::SendPacket { to, packet } => {
+                let _ = self.datagrams.send(ToDatagrams { to, packet }).await;
+            }
+            Action::SendFrame { to, frame } => {
+                let _ = self.links.send(ToLinks::Send { to, frame }).await;
+            }
+            Action::Platform(call) => {
+                let _ = self.platform.send(call).await;
+            }
+            Action::Publish(version) => self.publish(version),
+            Action::Members(members) => {
+                self.proxy.set_members(&members);
+                self.view.send_modify(|view| view.members = members);
+            }
+            Action::Poison(print) => self.proxy.refuse_print(print),
+            Action::Refused(refused) => {
+                let (number, reason) = (refused.mark.number, refused.reason);
+                spdlog::warn!(logger: self.log, "[dist] version {number} refused: {reason}");
+            }
+            Action::Count(counter) => self.count(counter),
+            Action::Log { level, text } => self.log(level, &text),
+        }
+    }
+
+    /// Serves a version. The actions that acknowledge it come later in the list, so no peer hears
+    /// of it before the proxy uses it.
+    fn publish(&self, version: Arc<Version>) {
+        self.proxy.set_version(&version);
+        self.counters.versions(version.mark(), version.mark());
+        spdlog::info!(logger: self.log, "[dist] version {} is served", version.number);
+        self.view.send_modify(|view| view.version = version);
+    }
+
+    fn count(&self, counter: Counter) {
+        self.counters.event(counter);
+    }
+
+    fn log(&self, level: Level, text: &str) {
+        match level {
+            Level::Debug => spdlog::debug!(logger: self.log, "{text}"),
+            Level::Info => spdlog::info!(logger: self.log, "{text}"),
+            Level::Warn => spdlog::warn!(logger: self.log, "{text}"),
+            Level::Error => spdlog::error!(logger: self.log, "{text}"),
+        }
+    }
+}
+
+/// Asks the node for its status, with a relay's totals where it is none; `None` if it is gone.
+pub(crate) async fn ask_status(node: &mpsc::Sender<ToNode>) -> Option<Status> {
+    node.send(ToNode::Input(Input::Local(LocalEvent::StatusWanted))).await.ok()?;
+    sleep(STATUS_WAIT).await;
+    let (reply, answer) = oneshot::channel();
+    node.send(ToNode::Status(reply)).await.ok()?;
+    answer.await.ok()
+}
--- /dev/null
+++ b/crates/daemon/src/proxy.rs
@@ -0,0 +1,295 @@
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use dw_mesh::{Input, LocalEvent, Member, MemberTable};
+use dw_request::{
+    Dispatcher, DispatcherConfig, Fingerprint, Keeper, KeeperConfig, POISON_TIME, Reason, Refusal,
+};
+use dw_tables::{Name, Version};
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use spdlog::Logger;
+use tokio::{
+    sync::{Semaphore, mpsc},
+    time::Instant,
+};
+use tokio_util::task::TaskTracker;
+
+use crate::{Settings, counters::Counters, node::ToNode, tasks::Tasks};
+
+mod answer;
+mod beside;
+mod body;
+mod call;
+mod entry;
+mod fault;
+mod fleet;
+mod headers;
+mod hop;
+mod keep;
+mod records;
+mod server;
+mod slot;
+mod target;
+
+use body::{Checked, Payload, Tracked};
+use call::Call;
+use fleet::Fleet;
+use hop::HopPool;
+pub(crate) use server::Server;
+use slot::Beside;
+
+/// The most requests remembered as poisoned by a broadcast.
+const PRINTS: usize = 4096;
+
+/// The part of a daemon that passes requests on.
+///
+/// The decision cores are held in small locks and not in tasks: a decision takes microseconds, and
+/// a message to a task and back would add two task switches to each of several decisions that a
+/// request needs. No lock is held across an await point.
+pub(crate) struct Proxy {
+    host: Name,
+    callers: SocketAddr,
+    retry_body: usize,
+    dispatcher: Mutex<Dispatcher>,
+    keeper: Mutex<Keeper>,
+    fleet: Mutex<Fleet>,
+    prints: Mutex<HashMap<u64, Instant>>,
+    targets: Vec<Arc<Beside>>,
+    hops: HopPool,
+    node: OnceLock<mpsc::Sender<ToNode>>,
+    room: Arc<Semaphore>,
+    draining: AtomicBool,
+    /// Tokens of the requests in flight.
+    pub(crate) flights: TaskTracker,
+    counters: Counters,
+    log: Arc<Logger>,
+    tasks: Tasks,
+}
+
+impl Proxy {
+    /// A proxy without a version; `own` is this daemon's member record.
+    pub(crate) fn new(
+        settings: &Settings,
+        own: Member,
+        counters: Counters,
+        log: Arc<Logger>,
+        tasks: &Tasks,
+    ) -> Arc<Self> {
+        let (host, domain) = (settings.host.clone(), settings.domain.clone());
+        let dispatcher = Dispatcher::new(DispatcherConfig {
+            host: host.clone(),
+            domain: domain.clone(),
+            region: settings.region.clone(),
+            seed: rand::random(),
+        });
+        let keeper =
+            Keeper::new(KeeperConfig { host: host.clone(), domain, ..KeeperConfig::default() });
+        let targets = settings.targets.iter().zip(0..);
+        let targets =
+            targets.map(|(t, idx)| Arc::new(Beside::new(idx, t, tasks.clone()))).collect();
+        let proxy = Arc::new(Self {
+            host,
+            callers: settings.callers,
+            retry_body: settings.limits.retry_body as usize,
+            dispatcher: Mutex::new(dispatcher),
+            keeper: Mutex::new(keeper),
+            fleet: Mutex::new(Fleet::new(own)),
+            prints: Mutex::default(),
+            targets,
+            hops: HopPool::new(tasks.clone()),
+            node: OnceLock::new(),
+            room: Arc::new(Semaphore::new(settings.limits.requests as usize)),
+            draining: AtomicBool::new(false),
+            flights: TaskTracker::new(),
+            counters,
+            log,
+            tasks: tasks.clone(),
+        });
+        for target in &proxy.targets {
+            tasks.spawn(target.clone().expire());
+        }
+        proxy.set_members(&Arc::default());
+        proxy
+    }
+
+    /// Names the task of the node, which broadcasts poison.
+    pub(crate) fn set_node(&self, node: mpsc::Sender<ToNode>) {
+        // Set once, when the daemon starts.
+        let _ = self.node.set(node);
+    }
+
+    /// Serves a version from now on; requests in flight keep theirs.
+    pub(crate) fn set_version(&self, version: &Arc<Version>) {
+        self.dispatcher().set_version(version.clone());
+        for target in &self.targets {
+            let pools = &version.tables.pools;
+            if let Some(pool) = pools.iter().find(|pool| pool.service == target.service) {
+                target.set_queue(pool.limits.queue, pool.limits.queue_wait.into());
+            }
+        }
+    }
+
+    /// Takes over a new view of the fleet.
+    pub(crate) fn set_members(&self, members: &Arc<MemberTable>) {
+        let now = Instant::now();
+        let mut fleet = lock(&self.fleet);
+        fleet.set(members, now);
+        let (endpoints, keepers) = (fleet.endpoints(), fleet.keepers());
+        drop(fleet);
+        self.dispatcher().set_endpoints(endpoints);
+        self.keeper().set_members(&keepers, now);
+    }
+
+    /// Refuses requests with a fingerprint that another daemon broadcast.
+    pub(crate) fn refuse_print(&self, print: dw_mesh::Fingerprint) {
+        let now = Instant::now();
+        let mut prints = lock(&self.prints);
+        prints.retain(|_, until| now < *until);
+        if prints.len() < PRINTS {
+            prints.insert(print.0, now + POISON_TIME);
+        }
+    }
+
+    /// Refuses new work as not run from now on, except calls that targets on this host make for
+    /// requests that are still in flight there.
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.keeper().leave();
+        for target in &self.targets {
+            target.drain();
+        }
+    }
+
+    /// Closes the connections that are not in use.
+    pub(crate) fn close_idle(&self) {
+        for target in &self.targets {
+            target.pool.close_idle();
+        }
+    }
+
+    /// Whether the daemon is leaving.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// The load of each target on this host.
+    pub(crate) fn loads(&self) -> Vec<(Name, dw_request::Load)> {
+        self.targets.iter().map(|t| (t.service.clone(), t.load())).collect()
+    }
+
+    /// Responds to a caller.
+    pub(crate) async fn serve_caller(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        from: SocketAddr,
+    ) -> Response<Payload> {
+        let Ok(room) = self.room.clone().try_acquire_owned() else {
+            self.counters.refused(Reason::PoolLimit);
+            return answer::refuse(&Refusal::new(Reason::PoolLimit));
+        };
+        let flight = self.flight();
+        let response = self.enter(request, from).await;
+        hold(response, (room, flight))
+    }
+
+    /// Responds to another daemon.
+    pub(crate) async fn serve_daemon(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Response<Payload> {
+        let flight = self.flight();
+        let step: Option<String> = headers::read(request.headers(), &headers::STEP);
+        let version = request.version();
+        let checked = |r: Request<Incoming>| r.map(|b| Checked::new(b, version).boxed_unsync());
+        let response = match step.as_deref() {
+            Some("target") => self.beside(checked(request)).await,
+            Some("keeper") => self.serve_key(request).await,
+            Some("cede") => self.cede(checked(request)).await,
+            Some("hand-over") => self.accept(checked(request)).await,
+            _ => answer::refuse(&Refusal::new(Reason::ProtocolError)),
+        };
+        hold(response, flight)
+    }
+
+    async fn serve_key(self: &Arc<Self>, request: Request<Incoming>) -> Response<Payload> {
+        let mut call = Call::new(request);
+        let Some(key) = call.record_key() else {
+            return answer::refuse(&Refusal::new(Reason::ProtocolError));
+        };
+        if call.read(self.retry_body).await.is_err() {
+            return answer::refuse(&Refusal::new(Reason::Cancelled));
+        }
+        match self.keep(&mut call, &key).await {
+            Ok(response) => response,
+            Err(refusal) => answer::refuse(&refusal),
+        }
+    }
+
+    fn flight(&self) -> Flight {
+        self.counters.flight(1);
+        Flight { _token: self.flights.token(), counters: self.counters.clone() }
+    }
+
+    fn is_refused_print(&self, print: Fingerprint) -> bool {
+        let prints = lock(&self.prints);
+        !prints.is_empty() && prints.get(&short(print)).is_some_and(|at| Instant::now() < *at)
+    }
+
+    fn announce_print(&self, print: Fingerprint) {
+        let print = dw_mesh::Fingerprint(short(print));
+        self.refuse_print(print);
+        if let Some(node) = self.node.get() {
+            // A full queue loses the broadcast; the request is still refused at this daemon.
+            let _ = node.try_send(ToNode::Input(Input::Local(LocalEvent::Poison(print))));
+        }
+    }
+
+    fn members(&self) -> Arc<MemberTable> {
+        lock(&self.fleet).table()
+    }
+
+    fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
+        lock(&self.dispatcher)
+    }
+
+    fn keeper(&self) -> MutexGuard<'_, Keeper> {
+        lock(&self.keeper)
+    }
+}
+
+/// A request in flight, from its arrival to the end of its response.
+struct Flight {
+    _token: tokio_util::task::task_tracker::TaskTrackerToken,
+    counters: Counters,
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.counters.flight(-1);
+    }
+}
+
+/// Keeps `guard` until the body has ended.
+fn hold(response: Response<Payload>, guard: impl Send + 'static) -> Response<Payload> {
+    response.map(|body| Tracked::new(body, move |_| drop(guard)).boxed_unsync())
+}
+
+/// The part of a fingerprint that is broadcast.
+fn short(print: Fingerprint) -> u64 {
+    let bytes = print.to_bytes();
+    let mut part = [0; 8];
+    part.copy_from_slice(&bytes[..8]);
+    u64::from_be_bytes(part)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/answer.rs
@@ -0,0 +1,70 @@
+use bytes::Bytes;
+use dw_request::{Load, Outcome, Reason, Refusal, StoredAnswer};
+use http::{HeaderValue, Response, StatusCode, header};
+
+use super::{
+    body::{Payload, full},
+    headers,
+};
+
+/// The response that says why a request is refused, with the time after which to retry.
+pub(crate) fn refuse(refusal: &Refusal) -> Response<Payload> {
+    let body = format!(
+        "{{\"outcome\":\"{}\",\"reason\":\"{}\",\"retry_after_ms\":{}}}\n",
+        refusal.outcome,
+        refusal.reason,
+        refusal.retry_after.as_millis()
+    );
+    let mut response = Response::new(full(body));
+    *response.status_mut() =
+        StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let map = response.headers_mut();
+    map.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    map.insert(headers::OUTCOME, HeaderValue::from_static(refusal.outcome.as_str()));
+    map.insert(headers::REASON, HeaderValue::from_static(refusal.reason.as_str()));
+    // Whole seconds, rounded up: an earlier retry would meet the same refusal.
+    let seconds = refusal.retry_after.as_millis().div_ceil(1000);
+    headers::set(map, header::RETRY_AFTER, seconds);
+    response
+}
+
+/// Adds the load of the target to a response between daemons.
+pub(crate) fn with_load(mut response: Response<Payload>, load: Load) -> Response<Payload> {
+    headers::set(response.headers_mut(), headers::LOAD, load);
+    response
+}
+
+/// Marks a response of a target.
+pub(crate) fn mark_run(response: &mut Response<Payload>) {
+    let run = HeaderValue::from_static(Outcome::Run.as_str());
+    response.headers_mut().insert(headers::OUTCOME, run);
+}
+
+/// What a response says about the request; a response without the header comes from no daemon.
+pub(crate) fn outcome_of(response: &Response<Payload>) -> Outcome {
+    match response.headers().get(headers::OUTCOME).map(HeaderValue::as_bytes) {
+        Some(b"run") => Outcome::Run,
+        Some(b"not-run") => Outcome::NotRun,
+        _ => Outcome::Unknown,
+    }
+}
+
+/// The reason that another daemon gave.
+pub(crate) fn reason_of(response: &Response<Payload>) -> Reason {
+    headers::read(response.headers(), &headers::REASON).unwrap_or(Reason::ProtocolError)
+}
+
+/// A response from its record.
+pub(crate) fn replay(answer: &StoredAnswer) -> Response<Payload> {
+    let mut response = Response::new(full(answer.body.clone()));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.headers_mut() = answer.headers.clone();
+    mark_run(&mut response);
+    response
+}
+
+/// The record of a response whose whole body is at hand.
+pub(crate) fn record(response: &Response<Payload>, body: Bytes) -> StoredAnswer {
+    let status = response.status().as_u16();
+    StoredAnswer { status, headers: response.headers().clone(), body }
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/beside.rs
@@ -0,0 +1,146 @@
+use std::{sync::Arc, time::Duration};
+
+use dw_request::{Arrival, Death, Fingerprint, POISON_SUSPECTS, Reason, Refusal};
+use http::{Request, Response, Uri, header};
+use http_body::Body;
+use http_body_util::BodyExt;
+use tokio::time::{Instant, timeout_at};
+
+use super::{
+    Proxy, answer,
+    body::{Ended, Payload, Tracked},
+    fault::SendFault,
+    headers,
+    slot::{Beside, Slot},
+};
+use crate::clock;
+
+/// Time left to a request whose sender states none; every daemon does.
+const NO_TIMEOUT: u64 = 2000;
+
+impl Proxy {
+    /// Runs a request at a target on this host.
+    pub(super) async fn beside(&self, mut request: Request<Payload>) -> Response<Payload> {
+        let map = request.headers();
+        let index = headers::read::<usize>(map, &headers::TARGET);
+        let left = headers::read(map, &headers::TIMEOUT).unwrap_or(NO_TIMEOUT);
+        let deadline = Instant::now() + Duration::from_millis(left);
+        let arrival = Arrival {
+            depth: headers::read(map, &headers::DEPTH).unwrap_or(0),
+            deadline,
+            fingerprint: headers::read::<String>(map, &headers::PRINT).and_then(|t| print_of(&t)),
+        };
+        let Some(target) = index.and_then(|idx| self.targets.get(idx)) else {
+            return answer::refuse(&Refusal::new(Reason::UnknownTarget));
+        };
+        let slot = match target.admit(arrival).await {
+            Ok(slot) => slot,
+            Err(refusal) => return answer::with_load(answer::refuse(&refusal), target.load()),
+        };
+        prepare(&mut request, deadline);
+        let sent = timeout_at(deadline, target.pool.send(request, deadline)).await;
+        let response = match sent {
+            Ok(Ok(response)) if !delimited(&response) => {
+                spdlog::warn!(logger: self.log, "[proxy] target {}: no body length", target.index);
+                answer::refuse(&Refusal::new(Reason::ProtocolError))
+            }
+            Ok(Ok(response)) => pass_on(response, target, slot),
+            Ok(Err(fault @ SendFault::NotSent { .. })) => {
+                spdlog::debug!(logger: self.log, "[proxy] target {}: {fault}", target.index);
+                slot.not_started();
+                answer::refuse(&Refusal::new(Reason::ConnectFailed))
+            }
+            Ok(Err(fault)) => {
+                spdlog::debug!(logger: self.log, "[proxy] target {}: {fault}", target.index);
+                self.lost(target, slot, arrival.fingerprint).await
+            }
+            Err(_) => answer::refuse(&Refusal::new(Reason::TimedOut)),
+        };
+        answer::with_load(response, target.load())
+    }
+
+    /// The connection failed under a request: says whether the target died with it.
+    async fn lost(
+        &self,
+        target: &Arc<Beside>,
+        slot: Slot,
+        print: Option<Fingerprint>,
+    ) -> Response<Payload> {
+        let Some((start, mut prints)) = target.find_death().await else {
+            return answer::refuse(&Refusal::new(Reason::ConnectionLost));
+        };
+        drop(slot);
+        prints.extend(print);
+        prints.sort_unstable();
+        prints.dedup();
+        let mut response = answer::refuse(&Refusal::new(Reason::TargetDied));
+        // With more suspects the death proves nothing about any of them.
+        if prints.len() <= POISON_SUSPECTS {
+            headers::set(response.headers_mut(), headers::DEATH, start);
+        }
+        spdlog::warn!(logger: self.log, "[proxy] target {} died under a request", target.index);
+        response
+    }
+
+    /// Takes note of a death that the daemon beside the target reported under a request.
+    pub(super) fn note_death(&self, death: Death, print: Fingerprint) {
+        let now = Instant::now();
+        let mut dispatcher = self.dispatcher();
+        let mut prints = dispatcher.target_died(&death.host, death.target, now);
+        prints.push(print);
+        let poison = dispatcher.poison_mut();
+        poison.report(death, prints, now);
+        if poison.refuses(print, now) {
+            drop(dispatcher);
+            self.announce_print(print);
+        }
+    }
+}
+
+/// Turns a request between daemons into one for the target.
+fn prepare(request: &mut Request<Payload>, deadline: Instant) {
+    let host = request.uri().authority().map(ToString::to_string);
+    let path = request.uri().path_and_query().cloned();
+    *request.uri_mut() = path.map(Uri::from).unwrap_or_default();
+    *request.version_mut() = http::Version::HTTP_11;
+    let left = headers::ms_left(deadline);
+    let map = request.headers_mut();
+    for name in [headers::STEP, headers::POOL, headers::TARGET, headers::PRINT] {
+        map.remove(name);
+    }
+    if let Some(host) = host {
+        headers::set(map, header::HOST, host);
+    }
+    headers::set(map, headers::TIMEOUT, left);
+    headers::set(map, headers::DEADLINE, u128::from(clock::unix_ms()) + left);
+}
+
+/// Whether the end of the body can be told from a failed connection. A body that ends with its
+/// connection cannot be passed on as complete.
+fn delimited(response: &Response<Payload>) -> bool {
+    let map = response.headers();
+    response.body().is_end_stream()
+        || map.contains_key(header::CONTENT_LENGTH)
+        || map.contains_key(header::TRANSFER_ENCODING)
+}
+
+fn pass_on(response: Response<Payload>, target: &Arc<Beside>, slot: Slot) -> Response<Payload> {
+    target.responded();
+    let status = response.status().as_u16();
+    let mut response = response.map(|body| {
+        let tracked = Tracked::new(body, move |ended| match ended {
+            Ended::Complete => slot.answered(status),
+            Ended::Failed | Ended::Dropped => drop(slot),
+        });
+        tracked.boxed_unsync()
+    });
+    let map = response.headers_mut();
+    headers::strip_hop(map);
+    headers::strip_own(map);
+    answer::mark_run(&mut response);
+    response
+}
+
+fn print_of(text: &str) -> Option<Fingerprint> {
+    u128::from_str_radix(text, 16).ok().map(|value| Fingerprint::from_bytes(value.to_be_bytes()))
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/body.rs
@@ -0,0 +1,196 @@
+use std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures_util::{StreamExt, stream};
+use http::Version;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::{BodyExt, BodyStream, Empty, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::body::Incoming;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// The body of every request and response that passes through the proxy.
+pub(crate) type Payload = UnsyncBoxBody<Bytes, BodyFault>;
+
+/// Why a body did not reach its end. It has no source on purpose: hyper would copy the reset
+/// reason of an HTTP/2 source onto the other side, and a reason of `NO_ERROR` reads as an end.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub(crate) enum BodyFault {
+    /// The sender stopped before the end.
+    #[display("the body ended early")]
+    Truncated,
+    /// The deadline passed before the end.
+    #[display("the deadline passed before the body ended")]
+    Deadline,
+}
+
+/// How a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ended {
+    /// All of it was passed on.
+    Complete,
+    /// It failed on its way.
+    Failed,
+    /// The receiver went away.
+    Dropped,
+}
+
+/// An empty body.
+pub(crate) fn empty() -> Payload {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body that is in memory.
+pub(crate) fn full(bytes: impl Into<Bytes>) -> Payload {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// The part of a body that was read already, followed by the rest.
+pub(crate) fn chain(read: Bytes, rest: Payload) -> Payload {
+    let first = stream::iter([Ok::<_, BodyFault>(Frame::data(read))]);
+    StreamBody::new(first.chain(BodyStream::new(rest))).boxed_unsync()
+}
+
+/// A body from the network whose end is verified.
+///
+/// hyper reports the end of an HTTP/2 body also after a reset with `NO_ERROR`; the body has then
+/// been truncated unless END_STREAM was received.
+pub(crate) struct Checked {
+    inner: Incoming,
+    framed: bool,
+    left: Option<u64>,
+    done: bool,
+}
+
+impl Checked {
+    /// Checks a body that arrived over HTTP of the given version.
+    pub(crate) fn new(inner: Incoming, version: Version) -> Self {
+        let framed = version == Version::HTTP_2;
+        // HTTP/2 checks the length itself, and the response to HEAD states one without a body.
+        let left = inner.size_hint().exact().filter(|_| !framed);
+        Self { inner, framed, left, done: false }
+    }
+
+    fn at_end(&self) -> Result<(), BodyFault> {
+        let reset = self.framed && !self.inner.is_end_stream();
+        if reset || self.left.is_some_and(|left| left > 0) {
+            return Err(BodyFault::Truncated);
+        }
+        Ok(())
+    }
+}
+
+impl Body for Checked {
+    type Data = Bytes;
+    type Error = BodyFault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
+        if self.done {
+            return Poll::Ready(None);
+        }
+        match ready!(Pin::new(&mut self.inner).poll_frame(cx)) {
+            Some(Ok(frame)) => {
+                let size = frame.data_ref().map_or(0, |data| data.len() as u64);
+                self.left = self.left.map(|left| left.saturating_sub(size));
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(_)) => {
+                self.done = true;
+                Poll::Ready(Some(Err(BodyFault::Truncated)))
+            }
+            None => {
+                self.done = true;
+                Poll::Ready(self.at_end().err().map(Err))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.done || (self.inner.is_end_stream() && self.at_end().is_ok())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        if self.is_end_stream() { SizeHint::with_exact(0) } else { self.inner.size_hint() }
+    }
+}
+
+type OnEnd = Box<dyn FnOnce(Ended) + Send>;
+
+/// A body that reports how it ended, once, and fails at the deadline.
+pub(crate) struct Tracked {
+    inner: Payload,
+    deadline: Option<Pin<Box<Sleep>>>,
+    on_end: Option<OnEnd>,
+}
+
+impl Tracked {
+    /// Tracks `inner`; `on_end` is called when it ends or is dropped.
+    pub(crate) fn new(inner: Payload, on_end: impl FnOnce(Ended) + Send + 'static) -> Self {
+        let mut tracked = Self { inner, deadline: None, on_end: Some(Box::new(on_end)) };
+        if tracked.inner.is_end_stream() {
+            tracked.finish(Ended::Complete);
+        }
+        tracked
+    }
+
+    /// Fails the body if it has not ended at `deadline`.
+    pub(crate) fn with_deadline(mut self, deadline: Instant) -> Self {
+        if self.on_end.is_some() {
+            self.deadline = Some(Box::pin(sleep_until(deadline)));
+        }
+        self
+    }
+
+    fn finish(&mut self, ended: Ended) {
+        self.deadline = None;
+        if let Some(on_end) = self.on_end.take() {
+            on_end(ended);
+        }
+    }
+}
+
+impl Body for Tracked {
+    type Data = Bytes;
+    type Error = BodyFault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
+        if let Poll::Ready(item) = Pin::new(&mut self.inner).poll_frame(cx) {
+            match &item {
+                Some(Ok(_)) if self.inner.is_end_stream() => self.finish(Ended::Complete),
+                Some(Ok(_)) => {}
+                Some(Err(_)) => self.finish(Ended::Failed),
+                None => self.finish(Ended::Complete),
+            }
+            return Poll::Ready(item);
+        }
+        if let Some(deadline) = &mut self.deadline {
+            ready!(deadline.as_mut().poll(cx));
+            self.finish(Ended::Failed);
+            return Poll::Ready(Some(Err(BodyFault::Deadline)));
+        }
+        Poll::Pending
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        self.finish(Ended::Dropped);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/entry.rs
@@ -0,0 +1,244 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use dw_request::{
+    Attempt, AttemptId, AttemptOutcome, Death, Decision, Next, Outcome, Reason, Refusal,
+};
+use dw_tables::Repeat;
+use http::{Request, Response, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::{
+    Proxy, answer,
+    body::{Ended, Payload, Tracked},
+    call::Call,
+    fault::SendFault,
+    headers,
+};
+
+/// What an attempt led to: for the dispatcher, and for the caller.
+type Tried = (AttemptOutcome, Option<Response<Payload>>);
+
+impl Proxy {
+    /// Responds to a request of a caller.
+    pub(super) async fn enter(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        from: SocketAddr,
+    ) -> Response<Payload> {
+        let started = Instant::now();
+        let mut call = Call::new(request);
+        let mut response = match self.admit(&mut call, from).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                self.counters.refused(refusal.reason);
+                if let Some(reason) = refusal.no_retry {
+                    self.counters.not_retried(reason);
+                }
+                answer::refuse(&refusal)
+            }
+        };
+        let seconds = started.elapsed().as_secs_f64();
+        self.counters.request(answer::outcome_of(&response), seconds);
+        let map = response.headers_mut();
+        map.remove(headers::LOAD);
+        map.remove(headers::DEATH);
+        if self.is_draining() {
+            // HTTP/1.1 callers connect elsewhere next; hyper drops the header for HTTP/2.
+            map.insert(header::CONNECTION, http::HeaderValue::from_static("close"));
+        }
+        self.until(response, call.deadline)
+    }
+
+    async fn admit(
+        self: &Arc<Self>,
+        call: &mut Call,
+        from: SocketAddr,
+    ) -> Result<Response<Payload>, Refusal> {
+        // A target on this host may need calls to complete a request that is in flight there.
+        if self.is_draining() && !call.is_nested() {
+            return Err(Refusal::new(Reason::Draining));
+        }
+        let router = self.dispatcher().router();
+        let route = router.find(call.host(), call.path(), call.method()).map(|e| e.route.clone());
+        let Some(route) = route else {
+            return self.forward(call).await;
+        };
+        let limit = Instant::now() + Duration::from(route.deadline);
+        let deadline = call.deadline.map_or(limit, |at| at.min(limit));
+        call.deadline = Some(deadline);
+        match timeout_at(deadline, call.read(self.retry_body)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return Err(Refusal::new(Reason::Cancelled)),
+            // Nothing was forwarded yet.
+            Err(_) => return Err(Refusal::new(Reason::DeadlinePassed)),
+        }
+        if call.print().is_some_and(|print| self.is_refused_print(print)) {
+            return Err(Refusal::new(Reason::Poisoned));
+        }
+        match call.record_key() {
+            Some(key) if route.repeat == Repeat::Once => {
+                self.through_keeper(call, &key, from, deadline).await
+            }
+            _ => self.forward(call).await,
+        }
+    }
+
+    /// Sends a request to a target, and again as far as the dispatcher allows.
+    pub(super) async fn forward(
+        self: &Arc<Self>,
+        call: &mut Call,
+    ) -> Result<Response<Payload>, Refusal> {
+        let decision = self.dispatcher().begin(call.info(), Instant::now());
+        let mut attempt = match decision {
+            Decision::Forward(attempt) => attempt,
+            Decision::Refuse(refusal) => return Err(refusal),
+        };
+        loop {
+            let flight = Flight { proxy: self.clone(), id: Some(attempt.id) };
+            let (outcome, response) = self.attempt(&attempt, call).await;
+            match flight.settle(&outcome) {
+                Next::Deliver => {
+                    return response.ok_or_else(|| Refusal::new(Reason::ProtocolError));
+                }
+                Next::Refuse(refusal) => return Err(refusal),
+                Next::Retry { after, attempt: next } => {
+                    // Settles the new attempt also if the caller goes away during the delay.
+                    let waiting = Flight { proxy: self.clone(), id: Some(next.id) };
+                    if !call.sendable() {
+                        let no_retry = Some(Reason::RetryLimit);
+                        return Err(Refusal { no_retry, ..refusal_of(&outcome) });
+                    }
+                    sleep(after).await;
+                    waiting.keep();
+                    if let Some(cause) = next.cause {
+                        self.counters.retried(cause);
+                    }
+                    attempt = next;
+                }
+            }
+        }
+    }
+
+    async fn attempt(self: &Arc<Self>, attempt: &Attempt, call: &mut Call) -> Tried {
+        let sent = Instant::now();
+        let deadline = sent + attempt.timeout;
+        let request = call.for_target(attempt, deadline);
+        let endpoint = &attempt.endpoint;
+        let response = if endpoint.host == self.host {
+            Ok(Ok(self.beside(request).await))
+        } else {
+            timeout_at(deadline, self.hops.send(endpoint.addr, request)).await
+        };
+        match response {
+            Ok(Ok(response)) => self.read_answer(attempt, call, response, sent),
+            Ok(Err(SendFault::NotSent { reason, request })) => {
+                spdlog::debug!(logger: self.log, "[proxy] {}: {reason}", endpoint.host);
+                if let Some(request) = request {
+                    call.restore(*request);
+                }
+                let reason = Reason::ConnectFailed;
+                (AttemptOutcome::NotRun { reason, retry_after: None, load: None }, None)
+            }
+            Ok(Err(SendFault::Unknown { reason })) => {
+                spdlog::debug!(logger: self.log, "[proxy] {}: {reason}", endpoint.host);
+                (AttemptOutcome::Unknown { reason: Reason::ConnectionLost }, None)
+            }
+            Err(_) => (AttemptOutcome::Unknown { reason: Reason::TimedOut }, None),
+        }
+    }
+
+    fn read_answer(
+        &self,
+        attempt: &Attempt,
+        call: &Call,
+        response: Response<Payload>,
+        sent: Instant,
+    ) -> Tried {
+        let map = response.headers();
+        let load = headers::read(map, &headers::LOAD);
+        match answer::outcome_of(&response) {
+            Outcome::Run => {
+                let status = response.status().as_u16();
+                let outcome = AttemptOutcome::Answered { status, load, latency: sent.elapsed() };
+                (outcome, Some(response))
+            }
+            Outcome::NotRun => {
+                let seconds = headers::read(map, &header::RETRY_AFTER).map(Duration::from_secs);
+                let reason = answer::reason_of(&response);
+                (AttemptOutcome::NotRun { reason, retry_after: seconds, load }, None)
+            }
+            Outcome::Unknown => {
+                if let (Some(start), Some(print)) =
+                    (headers::read(map, &headers::DEATH), call.print())
+                {
+                    let endpoint = &attempt.endpoint;
+                    let host = endpoint.host.clone();
+                    self.note_death(Death { host, target: endpoint.target, start }, print);
+                }
+                (AttemptOutcome::Unknown { reason: answer::reason_of(&response) }, None)
+            }
+        }
+    }
+
+    /// Fails the body of a response that has not ended at the deadline, and counts early ends.
+    fn until(
+        self: &Arc<Self>,
+        response: Response<Payload>,
+        deadline: Option<Instant>,
+    ) -> Response<Payload> {
+        let proxy = self.clone();
+        response.map(|body| {
+            let tracked = Tracked::new(body, move |ended| {
+                if ended == Ended::Failed {
+                    proxy.counters.refused(Reason::ResponseTruncated);
+                }
+            });
+            match deadline {
+                Some(at) => tracked.with_deadline(at).boxed_unsync(),
+                None => tracked.boxed_unsync(),
+            }
+        })
+    }
+}
+
+/// What an attempt alone says to the caller.
+fn refusal_of(outcome: &AttemptOutcome) -> Refusal {
+    match *outcome {
+        AttemptOutcome::NotRun { reason, .. } | AttemptOutcome::Unknown { reason } => {
+            Refusal::new(reason)
+        }
+        AttemptOutcome::Answered { .. } => Refusal::new(Reason::ServerError),
+        AttemptOutcome::Cancelled => Refusal::new(Reason::Cancelled),
+    }
+}
+
+/// An attempt in flight; counts as cancelled when dropped, because then the caller went away.
+struct Flight {
+    proxy: Arc<Proxy>,
+    id: Option<AttemptId>,
+}
+
+impl Flight {
+    fn settle(mut self, outcome: &AttemptOutcome) -> Next {
+        match self.id.take() {
+            Some(id) => self.proxy.dispatcher().settle(id, *outcome, Instant::now()),
+            None => Next::Deliver,
+        }
+    }
+
+    /// Leaves the attempt in flight for its next owner.
+    fn keep(mut self) {
+        self.id = None;
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            let now = Instant::now();
+            self.proxy.dispatcher().settle(id, AttemptOutcome::Cancelled, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/headers.rs
@@ -0,0 +1,108 @@
+use std::{fmt::Display, str::FromStr};
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+use tokio::time::Instant;
+
+/// The caller's key of a request that may run at most once.
+pub(crate) const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// When the caller first sent the request, in ms since the Unix epoch.
+pub(crate) const FIRST_SENT: HeaderName = HeaderName::from_static("damaskwick-first-sent");
+/// The home failure domain of a key.
+pub(crate) const HOME: HeaderName = HeaderName::from_static("damaskwick-home");
+/// Time left for the whole response, in ms.
+pub(crate) const TIMEOUT: HeaderName = HeaderName::from_static("damaskwick-timeout-ms");
+/// The time after which a target does not start the request, in ms since the Unix epoch.
+pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("damaskwick-deadline");
+/// Calls above this one in the chain.
+pub(crate) const DEPTH: HeaderName = HeaderName::from_static("damaskwick-depth");
+/// Whether another level of the chain retries the request.
+pub(crate) const RETRIED: HeaderName = HeaderName::from_static("damaskwick-retried");
+/// The pool, between daemons.
+pub(crate) const POOL: HeaderName = HeaderName::from_static("damaskwick-pool");
+/// The index of the target at its host, between daemons.
+pub(crate) const TARGET: HeaderName = HeaderName::from_static("damaskwick-target");
+/// What the receiving daemon is asked to do, between daemons.
+pub(crate) const STEP: HeaderName = HeaderName::from_static("damaskwick-step");
+/// The fingerprint of the request, between daemons.
+pub(crate) const PRINT: HeaderName = HeaderName::from_static("damaskwick-fingerprint");
+/// The host that asks, between daemons.
+pub(crate) const FROM: HeaderName = HeaderName::from_static("damaskwick-from");
+/// The load of a target, on responses between daemons.
+pub(crate) const LOAD: HeaderName = HeaderName::from_static("damaskwick-load");
+/// Counts the deaths of a target, on responses between daemons.
+pub(crate) const DEATH: HeaderName = HeaderName::from_static("damaskwick-death");
+/// Whether the request was run.
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("damaskwick-outcome");
+/// Why the request was refused.
+pub(crate) const REASON: HeaderName = HeaderName::from_static("damaskwick-reason");
+
+const PREFIX: &str = "damaskwick-";
+
+/// Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    // The proxy asks for the body itself.
+    header::EXPECT,
+];
+
+/// Headers of the same kind without a constant in the library.
+const HOP_BY_HOP_TEXT: [&str; 3] = ["keep-alive", "proxy-connection", "http2-settings"];
+
+/// Removes the headers that belong to one connection, and those that `Connection` names.
+pub(crate) fn strip_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| HeaderName::from_str(name.trim()).ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP_TEXT {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers of this system, so that a target's copy of one is not taken for the
+/// daemon's own.
+pub(crate) fn strip_own(headers: &mut HeaderMap) {
+    let own: Vec<HeaderName> =
+        headers.keys().filter(|name| name.as_str().starts_with(PREFIX)).cloned().collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// Reads a header; `None` if it is missing or malformed.
+pub(crate) fn read<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// Sets a header to a value whose text is valid in one.
+pub(crate) fn set(headers: &mut HeaderMap, name: HeaderName, value: impl Into<Text>) {
+    if let Ok(value) = HeaderValue::try_from(value.into().0) {
+        headers.insert(name, value);
+    }
+}
+
+/// The text of a header value.
+pub(crate) struct Text(String);
+
+impl<T: Display> From<T> for Text {
+    fn from(value: T) -> Self {
+        Self(value.to_string())
+    }
+}
+
+/// The time left until `deadline`, in whole ms.
+pub(crate) fn ms_left(deadline: Instant) -> u128 {
+    deadline.saturating_duration_since(Instant::now()).as_millis()
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/hop.rs
@@ -0,0 +1,193 @@
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::client::conn::http2::{Builder, SendRequest};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use super::{
+    body::{Checked, Payload, Tracked},
+    fault::SendFault,
+};
+use crate::tasks::Tasks;
+
+/// Interval of the pings that detect a connection which no longer responds, and the wait for each.
+pub(crate) const PING: Duration = Duration::from_secs(2);
+
+/// The longest wait for a connection to another daemon; domains are about 1 ms apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// A connection without a request for this long is closed.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Requests in flight on the first connection above which a second one is opened.
+const SECOND_AT: usize = 64;
+
+/// The most connections to one daemon.
+const CONNECTIONS: usize = 2;
+
+/// A connection that closes between choice and use is replaced this many times for one request.
+const STALE_LIMIT: u32 = 3;
+
+/// HTTP/2 connections to the data addresses of other daemons.
+#[derive(Clone)]
+pub(crate) struct HopPool(Arc<Inner>);
+
+struct Inner {
+    // A lock and not a task, for the same reason as in the pool of a target.
+    peers: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
+    tasks: Tasks,
+}
+
+#[derive(Default)]
+struct Peer {
+    conns: Mutex<Vec<Conn>>,
+    // Held while connecting, so that concurrent requests open one connection and not one each.
+    opening: tokio::sync::Mutex<()>,
+}
+
+#[derive(Clone)]
+struct Conn {
+    sender: SendRequest<Payload>,
+    busy: Arc<AtomicUsize>,
+}
+
+impl HopPool {
+    /// An empty pool.
+    pub(crate) fn new(tasks: Tasks) -> Self {
+        Self(Arc::new(Inner { peers: Mutex::default(), tasks }))
+    }
+
+    /// Sends a request to the daemon at `addr` and returns the response head.
+    ///
+    /// # Errors
+    /// Whether the request was sent at all.
+    pub(crate) async fn send(
+        &self,
+        addr: SocketAddr,
+        mut request: Request<Payload>,
+    ) -> Result<Response<Payload>, SendFault> {
+        let peer = lock(&self.0.peers).entry(addr).or_default().clone();
+        for _ in 0..STALE_LIMIT {
+            let mut conn = match self.checkout(&peer, addr).await {
+                Ok(conn) => conn,
+                Err(reason) => return Err(SendFault::not_sent(&reason, request)),
+            };
+            let busy = Busy::new(conn.busy.clone());
+            match conn.sender.try_send_request(request).await {
+                Ok(response) => return Ok(track(response, busy)),
+                Err(mut fault) => match fault.take_message() {
+                    Some(message) => request = message,
+                    None => return Err(SendFault::Unknown { reason: fault.error().to_string() }),
+                },
+            }
+        }
+        Err(SendFault::not_sent(&"every connection was closed", request))
+    }
+
+    async fn checkout(&self, peer: &Arc<Peer>, addr: SocketAddr) -> Result<Conn, String> {
+        if let Some(conn) = peer.pick() {
+            return Ok(conn);
+        }
+        let _opening = peer.opening.lock().await;
+        if let Some(conn) = peer.pick() {
+            return Ok(conn);
+        }
+        match timeout(CONNECT_TIMEOUT, self.connect(peer, addr)).await {
+            Ok(Ok(conn)) => Ok(conn),
+            Ok(Err(reason)) => peer.any().ok_or(reason),
+            Err(_) => peer.any().ok_or_else(|| "the daemon did not accept in time".to_owned()),
+        }
+    }
+
+    async fn connect(&self, peer: &Arc<Peer>, addr: SocketAddr) -> Result<Conn, String> {
+        let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
+        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        let (sender, link) = Builder::new(self.0.tasks.clone())
+            .timer(TokioTimer::new())
+            .keep_alive_interval(PING)
+            .keep_alive_timeout(PING)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| e.to_string())?;
+        let conn = Conn { sender, busy: Arc::default() };
+        lock(&peer.conns).push(conn.clone());
+        let (peer, busy) = (peer.clone(), conn.busy.clone());
+        self.0.tasks.spawn(async move {
+            tokio::pin!(link);
+            loop {
+                tokio::select! {
+                    // A failed connection is reported by the requests on it.
+                    _ = &mut link => break,
+                    () = sleep(IDLE) => {
+                        // The sender in the list is the last one then, so the connection closes.
+                        if busy.load(Ordering::Relaxed) == 0 {
+                            peer.forget(&busy);
+                        }
+                    }
+                }
+            }
+            peer.forget(&busy);
+        });
+        Ok(conn)
+    }
+}
+
+impl Peer {
+    /// The least busy connection, or `None` if another one is worth opening.
+    fn pick(&self) -> Option<Conn> {
+        let mut conns = lock(&self.conns);
+        conns.retain(|c| !c.sender.is_closed());
+        let conn = conns.iter().min_by_key(|c| c.busy.load(Ordering::Relaxed))?;
+        let full = conns.len() >= CONNECTIONS;
+        (full || conn.busy.load(Ordering::Relaxed) < SECOND_AT).then(|| conn.clone())
+    }
+
+    fn any(&self) -> Option<Conn> {
+        lock(&self.conns).iter().find(|c| !c.sender.is_closed()).cloned()
+    }
+
+    fn forget(&self, busy: &Arc<AtomicUsize>) {
+        lock(&self.conns).retain(|c| !Arc::ptr_eq(&c.busy, busy));
+    }
+}
+
+/// Counts a request on a connection while it exists.
+struct Busy(Arc<AtomicUsize>);
+
+impl Busy {
+    fn new(count: Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn track(response: Response<hyper::body::Incoming>, busy: Busy) -> Response<Payload> {
+    let version = response.version();
+    response.map(|body| {
+        let body = Checked::new(body, version).boxed_unsync();
+        Tracked::new(body, move |_| drop(busy)).boxed_unsync()
+    })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/keep.rs
@@ -0,0 +1,258 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use dw_request::{ANSWER_LIMIT, Claim, HandOver, Held, KeyOutcome, Outcome, Reason, Refusal};
+use dw_tables::Name;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep, timeout, timeout_at},
+};
+
+use super::{
+    Proxy, answer,
+    body::{Payload, empty, full},
+    call::Call,
+    fault::SendFault,
+    headers, lock, records,
+};
+use crate::clock;
+
+/// Times that a keeper is looked for while the views of the daemons differ.
+const KEEPER_TRIES: u32 = 3;
+
+/// The wait between two of them; membership events reach a domain in well under a second.
+const KEEPER_PAUSE: Duration = Duration::from_millis(50);
+
+/// The longest wait for an earlier keeper or a successor.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The largest body with records, in bytes.
+const RECORDS_LIMIT: usize = 64 << 20;
+
+impl Proxy {
+    /// Sends a request that runs at most once through the keeper of its key.
+    pub(super) async fn through_keeper(
+        self: &Arc<Self>,
+        call: &mut Call,
+        key: &Name,
+        from: SocketAddr,
+        deadline: Instant,
+    ) -> Result<Response<Payload>, Refusal> {
+        let mut moved = Refusal::new(Reason::KeeperMoved);
+        for attempt in 0..KEEPER_TRIES {
+            if attempt > 0 {
+                sleep(KEEPER_PAUSE).await;
+            }
+            let local = from.ip() == self.callers.ip();
+            let keeper = lock(&self.fleet).keeper(key, call.home.as_ref(), local);
+            let Some(keeper) = keeper else {
+                return Err(Refusal::new(Reason::KeeperUnreachable));
+            };
+            if keeper.host == self.host {
+                match self.keep(call, key).await {
+                    Err(refusal) if refusal.reason == Reason::KeeperMoved => moved = refusal,
+                    result => return result,
+                }
+                continue;
+            }
+            let request = call.for_keeper(deadline);
+            match timeout_at(deadline, self.hops.send(keeper.data, request)).await {
+                Ok(Ok(response)) => {
+                    let again = answer::outcome_of(&response) == Outcome::NotRun
+                        && answer::reason_of(&response) == Reason::KeeperMoved;
+                    if !again || !call.sendable() {
+                        return Ok(response);
+                    }
+                }
+                // An earlier request with this key may have been run, so this is not `not-run`.
+                Ok(Err(SendFault::NotSent { .. })) => {
+                    return Err(Refusal::new(Reason::KeeperUnreachable));
+                }
+                Ok(Err(SendFault::Unknown { .. })) => {
+                    return Err(Refusal::new(Reason::ConnectionLost));
+                }
+                Err(_) => return Err(Refusal::new(Reason::TimedOut)),
+            }
+        }
+        Err(moved)
+    }
+
+    /// Runs a request whose key this daemon keeps, unless it was run before.
+    pub(super) async fn keep(
+        self: &Arc<Self>,
+        call: &mut Call,
+        key: &Name,
+    ) -> Result<Response<Payload>, Refusal> {
+        let mut claim = self.keeper().claim(key, call.first_sent, Instant::now());
+        while let Claim::Ask(host) = &claim {
+            let held = self.ask(host, key, call.first_sent).await;
+            claim = self.keeper().resume(key, held, Instant::now());
+        }
+        if let Some(refusal) = claim.refusal() {
+            return Err(refusal);
+        }
+        match claim {
+            Claim::Answered(stored) => Ok(answer::replay(&stored)),
+            _ => self.run_claimed(call, key).await,
+        }
+    }
+
+    /// Runs a claimed request to its end even if the caller goes away, so that a repeat gets the
+    /// response.
+    async fn run_claimed(
+        self: &Arc<Self>,
+        call: &mut Call,
+        key: &Name,
+    ) -> Result<Response<Payload>, Refusal> {
+        let claimed = Claimed { proxy: self.clone(), key: key.clone(), open: true };
+        let (reply, answer) = oneshot::channel();
+        let (proxy, mut call) = (self.clone(), call.take());
+        self.tasks.spawn(async move {
+            let _flight = proxy.flights.token();
+            let result = proxy.forward(&mut call).await;
+            // The caller may have gone away.
+            let _ = reply.send(claimed.end(result).await);
+        });
+        answer.await.unwrap_or_else(|_| Err(Refusal::new(Reason::RecordUnknown)))
+    }
+
+    /// Asks an earlier keeper for its record.
+    async fn ask(&self, host: &Name, key: &Name, first: Option<Instant>) -> Option<Held> {
+        let addr = self.members().iter().find(|m| m.host == *host)?.data;
+        let mut request = Request::new(full(key.to_string()));
+        *request.uri_mut() = http::Uri::from_static("http://damaskwick/");
+        let map = request.headers_mut();
+        headers::set(map, headers::STEP, "cede");
+        headers::set(map, headers::FROM, &self.host);
+        if let Some(first) = first {
+            let age = u64::try_from(first.elapsed().as_millis()).unwrap_or(u64::MAX);
+            headers::set(map, headers::FIRST_SENT, clock::unix_ms().saturating_sub(age));
+        }
+        let body = self.exchange(addr, request).await?;
+        records::decode_held(&body)
+    }
+
+    /// Answers a newer keeper.
+    pub(super) async fn cede(&self, request: Request<Payload>) -> Response<Payload> {
+        let (head, body) = request.into_parts();
+        let from = headers::read::<String>(&head.headers, &headers::FROM).map(Name::from);
+        let first = headers::read(&head.headers, &headers::FIRST_SENT);
+        let key = collect(body).await.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok());
+        let (Some(from), Some(key)) = (from, key) else { return status(StatusCode::BAD_REQUEST) };
+        let first = first.and_then(clock::from_unix_ms);
+        let held = self.keeper().cede(&Name::from(key), first, &from, Instant::now());
+        Response::new(full(records::encode_held(&held)))
+    }
+
+    /// Takes over the records of a daemon that leaves.
+    pub(super) async fn accept(&self, request: Request<Payload>) -> Response<Payload> {
+        let (head, body) = request.into_parts();
+        let from = headers::read::<String>(&head.headers, &headers::FROM).map(Name::from);
+        let list = collect(body).await.and_then(|bytes| records::decode_list(&bytes));
+        let (Some(from), Some(list)) = (from, list) else { return status(StatusCode::BAD_REQUEST) };
+        self.keeper().accept(&from, list, Instant::now());
+        status(StatusCode::NO_CONTENT)
+    }
+
+    /// Hands the records over to the daemons that keep the keys next.
+    pub(crate) async fn hand_over(&self) {
+        let parts = self.keeper().hand_over(Instant::now());
+        for HandOver { to, records } in parts {
+            let Some(addr) = self.members().iter().find(|m| m.host == to).map(|m| m.data) else {
+                continue;
+            };
+            let mut request = Request::new(full(records::encode_list(&records)));
+            *request.uri_mut() = http::Uri::from_static("http://damaskwick/");
+            headers::set(request.headers_mut(), headers::STEP, "hand-over");
+            headers::set(request.headers_mut(), headers::FROM, &self.host);
+            let count = records.len();
+            match self.exchange(addr, request).await {
+                Some(_) => {
+                    spdlog::info!(logger: self.log, "[proxy] {count} records handed over to {to}");
+                }
+                None => {
+                    spdlog::warn!(logger: self.log, "[proxy] {count} records not taken by {to}");
+                }
+            }
+        }
+    }
+
+    async fn exchange(&self, addr: SocketAddr, request: Request<Payload>) -> Option<Bytes> {
+        let work = async {
+            let response = self.hops.send(addr, request).await.ok()?;
+            let good = response.status().is_success();
+            collect(response.into_body()).await.filter(|_| good)
+        };
+        timeout(RECORD_TIMEOUT, work).await.ok().flatten()
+    }
+}
+
+/// A claim that must be settled; a daemon that is aborted meanwhile cannot know the outcome.
+struct Claimed {
+    proxy: Arc<Proxy>,
+    key: Name,
+    open: bool,
+}
+
+impl Claimed {
+    fn settle(&mut self, outcome: KeyOutcome) {
+        self.open = false;
+        self.proxy.keeper().settle(&self.key, outcome, Instant::now());
+    }
+
+    /// Records the response and returns it with a whole body, or a streamed one above the limit.
+    async fn end(
+        mut self,
+        result: Result<Response<Payload>, Refusal>,
+    ) -> Result<Response<Payload>, Refusal> {
+        let response = match result {
+            Ok(response) => response,
+            Err(refusal) => {
+                let not_run = refusal.outcome == Outcome::NotRun;
+                self.settle(if not_run { KeyOutcome::NotRun } else { KeyOutcome::Unknown });
+                return Err(refusal);
+            }
+        };
+        let (mut head, mut body) = response.into_parts();
+        head.headers.remove(headers::LOAD);
+        let mut kept = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                self.settle(KeyOutcome::Unknown);
+                return Err(Refusal::new(Reason::ResponseTruncated));
+            };
+            if let Ok(data) = frame.into_data() {
+                kept.extend_from_slice(&data);
+            }
+            if kept.len() > ANSWER_LIMIT {
+                self.settle(KeyOutcome::NotKept);
+                let body = super::body::chain(kept.freeze(), body);
+                return Ok(Response::from_parts(head, body));
+            }
+        }
+        let kept = kept.freeze();
+        let response = Response::from_parts(head, full(kept.clone()));
+        self.settle(KeyOutcome::Answered(answer::record(&response, kept)));
+        Ok(response)
+    }
+}
+
+impl Drop for Claimed {
+    fn drop(&mut self) {
+        if self.open {
+            self.settle(KeyOutcome::Unknown);
+        }
+    }
+}
+
+async fn collect(body: Payload) -> Option<Bytes> {
+    Limited::new(body, RECORDS_LIMIT).collect().await.ok().map(http_body_util::Collected::to_bytes)
+}
+
+fn status(status: StatusCode) -> Response<Payload> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/records.rs
@@ -0,0 +1,130 @@
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dw_request::{Held, Record, RecordState, StoredAnswer};
+use dw_tables::Name;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use prost::Message;
+
+/// One header of a stored response.
+#[derive(Clone, PartialEq, Eq, Message)]
+struct WireHeader {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(bytes = "vec", tag = "2")]
+    value: Vec<u8>,
+}
+
+/// A record of a key between keepers.
+#[derive(Clone, PartialEq, Eq, Message)]
+struct WireRecord {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    #[prost(uint32, tag = "3")]
+    state: u32,
+    #[prost(uint32, tag = "4")]
+    status: u32,
+    #[prost(message, repeated, tag = "5")]
+    headers: Vec<WireHeader>,
+    #[prost(bytes = "bytes", tag = "6")]
+    body: Bytes,
+}
+
+/// Records handed over together.
+#[derive(Clone, PartialEq, Eq, Message)]
+struct WireRecords {
+    #[prost(message, repeated, tag = "1")]
+    list: Vec<WireRecord>,
+}
+
+/// The reply of an earlier keeper.
+#[derive(Clone, PartialEq, Eq, Message)]
+struct WireHeld {
+    #[prost(uint32, tag = "1")]
+    kind: u32,
+    #[prost(message, optional, tag = "2")]
+    record: Option<WireRecord>,
+    #[prost(string, tag = "3")]
+    ask: String,
+}
+
+/// Encodes the reply of an earlier keeper.
+pub(super) fn encode_held(held: &Held) -> Vec<u8> {
+    let wire = match held {
+        Held::Free => WireHeld { kind: 1, ..WireHeld::default() },
+        Held::Record(record) => {
+            WireHeld { kind: 2, record: Some(pack(record)), ..WireHeld::default() }
+        }
+        Held::Lost => WireHeld { kind: 3, ..WireHeld::default() },
+        Held::Ask(host) => WireHeld { kind: 4, ask: host.to_string(), ..WireHeld::default() },
+    };
+    wire.encode_to_vec()
+}
+
+/// Decodes the reply of an earlier keeper; `None` if it cannot be read.
+pub(super) fn decode_held(bytes: &[u8]) -> Option<Held> {
+    let wire = WireHeld::decode(bytes).ok()?;
+    match wire.kind {
+        1 => Some(Held::Free),
+        2 => Some(Held::Record(unpack(wire.record?)?)),
+        3 => Some(Held::Lost),
+        4 => Some(Held::Ask(Name::from(wire.ask))),
+        _ => None,
+    }
+}
+
+/// Encodes records for the daemon that takes over.
+pub(super) fn encode_list(records: &[Record]) -> Vec<u8> {
+    WireRecords { list: records.iter().map(pack).collect() }.encode_to_vec()
+}
+
+/// Decodes records that are handed over; `None` if one of them cannot be read.
+pub(super) fn decode_list(bytes: &[u8]) -> Option<Vec<Record>> {
+    WireRecords::decode(bytes).ok()?.list.into_iter().map(unpack).collect()
+}
+
+fn pack(record: &Record) -> WireRecord {
+    let mut wire = WireRecord {
+        key: record.key.to_string(),
+        age_ms: u64::try_from(record.age.as_millis()).unwrap_or(u64::MAX),
+        ..WireRecord::default()
+    };
+    match &record.state {
+        RecordState::InProgress => wire.state = 1,
+        RecordState::Answered(answer) => {
+            wire.state = 2;
+            wire.status = answer.status.into();
+            wire.headers = answer.headers.iter().map(|(n, v)| pack_header(n, v)).collect();
+            wire.body = answer.body.clone();
+        }
+        RecordState::NotKept => wire.state = 3,
+        RecordState::Unknown => wire.state = 4,
+    }
+    wire
+}
+
+fn pack_header(name: &HeaderName, value: &HeaderValue) -> WireHeader {
+    WireHeader { name: name.to_string(), value: value.as_bytes().to_vec() }
+}
+
+fn unpack(wire: WireRecord) -> Option<Record> {
+    let state = match wire.state {
+        1 => RecordState::InProgress,
+        2 => {
+            let mut headers = HeaderMap::new();
+            for header in wire.headers {
+                let name = HeaderName::try_from(header.name).ok()?;
+                headers.append(name, HeaderValue::try_from(header.value).ok()?);
+            }
+            let status = u16::try_from(wire.status).ok()?;
+            RecordState::Answered(Arc::new(StoredAnswer { status, headers, body: wire.body }))
+        }
+        3 => RecordState::NotKept,
+        4 => RecordState::Unknown,
+        _ => return None,
+    };
+    let age = Duration::from_millis(wire.age_ms);
+    Some(Record { key: Name::from(wire.key), state, age })
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/target.rs
@@ -0,0 +1,129 @@
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, timeout, timeout_at},
+};
+
+use super::{
+    body::{Checked, Ended, Payload, Tracked},
+    fault::SendFault,
+};
+use crate::tasks::Tasks;
+
+/// The longest wait for a connection to a target on the same host; one takes about 1 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Kept connections that turn out to be closed are replaced this many times for one request.
+const STALE_LIMIT: u32 = 3;
+
+/// HTTP/1.1 connections to one target on this host, bounded by the connections it accepts.
+#[derive(Clone)]
+pub(crate) struct TargetPool(Arc<Inner>);
+
+struct Inner {
+    addr: SocketAddr,
+    // A lock and not a task: it is held for one push or pop, and a message for each request would
+    // add two task switches to the path.
+    idle: Mutex<Vec<SendRequest<Payload>>>,
+    room: Arc<Semaphore>,
+    tasks: Tasks,
+}
+
+impl TargetPool {
+    /// A pool of at most `connections` connections to `addr`.
+    pub(crate) fn new(addr: SocketAddr, connections: u32, tasks: Tasks) -> Self {
+        let room = Arc::new(Semaphore::new(connections as usize));
+        Self(Arc::new(Inner { addr, idle: Mutex::default(), room, tasks }))
+    }
+
+    /// Sends a request and returns the response head; the connection is kept when the body of the
+    /// response was read to its end, and closed when the response is dropped before.
+    ///
+    /// # Errors
+    /// Whether the request was sent at all.
+    pub(crate) async fn send(
+        &self,
+        mut request: Request<Payload>,
+        deadline: Instant,
+    ) -> Result<Response<Payload>, SendFault> {
+        for _ in 0..STALE_LIMIT {
+            let mut sender = match self.checkout(deadline).await {
+                Ok(sender) => sender,
+                Err(reason) => return Err(SendFault::not_sent(&reason, request)),
+            };
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.keep(sender, response)),
+                Err(mut fault) => match fault.take_message() {
+                    Some(message) => request = message,
+                    None => return Err(SendFault::Unknown { reason: fault.error().to_string() }),
+                },
+            }
+        }
+        Err(SendFault::not_sent(&"every kept connection was closed", request))
+    }
+
+    /// Closes the connections that are idle.
+    pub(crate) fn close_idle(&self) {
+        self.idle().clear();
+    }
+
+    fn idle(&self) -> std::sync::MutexGuard<'_, Vec<SendRequest<Payload>>> {
+        self.0.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn checkout(&self, deadline: Instant) -> Result<SendRequest<Payload>, String> {
+        loop {
+            let Some(mut sender) = self.idle().pop() else { break };
+            if !sender.is_closed() && sender.ready().await.is_ok() {
+                return Ok(sender);
+            }
+        }
+        let room = timeout_at(deadline, self.0.room.clone().acquire_owned()).await;
+        let Ok(Ok(permit)) = room else {
+            return Err("no connection to the target became free".to_owned());
+        };
+        timeout(CONNECT_TIMEOUT, self.connect(permit))
+            .await
+            .unwrap_or_else(|_| Err("the target did not accept a connection".to_owned()))
+    }
+
+    async fn connect(&self, permit: OwnedSemaphorePermit) -> Result<SendRequest<Payload>, String> {
+        let stream = TcpStream::connect(self.0.addr).await.map_err(|e| e.to_string())?;
+        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        let (sender, conn) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+        self.0.tasks.spawn(async move {
+            // A failed connection is reported by the request on it.
+            let _ = conn.await;
+            drop(permit);
+        });
+        Ok(sender)
+    }
+
+    fn keep(
+        &self,
+        sender: SendRequest<Payload>,
+        response: Response<hyper::body::Incoming>,
+    ) -> Response<Payload> {
+        let version = response.version();
+        let pool = self.clone();
+        response.map(|body| {
+            let body = Checked::new(body, version).boxed_unsync();
+            let tracked = Tracked::new(body, move |ended| {
+                if ended == Ended::Complete {
+                    pool.idle().push(sender);
+                }
+            });
+            tracked.boxed_unsync()
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/running.rs
@@ -0,0 +1,156 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use dw_mesh::{Input, LocalEvent, MemberTable, Status};
+use dw_tables::{Version, VersionMark};
+use spdlog::Logger;
+use tokio::{
+    sync::{mpsc, watch},
+    time::{Instant, sleep, timeout, timeout_at},
+};
+
+use crate::{
+    Counts,
+    counters::Counters,
+    node::{ToNode, View, ask_status},
+    proxy::{Proxy, Server},
+    tasks::Tasks,
+};
+
+/// Time between the announcement that a daemon leaves and the end of its idle connections, so that
+/// a request sent on one at that moment is still refused by a response.
+const NOTICE: Duration = Duration::from_millis(300);
+
+/// The longest wait for connections to close once nothing is in flight.
+const CLOSE_WAIT: Duration = Duration::from_secs(1);
+
+/// Time for the last control messages to leave the host.
+const FLUSH: Duration = Duration::from_millis(50);
+
+/// The addresses on which a daemon listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addrs {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For control messages of other daemons, TCP and UDP.
+    pub peers: SocketAddr,
+    /// For requests of other daemons.
+    pub data: SocketAddr,
+    /// For the admin API.
+    pub admin: SocketAddr,
+}
+
+/// A daemon that runs; dropping it leaves its tasks running.
+pub struct Running {
+    pub(crate) addrs: Addrs,
+    pub(crate) grace: Duration,
+    pub(crate) view: watch::Receiver<View>,
+    pub(crate) node: mpsc::Sender<ToNode>,
+    pub(crate) proxy: Arc<Proxy>,
+    pub(crate) server: Server,
+    pub(crate) counters: Counters,
+    pub(crate) log: Arc<Logger>,
+    pub(crate) tasks: Tasks,
+}
+
+impl Running {
+    /// The addresses on which the daemon listens.
+    #[must_use]
+    pub const fn addrs(&self) -> Addrs {
+        self.addrs
+    }
+
+    /// Number and hash of the version served; number 0 for none.
+    #[must_use]
+    pub fn served(&self) -> VersionMark {
+        self.view.borrow().version.mark()
+    }
+
+    /// The version served.
+    #[must_use]
+    pub fn version(&self) -> Arc<Version> {
+        self.view.borrow().version.clone()
+    }
+
+    /// The members as the daemon sees them.
+    #[must_use]
+    pub fn members(&self) -> Arc<MemberTable> {
+        self.view.borrow().members.clone()
+    }
+
+    /// Waits until the daemon serves a version of at least this number.
+    pub async fn wait_version(&self, number: u64) {
+        let mut view = self.view.clone();
+        // The sender ends only with the daemon.
+        let _ = view.wait_for(|view| view.version.number >= number).await;
+    }
+
+    /// Waits until the members satisfy a condition.
+    pub async fn wait_members(&self, mut good: impl FnMut(&MemberTable) -> bool) {
+        let mut view = self.view.clone();
+        // The sender ends only with the daemon.
+        let _ = view.wait_for(|view| good(&view.members)).await;
+    }
+
+    /// What the daemon knows about the version in force; `None` while it closes.
+    pub async fn status(&self) -> Option<Status> {
+        ask_status(&self.node).await
+    }
+
+    /// Control bytes, platform calls and requests so far.
+    #[must_use]
+    pub fn counters(&self) -> Counts {
+        self.counters.counts()
+    }
+
+    /// Leaves in order: announces it, refuses new work as not run, waits up to the grace for what
+    /// is in flight, hands the at-most-once records over, and closes the connections. Further calls
+    /// return at once.
+    pub async fn drain(&self) {
+        if self.server.drain.is_cancelled() {
+            return;
+        }
+        let until = Instant::now() + self.grace;
+        spdlog::info!(logger: self.log, "[proxy] leaving");
+        self.proxy.drain();
+        self.server.drain.cancel();
+        self.tell(LocalEvent::StartDrain).await;
+        sleep(NOTICE.min(self.grace)).await;
+        self.proxy.flights.close();
+        if timeout_at(until, self.proxy.flights.wait()).await.is_err() {
+            let left = self.proxy.flights.len();
+            spdlog::warn!(logger: self.log, "[proxy] the grace ended with {left} requests in flight");
+        }
+        self.proxy.hand_over().await;
+        self.server.end.cancel();
+        self.proxy.close_idle();
+        self.server.open.close();
+        // A connection that does not close in time ends with the process.
+        let _ = timeout(CLOSE_WAIT, self.server.open.wait()).await;
+        self.tell(LocalEvent::Left).await;
+        sleep(FLUSH).await;
+        spdlog::info!(logger: self.log, "[proxy] left");
+    }
+
+    /// Leaves in order and ends all tasks.
+    pub async fn close(self) {
+        self.drain().await;
+        self.tasks.abort().await;
+        self.log.flush();
+    }
+
+    /// Ends all tasks at once without a goodbye, as a failed host does. For tests.
+    pub async fn kill(self) {
+        self.tasks.abort().await;
+    }
+
+    async fn tell(&self, event: LocalEvent) {
+        // The node is gone only when the daemon was killed.
+        let _ = self.node.send(ToNode::Input(Input::Local(event))).await;
+    }
+}
+
+impl std::fmt::Debug for Running {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Running").field("addrs", &self.addrs).finish_non_exhaustive()
+    }
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -75,6 +75,15 @@
     Verband,
 }
 
+impl From<PresetName> for dw_mesh::PresetName {
+    fn from(name: PresetName) -> Self {
+        match name {
+            PresetName::Cooperative => Self::Cooperative,
+            PresetName::Verband => Self::Verband,
+        }
+    }
+}
+
 /// Level and format of the log, which goes to standard error.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LogSettings {
--- /dev/null
+++ b/crates/daemon/tests/one_daemon.rs
@@ -0,0 +1,155 @@
+//! One daemon over real sockets: stand-in, caller, daemon, target and back.
+
+mod support;
+
+use dw_daemon::Running;
+use dw_fakes::{RunningStandin, Standin};
+use dw_tables::Tables;
+use googletest::prelude::*;
+use support::{Act, RawTarget, connect, get, header, post, publish, send, settings, start, target};
+
+/// A daemon that serves version 1 and has one target for each service.
+async fn served(act: Act) -> (RunningStandin, RawTarget, Running) {
+    let standin = Standin::new().start().await.expect("the stand-in must start");
+    publish(standin.addr(), 1, support::tables()).await;
+    let raw = RawTarget::start(act).await;
+    let settings = settings("p1", "portland")
+        .with_platform(vec![standin.addr()])
+        .with_target(target("tally", raw.addr))
+        .with_target(target("ledger", raw.addr));
+    let running = start(settings).await;
+    running.wait_version(1).await;
+    (standin, raw, running)
+}
+
+/// Guards against a version on the platform that is not served, and against a request that does
+/// not reach its target or loses its headers.
+#[gtest]
+#[tokio::test]
+async fn carries_a_request_to_the_target_and_back() -> Result<()> {
+    let (_standin, _raw, running) = served(Act::Echo).await;
+    let mut request = get("/lookup/4711?unsold=1");
+    request.headers_mut().insert("connection", "x-hop".parse()?);
+    request.headers_mut().insert("x-hop", "1".parse()?);
+    request.headers_mut().insert("damaskwick-target", "7".parse()?);
+    let response = send(running.addrs().callers, request).await;
+    expect_that!(response.status().as_u16(), eq(200));
+    expect_that!(header(&response, "damaskwick-outcome"), eq("run"));
+    let head = support::text(response).await?;
+    expect_that!(head, starts_with("GET /lookup/4711?unsold=1 HTTP/1.1"));
+    expect_that!(head, contains_substring("host: kiosk.test"));
+    expect_that!(head, contains_substring("damaskwick-deadline: "));
+    expect_that!(head, contains_substring("damaskwick-depth: 1"));
+    expect_that!(head, not(contains_substring("x-hop")));
+    expect_that!(head, not(contains_substring("damaskwick-target")));
+    running.kill().await;
+    Ok(())
+}
+
+/// Guards against a refusal that does not say that the request was not run.
+#[gtest]
+#[tokio::test]
+async fn refuses_what_no_route_takes() {
+    let (_standin, raw, running) = served(Act::Echo).await;
+    let response = send(running.addrs().callers, get("/nowhere")).await;
+    expect_that!(response.status().as_u16(), eq(404));
+    expect_that!(header(&response, "damaskwick-outcome"), eq("not-run"));
+    expect_that!(header(&response, "damaskwick-reason"), eq("no-route"));
+    expect_that!(raw.count(), eq(0));
+    running.kill().await;
+}
+
+/// Guards against a body that ends early and is passed on as complete (P4).
+#[gtest]
+#[tokio::test]
+async fn does_not_complete_a_truncated_body() {
+    for act in [Act::Truncate, Act::TruncateChunked] {
+        let (_standin, _raw, running) = served(act).await;
+        let response = send(running.addrs().callers, get("/lookup")).await;
+        expect_that!(response.status().as_u16(), eq(200));
+        expect_that!(support::text(response).await, err(anything()));
+        running.kill().await;
+    }
+}
+
+/// Guards against a target that keeps working for a caller that went away.
+#[gtest]
+#[tokio::test]
+async fn cancels_the_target_when_the_caller_goes_away() {
+    let (_standin, raw, running) = served(Act::Hold).await;
+    let mut caller = connect(running.addrs().callers).await;
+    let pending = tokio::spawn(async move { caller.send_request(get("/lookup")).await });
+    raw.arrived.notified().await;
+    pending.abort();
+    raw.cancelled.notified().await;
+    running.kill().await;
+}
+
+/// Guards against a second run of a request with the same key (P6), also while the first is in
+/// progress.
+#[gtest]
+#[tokio::test]
+async fn runs_a_key_once() -> Result<()> {
+    let (_standin, raw, running) = served(Act::Hold).await;
+    let addr = running.addrs().callers;
+    let first = tokio::spawn(send(addr, post("/credit", "k1")));
+    raw.arrived.notified().await;
+    let repeat = send(addr, post("/credit", "k1")).await;
+    expect_that!(repeat.status().as_u16(), eq(409));
+    expect_that!(header(&repeat, "damaskwick-reason"), eq("in-progress"));
+    raw.release.notify_one();
+    let first = support::text(first.await?).await?;
+    let repeat = send(addr, post("/credit", "k1")).await;
+    expect_that!(repeat.status().as_u16(), eq(200));
+    expect_that!(support::text(repeat).await?, eq(&first));
+    expect_that!(raw.count(), eq(1));
+    running.kill().await;
+    Ok(())
+}
+
+/// Guards against a stop that interrupts a request in flight (P8), or runs new work while it
+/// leaves (P5).
+#[gtest]
+#[tokio::test]
+async fn finishes_what_is_in_flight_and_refuses_the_rest() -> Result<()> {
+    let (_standin, raw, running) = served(Act::Hold).await;
+    let addr = running.addrs().callers;
+    let first = tokio::spawn(send(addr, get("/lookup")));
+    raw.arrived.notified().await;
+    let refuse = async {
+        loop {
+            let response = send(addr, get("/lookup")).await;
+            if response.status().as_u16() == 503 {
+                return response;
+            }
+        }
+    };
+    let ((), response) = tokio::join!(running.drain(), async {
+        let response = refuse.await;
+        raw.release.notify_one();
+        response
+    });
+    expect_that!(header(&response, "damaskwick-outcome"), eq("not-run"));
+    expect_that!(header(&response, "damaskwick-reason"), eq("draining"));
+    let first = first.await?;
+    expect_that!(first.status().as_u16(), eq(200));
+    expect_that!(raw.count(), eq(1));
+    running.close().await;
+    Ok(())
+}
+
+/// Guards against a bad version that is applied in part or at all (P3).
+#[gtest]
+#[tokio::test]
+async fn keeps_its_version_when_the_next_one_is_bad() -> Result<()> {
+    let (standin, _raw, running) = served(Act::Echo).await;
+    let good = running.served();
+    let broken = Tables { pools: Vec::new(), ..support::tables() };
+    publish(standin.addr(), 2, broken).await;
+    publish(standin.addr(), 3, support::tables()).await;
+    running.wait_version(3).await;
+    expect_that!(good.number, eq(1));
+    expect_that!(running.served().hash, eq(good.hash));
+    running.kill().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,243 @@
+//! Helpers of the socket tests: a version on the stand-in, raw targets, callers, and daemons.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use dw_daemon::{Daemon, LogLevel, PresetName, Running, Settings, TargetSettings};
+use dw_platform::{Commit, Guard, HttpPlatform, Platform, Put, Txn};
+use dw_tables::{
+    HEAD_KEY, Hash, Head, Name, PART_LIMIT, Tables, Version, history_key, parse_pools,
+    parse_routes, part_key, split_parts,
+};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+};
+
+pub(crate) const ROUTES: &str = r#"{"routes": [
+  {"name": "lookup", "match": {"path": "/lookup"}, "pool": "tally", "repeat": "idempotent",
+   "deadline": "10s"},
+  {"name": "credit", "match": {"path": "/credit"}, "pool": "ledger", "repeat": "once",
+   "deadline": "10s"}
+]}"#;
+
+pub(crate) const POOLS: &str = r#"{"pools": [
+  {"name": "tally", "service": "tally"},
+  {"name": "ledger", "service": "ledger"}
+]}"#;
+
+/// The tables of the tests.
+pub(crate) fn tables() -> Tables {
+    let routes = parse_routes("routes", ROUTES).expect("routes");
+    Tables { routes, pools: parse_pools("pools", POOLS).expect("pools") }
+}
+
+/// Writes a version to the platform as `apply` does, and returns it.
+pub(crate) async fn publish(addr: SocketAddr, number: u64, tables: Tables) -> Version {
+    let version = Version::new(number, tables);
+    let platform = HttpPlatform::new(vec![addr]);
+    let old = platform.get(HEAD_KEY).await.expect("head");
+    let parent = old.as_ref().map(|entry| {
+        let head: Head = serde_json::from_slice(&entry.value).expect("head");
+        head.hash
+    });
+    let parts = split_parts(&version.tables.canonical(), PART_LIMIT);
+    for (hash, part) in &parts {
+        let put = Put { key: part_key(*hash), value: part.clone().into(), lease: None };
+        platform.commit(Txn { puts: vec![put], ..Txn::default() }).await.expect("part");
+    }
+    let head = Head {
+        number,
+        hash: version.hash,
+        parent: parent.unwrap_or(Hash::default()),
+        change: Name::new("test"),
+        parts: parts.iter().map(|(hash, _)| *hash).collect(),
+        author: Name::new("test"),
+        time: 0,
+    };
+    let value = Bytes::from(serde_json::to_vec(&head).expect("head"));
+    let put = |key: String| Put { key, value: value.clone(), lease: None };
+    let revision = old.map_or(0, |entry| entry.revision);
+    let txn = Txn {
+        guards: vec![Guard { key: HEAD_KEY.to_owned(), revision }],
+        puts: vec![put(HEAD_KEY.to_owned()), put(history_key(number))],
+        deletes: Vec::new(),
+    };
+    let commit = platform.commit(txn).await.expect("commit");
+    assert!(matches!(commit, Commit::Done { .. }), "the head changed meanwhile");
+    version
+}
+
+/// Settings of a quiet daemon on free ports.
+pub(crate) fn settings(host: &str, domain: &str) -> Settings {
+    Settings::new(host.into(), domain.into(), "region".into())
+        .with_preset(PresetName::Verband)
+        .with_log(LogLevel::Error)
+}
+
+/// A target of a service with 4 slots.
+pub(crate) fn target(service: &str, address: SocketAddr) -> TargetSettings {
+    TargetSettings { service: service.into(), address, slots: 4, connections: 8 }
+}
+
+/// Starts a daemon.
+pub(crate) async fn start(settings: Settings) -> Running {
+    Daemon::new(settings).start().await.expect("the daemon must start")
+}
+
+/// A connection of a caller.
+pub(crate) async fn connect(addr: SocketAddr) -> http1::SendRequest<Full<Bytes>> {
+    let stream = TcpStream::connect(addr).await.expect("connect");
+    let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.expect("handshake");
+    tokio::spawn(conn);
+    sender
+}
+
+/// Sends one request on a new connection.
+pub(crate) async fn send(addr: SocketAddr, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    connect(addr).await.send_request(request).await.expect("a response")
+}
+
+/// A GET request.
+pub(crate) fn get(path: &str) -> Request<Full<Bytes>> {
+    Request::get(path).header("host", "kiosk.test").body(Full::default()).expect("request")
+}
+
+/// A POST request with an idempotency key.
+pub(crate) fn post(path: &str, key: &str) -> Request<Full<Bytes>> {
+    let request = Request::post(path).header("host", "kiosk.test").header("idempotency-key", key);
+    request.body(Full::from("credit")).expect("request")
+}
+
+/// The value of a header, or an empty text.
+pub(crate) fn header<'a, B>(response: &'a Response<B>, name: &str) -> &'a str {
+    response.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+/// The whole body as text, or the error that ended it.
+pub(crate) async fn text(response: Response<Incoming>) -> Result<String, hyper::Error> {
+    let body = response.into_body().collect().await?.to_bytes();
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
+/// What a raw target does with each request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Act {
+    /// Responds with the request head as its body.
+    Echo,
+    /// Sends half of the body that it announced, and closes.
+    Truncate,
+    /// Sends a chunk without the final one, and closes.
+    TruncateChunked,
+    /// Waits for `release` before it responds.
+    Hold,
+}
+
+/// A target that works on the level of bytes, for behaviour that an HTTP library prevents.
+pub(crate) struct RawTarget {
+    pub(crate) addr: SocketAddr,
+    /// Requests that arrived.
+    pub(crate) started: Arc<AtomicUsize>,
+    /// Notified for each request that arrived.
+    pub(crate) arrived: Arc<Notify>,
+    /// Notified for each connection that the other side closed under a held request.
+    pub(crate) cancelled: Arc<Notify>,
+    /// Lets held requests go on.
+    pub(crate) release: Arc<Notify>,
+}
+
+impl RawTarget {
+    pub(crate) async fn start(act: Act) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let target = Self {
+            addr: listener.local_addr().expect("addr"),
+            started: Arc::default(),
+            arrived: Arc::default(),
+            cancelled: Arc::default(),
+            release: Arc::default(),
+        };
+        let shared = (
+            target.started.clone(),
+            target.arrived.clone(),
+            target.cancelled.clone(),
+            target.release.clone(),
+        );
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (started, arrived, cancelled, release) = shared.clone();
+                tokio::spawn(serve(stream, act, started, arrived, cancelled, release));
+            }
+        });
+        target
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.started.load(Ordering::Relaxed)
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    act: Act,
+    started: Arc<AtomicUsize>,
+    arrived: Arc<Notify>,
+    cancelled: Arc<Notify>,
+    release: Arc<Notify>,
+) {
+    while let Some(head) = read_request(&mut stream).await {
+        started.fetch_add(1, Ordering::Relaxed);
+        arrived.notify_one();
+        let response = match act {
+            Act::Echo => whole(&head),
+            Act::Truncate => "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf".to_owned(),
+            Act::TruncateChunked => {
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n".to_owned()
+            }
+            Act::Hold => {
+                let mut byte = [0; 1];
+                tokio::select! {
+                    () = release.notified() => whole(&head),
+                    _ = stream.read(&mut byte) => {
+                        cancelled.notify_one();
+                        return;
+                    }
+                }
+            }
+        };
+        if stream.write_all(response.as_bytes()).await.is_err() {
+            return;
+        }
+        if matches!(act, Act::Truncate | Act::TruncateChunked) {
+            return;
+        }
+    }
+}
+
+fn whole(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// The head of the next request, whose body is read and dropped; `None` at the end.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = vec![0; length.and_then(|text| text.trim().parse().ok()).unwrap_or(0)];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head)
+}
