--- a/crates/daemon/tests/one_daemon.rs
+++ b/crates/daemon/tests/one_daemon.rs
@@ -2,25 +2,9 @@
 
 mod support;
 
-use dw_daemon::Running;
-use dw_fakes::{RunningStandin, Standin};
 use dw_tables::Tables;
 use googletest::prelude::*;
-use support::{Act, RawTarget, connect, get, header, post, publish, send, settings, start, target};
-
-/// A daemon that serves version 1 and has one target for each service.
-async fn served(act: Act) -> (RunningStandin, RawTarget, Running) {
-    let standin = Standin::new().start().await.expect("the stand-in must start");
-    publish(standin.addr(), 1, support::tables()).await;
-    let raw = RawTarget::start(act).await;
-    let settings = settings("p1", "portland")
-        .with_platform(vec![standin.addr()])
-        .with_target(target("tally", raw.addr))
-        .with_target(target("ledger", raw.addr));
-    let running = start(settings).await;
-    running.wait_version(1).await;
-    (standin, raw, running)
-}
+use support::{Act, connect, get, header, post, publish, send, served};
 
 /// Guards against a version on the platform that is not served, and against a request that does
 /// not reach its target or loses its headers.
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Helpers of the socket tests: a version on the stand-in, raw targets, callers, and daemons.
 #![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::expect_used, reason = "clippy allows it in test functions only, not in helpers")]
 
 use std::{
     net::SocketAddr,
@@ -11,6 +12,7 @@
 
 use bytes::Bytes;
 use dw_daemon::{Daemon, LogLevel, PresetName, Running, Settings, TargetSettings};
+use dw_fakes::{RunningStandin, Standin};
 use dw_platform::{Commit, Guard, HttpPlatform, Platform, Put, Txn};
 use dw_tables::{
     HEAD_KEY, Hash, Head, Name, PART_LIMIT, Tables, Version, history_key, parse_pools,
@@ -97,6 +99,20 @@
     Daemon::new(settings).start().await.expect("the daemon must start")
 }
 
+/// A daemon that serves version 1 and has one target for each service.
+pub(crate) async fn served(act: Act) -> (RunningStandin, RawTarget, Running) {
+    let standin = Standin::new().start().await.expect("the stand-in must start");
+    publish(standin.addr(), 1, tables()).await;
+    let raw = RawTarget::start(act).await;
+    let settings = settings("p1", "portland")
+        .with_platform(vec![standin.addr()])
+        .with_target(target("tally", raw.addr))
+        .with_target(target("ledger", raw.addr));
+    let running = start(settings).await;
+    running.wait_version(1).await;
+    (standin, raw, running)
+}
+
 /// A connection of a caller.
 pub(crate) async fn connect(addr: SocketAddr) -> http1::SendRequest<Full<Bytes>> {
     let stream = TcpStream::connect(addr).await.expect("connect");
