Decide beside the target which requests run or wait

The gate counted slots only. It now queues up to a bound with the deepest call first, refuses at once what cannot end before its deadline, lowers its limit by a fifth while the target sheds load, keeps the slot of a request whose end was not seen for another 500 ms, and completes queued requests during a drain. A queued request that loses its place to a deeper call is refused by the next expire, which deadline announces, because offer returns one decision.

--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -1,110 +1,56 @@
-use std::time::Duration;
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use tokio::time::Instant;
 
-use crate::{Fingerprint, Load, Poison, Reason, Refusal};
-
-/// Limits of one target, kept exactly by the daemon beside it.
-#[derive(Clone, Debug)]
-pub struct GateConfig {
-    /// Requests that the target runs at once.
-    pub slots: u32,
-    /// Connections that the target accepts, each with one request at a time; the daemon opens no
-    /// more than this.
-    pub connections: u32,
-    /// Requests that may wait for a slot.
-    pub queue: u32,
-    /// The longest wait for a slot.
-    pub queue_wait: Duration,
-    /// Time that a slot stays taken after a request whose end was not seen, because the target may
-    /// still be running it.
-    pub linger: Duration,
-}
-
-impl Default for GateConfig {
-    fn default() -> Self {
-        Self {
-            slots: 16,
-            connections: 128,
-            queue: 32,
-            queue_wait: Duration::from_millis(100),
-            linger: Duration::from_millis(500),
-        }
-    }
-}
-
-/// A request that asks for a slot.
-#[derive(Clone, Copy, Debug)]
-pub struct Arrival {
-    /// Calls above this one in the chain, from `damaskwick-depth`.
-    pub depth: u8,
-    /// When the caller stops waiting.
-    pub deadline: Instant,
-    /// Identifies the request across repeats.
-    pub fingerprint: Option<Fingerprint>,
-}
+use crate::{
+    Admission, Arrival, Fingerprint, GateConfig, Limiter, Load, Permit, Poison, Reason, Refusal,
+    RunOutcome, Ticket, Wake,
+    queue::{WaitQueue, Waiting},
+};
 
-/// The right to run one request; returned by [`Gate::finish`].
-#[derive(Debug, PartialEq, Eq)]
-pub struct Permit(pub(crate) u64);
+/// Lost requests that are remembered for a report of a death.
+const LOST: usize = 256;
 
-/// The place of a request in the queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub(crate) u64);
+/// How long before a death is noticed its lost requests may have ended.
+const NOTICE: Duration = Duration::from_secs(5);
 
-/// What becomes of an arrival.
-#[derive(Debug)]
-pub enum Admission {
-    /// Hand it to the target now.
-    Run(Permit),
-    /// Wait for a [`Wake`] with this ticket.
-    Wait(Ticket),
-    /// Not run.
-    Refuse(Refusal),
-}
+/// Weight of the newest sample in the mean service time.
+const ALPHA: f64 = 0.1;
 
-/// What becomes of a queued request.
-#[derive(Debug)]
-pub enum Wake {
-    /// Hand it to the target now.
-    Run {
-        /// The request.
-        ticket: Ticket,
-        /// Its slot.
-        permit: Permit,
-    },
-    /// Not run.
-    Refuse {
-        /// The request.
-        ticket: Ticket,
-        /// The response.
-        refusal: Refusal,
-    },
-}
+/// Bounds of the time after which a refused caller is told to retry.
+const RETRY_MIN: Duration = Duration::from_millis(10);
+const RETRY_MAX: Duration = Duration::from_secs(5);
 
-/// How a request ended at the target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunOutcome {
-    /// The whole response was read.
-    Answered {
-        /// HTTP status; 429 and 503 count as load shedding by the target.
-        status: u16,
-        /// Time from handoff to the end of the response.
-        latency: Duration,
-    },
-    /// No byte was sent, for example because no connection was established.
-    NotStarted,
-    /// The connection broke, timed out, or was closed by a cancellation; the target may still be
-    /// running the request.
-    Lost,
+/// A request at the target.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    print: Option<Fingerprint>,
+    /// The target died while the request was in flight.
+    died: bool,
 }
 
 /// Decides beside a target which requests run, wait or are refused.
+///
+/// Slots are exact: a slot is taken from the decision to run until [`Self::finish`], and for a
+/// while longer if the end of the request was not seen.
 #[derive(Debug)]
 pub struct Gate {
     config: GateConfig,
     poison: Poison,
-    in_flight: u32,
+    limiter: Limiter,
+    queue: WaitQueue<Option<Fingerprint>>,
+    running: HashMap<u64, Running>,
+    /// When the slots of requests whose end was not seen are free again.
+    linger: VecDeque<Instant>,
+    lost: VecDeque<(Instant, Fingerprint)>,
+    /// Mean service time in seconds.
+    service: Option<f64>,
+    /// Decisions that were made while no wakes could be returned, and since when.
+    pending: Vec<Wake>,
+    since: Option<Instant>,
     next: u64,
     draining: bool,
 }
@@ -113,7 +59,20 @@
     /// A gate with all slots free.
     #[must_use]
     pub fn new(config: GateConfig) -> Self {
-        Self { config, poison: Poison::default(), in_flight: 0, next: 0, draining: false }
+        Self {
+            limiter: Limiter::new(1, config.slots.min(config.connections)),
+            config,
+            poison: Poison::default(),
+            queue: WaitQueue::new(),
+            running: HashMap::new(),
+            linger: VecDeque::new(),
+            lost: VecDeque::new(),
+            service: None,
+            pending: Vec::new(),
+            since: None,
+            next: 0,
+            draining: false,
+        }
     }
 
     /// The list of requests refused because they crash targets.
@@ -121,7 +80,7 @@
         &mut self.poison
     }
 
-    /// Takes over the limits of the pool in a new version.
+    /// Takes over the limits of the pool in a new version. Requests that wait already are kept.
     pub const fn set_queue(&mut self, queue: u32, wait: Duration) {
         self.config.queue = queue;
         self.config.queue_wait = wait;
@@ -130,43 +89,58 @@
     /// Decides on an arrival. Call [`Self::deadline`] again afterwards: a request that lost its
     /// place to a deeper call is refused by the next [`Self::expire`].
     pub fn offer(&mut self, arrival: Arrival, now: Instant) -> Admission {
+        let poisoned = |print| self.poison.refuses(print, now);
         let refusal = match () {
-            () if self.draining => Reason::Draining,
-            () if arrival.deadline <= now => Reason::DeadlinePassed,
-            () if arrival.fingerprint.is_some_and(|print| self.poison.refuses(print, now)) => {
-                Reason::Poisoned
-            }
-            () if self.in_flight >= self.config.slots.min(self.config.connections) => {
-                Reason::QueueFull
-            }
-            () => {
-                self.in_flight += 1;
-                self.next += 1;
-                return Admission::Run(Permit(self.next));
-            }
+            () if self.draining => Some(Reason::Draining),
+            () if arrival.deadline <= now => Some(Reason::DeadlinePassed),
+            () if arrival.fingerprint.is_some_and(poisoned) => Some(Reason::Poisoned),
+            () => None,
         };
-        Admission::Refuse(Refusal::new(refusal))
+        if let Some(reason) = refusal {
+            return Admission::Refuse(Refusal::new(reason));
+        }
+        let mut wakes = Vec::new();
+        self.advance(now, &mut wakes);
+        self.postpone(wakes, now);
+        if self.queue.is_empty() && self.has_slot() {
+            return Admission::Run(self.start(arrival.fingerprint));
+        }
+        match self.enqueue(arrival, now) {
+            Ok(ticket) => Admission::Wait(ticket),
+            Err(reason) => Admission::Refuse(self.refusal(reason)),
+        }
     }
 
-    /// Returns a slot and says which queued requests run or are refused now.
-    pub fn finish(&mut self, _permit: Permit, _outcome: RunOutcome, _now: Instant) -> Vec<Wake> {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        Vec::new()
+    /// Returns a slot and says which queued requests run or are refused now. Every permit must be
+    /// finished, also that of a request whose caller went away.
+    #[expect(clippy::needless_pass_by_value, reason = "a permit can be finished only once")]
+    pub fn finish(&mut self, permit: Permit, outcome: RunOutcome, now: Instant) -> Vec<Wake> {
+        let used = self.taken();
+        if let Some(running) = self.running.remove(&permit.0) {
+            self.learn(running, outcome, used, now);
+        }
+        self.expire(now)
     }
 
     /// Removes a queued request whose caller went away. If it got its permit meanwhile, finish that
     /// as [`RunOutcome::NotStarted`].
-    pub const fn cancel(&mut self, _ticket: Ticket) {}
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.queue.remove(ticket);
+    }
 
     /// Does what is due at [`Self::deadline`].
-    pub fn expire(&mut self, _now: Instant) -> Vec<Wake> {
-        Vec::new()
+    pub fn expire(&mut self, now: Instant) -> Vec<Wake> {
+        let mut wakes = std::mem::take(&mut self.pending);
+        self.since = None;
+        self.advance(now, &mut wakes);
+        wakes
     }
 
     /// When [`Self::expire`] must be called, if nothing happens before.
     #[must_use]
-    pub const fn deadline(&self) -> Option<Instant> {
-        None
+    pub fn deadline(&self) -> Option<Instant> {
+        let free = self.linger.front().filter(|_| !self.queue.is_empty()).copied();
+        [self.since, self.queue.deadline(), free].into_iter().flatten().min()
     }
 
     /// Refuses new requests as not run from now on; queued ones may still run.
@@ -176,19 +150,132 @@
 
     /// Whether nothing is in flight or queued, so that a drain is complete.
     #[must_use]
-    pub const fn is_idle(&self) -> bool {
-        self.in_flight == 0
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.is_empty() && self.pending.is_empty()
     }
 
-    /// The target died: returns the requests that were in flight, for [`Poison::report`].
-    pub fn target_died(&mut self, _now: Instant) -> Vec<Fingerprint> {
-        Vec::new()
+    /// The target died: returns the requests that were in flight, for [`Poison::report`]. Their
+    /// permits must still be finished.
+    pub fn target_died(&mut self, now: Instant) -> Vec<Fingerprint> {
+        self.linger.clear();
+        self.running.values_mut().for_each(|running| running.died = true);
+        let recent = |at: &Instant| now.saturating_duration_since(*at) <= NOTICE;
+        let lost = self.lost.drain(..).filter(|(at, _)| recent(at)).map(|(_, print)| print);
+        lost.chain(self.running.values().filter_map(|running| running.print)).collect()
     }
 
     /// What the daemon reports with each response.
     #[must_use]
-    pub const fn load(&self) -> Load {
-        let slots = self.config.slots;
-        Load { in_flight: self.in_flight, slots, queued: 0, shedding: false }
+    pub fn load(&self) -> Load {
+        let shedding = !self.has_slot() && self.queue.len() >= self.config.queue as usize;
+        Load {
+            in_flight: count(self.taken()),
+            slots: self.limiter.limit(),
+            queued: count(self.queue.len()),
+            shedding,
+        }
+    }
+
+    /// Slots that are taken, including those of requests whose end was not seen.
+    fn taken(&self) -> usize {
+        self.running.len() + self.linger.len()
     }
+
+    fn has_slot(&self) -> bool {
+        self.taken() < self.limiter.limit() as usize
+    }
+
+    fn start(&mut self, print: Option<Fingerprint>) -> Permit {
+        self.next += 1;
+        self.running.insert(self.next, Running { print, died: false });
+        Permit(self.next)
+    }
+
+    /// Frees slots, refuses what waited too long, and starts what may run.
+    fn advance(&mut self, now: Instant, wakes: &mut Vec<Wake>) {
+        while self.linger.front().is_some_and(|until| *until <= now) {
+            self.linger.pop_front();
+        }
+        while let Some((ticket, waiting)) = self.queue.pop_expired(now) {
+            wakes.push(Wake::Refuse { ticket, refusal: self.refusal(waiting.reason) });
+        }
+        while self.has_slot()
+            && let Some((ticket, waiting)) = self.queue.pop()
+        {
+            wakes.push(Wake::Run { ticket, permit: self.start(waiting.item) });
+        }
+    }
+
+    /// Keeps decisions for the next [`Self::expire`].
+    fn postpone(&mut self, mut wakes: Vec<Wake>, now: Instant) {
+        if !wakes.is_empty() {
+            self.pending.append(&mut wakes);
+            self.since.get_or_insert(now);
+        }
+    }
+
+    fn enqueue(&mut self, arrival: Arrival, now: Instant) -> Result<Ticket, Reason> {
+        let service = Duration::from_secs_f64(self.service.unwrap_or_default());
+        let ahead = count(self.queue.ahead(arrival.depth)) + 1;
+        let wait = service * ahead / self.limiter.limit().max(1);
+        if now + wait + service > arrival.deadline {
+            return Err(Reason::DeadlineUnmet);
+        }
+        if self.queue.len() >= self.config.queue as usize {
+            let Some((ticket, _)) = self.queue.pop_below(arrival.depth) else {
+                let lowered = self.limiter.is_lowered();
+                return Err(if lowered { Reason::Shedding } else { Reason::QueueFull });
+            };
+            let refusal = self.refusal(Reason::QueuePreempted);
+            self.postpone(vec![Wake::Refuse { ticket, refusal }], now);
+        }
+        let patience = now + self.config.queue_wait;
+        let latest = arrival.deadline - service;
+        let reason = if latest < patience { Reason::DeadlineUnmet } else { Reason::QueueWait };
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        let until = patience.min(latest);
+        self.queue.push(
+            ticket,
+            arrival.depth,
+            Waiting { until, reason, item: arrival.fingerprint },
+        );
+        Ok(ticket)
+    }
+
+    /// Takes over what the end of a request says about the target; `used` slots were taken.
+    fn learn(&mut self, running: Running, outcome: RunOutcome, used: usize, now: Instant) {
+        match outcome {
+            RunOutcome::Answered { status: 429 | 503, .. } => {
+                self.limiter.shed(count(used), now);
+            }
+            RunOutcome::Answered { latency, .. } => {
+                self.limiter.succeeded(count(used));
+                let new = latency.as_secs_f64();
+                self.service = Some(self.service.map_or(new, |old| old + ALPHA * (new - old)));
+            }
+            RunOutcome::NotStarted => {}
+            RunOutcome::Lost if running.died => {}
+            RunOutcome::Lost => {
+                self.linger.push_back(now + self.config.linger);
+                if let Some(print) = running.print {
+                    if self.lost.len() >= LOST {
+                        self.lost.pop_front();
+                    }
+                    self.lost.push_back((now, print));
+                }
+            }
+        }
+    }
+
+    /// A refusal that names the time in which the queue empties.
+    fn refusal(&self, reason: Reason) -> Refusal {
+        let service = Duration::from_secs_f64(self.service.unwrap_or_default());
+        let wait = service * (count(self.queue.len()) + 1) / self.limiter.limit().max(1);
+        Refusal::new(reason).with_retry_after(wait.clamp(RETRY_MIN, RETRY_MAX))
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
 }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Keeper`] for the idempotency keys of a failure domain. Time comes in as an argument, and
 //! random numbers come from seeded generators; this crate opens no socket and starts no task.
 
+mod admission;
 mod attempt;
 mod backoff;
 mod balancer;
@@ -20,6 +21,7 @@
 mod outlier;
 mod placement;
 mod poison;
+mod queue;
 mod reason;
 mod record;
 mod refusal;
@@ -29,12 +31,13 @@
 mod upstream;
 mod verdict;
 
+pub use admission::{Admission, Arrival, GateConfig, Permit, RunOutcome, Ticket, Wake};
 pub use attempt::{Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo};
 pub use budget::RetryBudget;
 pub use dispatcher::{Dispatcher, DispatcherConfig};
 pub use endpoint::{Endpoint, EndpointState};
 pub use fingerprint::Fingerprint;
-pub use gate::{Admission, Arrival, Gate, GateConfig, Permit, RunOutcome, Ticket, Wake};
+pub use gate::Gate;
 pub use keeper::{
     ANSWER_LIMIT, CLOCK_SKEW, Claim, HandOver, Held, KEEPER_HOLD, Keeper, KeeperConfig,
     RECORD_WINDOW,
--- a/crates/request/src/limiter.rs
+++ b/crates/request/src/limiter.rs
@@ -60,7 +60,8 @@
             return;
         }
         self.cut = Some(now);
-        let used = self.limit.min(f64::from(in_flight));
+        // One more than in use, so that the fraction of the limit is not lost each time.
+        let used = self.limit.min(f64::from(in_flight) + 1.0);
         self.limit = (used * DECREASE).max(f64::from(self.min));
     }
 }
--- a/crates/request/src/target.rs
+++ b/crates/request/src/target.rs
@@ -101,7 +101,9 @@
         let own = f64::from(self.in_flight);
         let Some((load, at)) = self.load else { return own };
         let age = now.saturating_duration_since(at).as_secs_f64() / LOAD_AGE.as_secs_f64();
-        let reported = f64::from(load.in_flight) + f64::from(load.queued);
+        // A target that sheds load reports fewer slots than membership lists.
+        let scale = f64::from(self.endpoint.slots) / f64::from(load.slots.max(1));
+        let reported = (f64::from(load.in_flight) + f64::from(load.queued)) * scale;
         own.max(reported * (1.0 - age).max(0.0))
     }
 
--- a/crates/request/tests/support/mod.rs
+++ b/crates/request/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use dw_tables::{Tables, Version, parse_pools, parse_routes};
 use tokio::time::Instant;
 
-pub(crate) fn ms(ms: u64) -> Duration {
+pub(crate) const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
