Pass at-most-once records from keeper to keeper

The keeper had records but no change of keeper, so that a newcomer, a planned stop or a death could run a key twice. A newcomer now asks the previous keeper, which from then on refuses the key; a leaving keeper hands over; keys first sent before a death, or without a stated time within the hold, are lost. A domain without anybody who was there before treats its own start as such a death.

Keeper::cede takes the time since the asking process started, because a host that restarts may ask before the restart is known, and its lost records would go unnoticed. Keeper::accept_part and HandOver::last are new: one hand-over may exceed the largest message.

--- a/crates/request/src/balancer.rs
+++ b/crates/request/src/balancer.rs
@@ -1,4 +1,4 @@
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use dw_tables::{Balance, Ejection, Pool};
 use rand::{Rng, rngs::SmallRng};
@@ -18,6 +18,9 @@
 /// not left idle while its observations grow old.
 const NOISE: f64 = 0.2;
 
+/// Difference between two statements of the same start.
+const START_JITTER: Duration = Duration::from_secs(1);
+
 /// Draws after which any target is accepted, which bounds the work where all are cold.
 const DRAWS: usize = 4;
 
@@ -70,16 +73,16 @@
         let mut old: HashMap<_, _> = self
             .targets
             .drain(..)
-            .map(|t| ((t.endpoint.host.clone(), t.endpoint.target, t.endpoint.since), t))
+            .map(|t| ((t.endpoint.host.clone(), t.endpoint.target), t))
             .collect();
         for endpoint in endpoints.iter().filter(|e| e.state != EndpointState::Dead) {
-            let key = (endpoint.host.clone(), endpoint.target, endpoint.since);
+            let key = (endpoint.host.clone(), endpoint.target);
             let target = match old.remove(&key) {
-                Some(mut target) => {
+                Some(mut target) if is_same_life(&target.endpoint, endpoint) => {
                     target.endpoint = Arc::clone(endpoint);
                     target
                 }
-                None => {
+                _ => {
                     self.next += 1;
                     Target::new(self.next, Arc::clone(endpoint))
                 }
@@ -224,6 +227,12 @@
     }
 }
 
+/// Whether the target was not restarted; times of its start that were computed from a wall clock
+/// differ a little.
+fn is_same_life(old: &Endpoint, new: &Endpoint) -> bool {
+    new.since.saturating_duration_since(old.since) <= START_JITTER
+}
+
 /// Whether the target counts towards the size of the pool.
 fn is_listed(target: &Target) -> bool {
     matches!(target.endpoint.state, EndpointState::Alive | EndpointState::Suspect)
--- a/crates/request/src/endpoint.rs
+++ b/crates/request/src/endpoint.rs
@@ -38,6 +38,7 @@
     pub connections: u32,
     /// Membership state.
     pub state: EndpointState,
-    /// When the target started; a change means a restart and resets what was observed.
+    /// When the target started. A change of more than a second means a restart and resets what was
+    /// observed.
     pub since: Instant,
 }
--- a/crates/request/src/keeper.rs
+++ b/crates/request/src/keeper.rs
@@ -1,118 +1,20 @@
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use dw_tables::Name;
 use tokio::time::Instant;
 
-use crate::{KeyOutcome, Member, Reason, Record, RecordState, Refusal, StoredAnswer};
-
-/// How long a record is kept after the key was first claimed.
-pub const RECORD_WINDOW: Duration = Duration::from_secs(600);
-
-/// How long after a keeper's death keys without a stated first time are refused. Longer than the
-/// longest deadline plus [`CLOCK_SKEW`], so that nothing the keeper forwarded starts afterwards.
-pub const KEEPER_HOLD: Duration = Duration::from_secs(30);
-
-/// Assumed bound of the difference between the wall clocks of two hosts.
-pub const CLOCK_SKEW: Duration = Duration::from_millis(500);
-
-/// The largest response that is kept for repeats, in bytes.
-pub const ANSWER_LIMIT: usize = 64 * 1024;
-
-/// Limits of one keeper.
-#[derive(Clone, Debug)]
-pub struct KeeperConfig {
-    /// Own host.
-    pub host: Name,
-    /// Own failure domain.
-    pub domain: Name,
-    /// How long a record is kept.
-    pub window: Duration,
-    /// How long keys without a stated first time are refused after a keeper's death, and after the
-    /// start of a keeper that finds no earlier one to ask.
-    pub hold: Duration,
-    /// Tolerance when a caller's stated time is compared with a death.
-    pub skew: Duration,
-    /// Records at most.
-    pub records: usize,
-    /// Bytes of kept responses at most.
-    pub bytes: usize,
-}
-
-impl Default for KeeperConfig {
-    fn default() -> Self {
-        Self {
-            host: Name::default(),
-            domain: Name::default(),
-            window: RECORD_WINDOW,
-            hold: KEEPER_HOLD,
-            skew: CLOCK_SKEW,
-            records: 100_000,
-            bytes: 32 * 1024 * 1024,
-        }
-    }
-}
+use crate::{
+    ANSWER_LIMIT, Claim, HandOver, Held, KeeperConfig, KeyOutcome, Member, Record, RecordState,
+    peers::{Duty, Peers, Rules},
+    records::{Records, Slot},
+};
 
-/// Whether a request with a key may be forwarded.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Claim {
-    /// Forward it, then call [`Keeper::settle`].
-    New,
-    /// An earlier one is in progress.
-    InProgress,
-    /// An earlier one was answered; return the same response.
-    Answered(Arc<StoredAnswer>),
-    /// An earlier one was answered; the response was not kept.
-    NotKept,
-    /// An earlier one may have been run.
-    Unknown,
-    /// An earlier one may have been run by a keeper whose records are lost.
-    Lost,
-    /// There is no room for another record.
-    Full,
-    /// Another daemon keeps the key; send the claim there.
-    Elsewhere(Name),
-    /// Ask this daemon with [`Keeper::cede`] first, then call [`Keeper::resume`].
-    Ask(Name),
-}
+/// Earlier keepers that are asked about one key at most. A chain of them arises only if many
+/// daemons of a domain joined within the window.
+const ASK_MAX: u32 = 16;
 
-impl Claim {
-    /// The response to the caller where the claim alone decides it.
-    #[must_use]
-    pub const fn refusal(&self) -> Option<Refusal> {
-        let reason = match self {
-            Self::New | Self::Answered(_) | Self::Ask(_) => return None,
-            Self::InProgress => Reason::InProgress,
-            Self::NotKept => Reason::AnswerNotKept,
-            Self::Unknown => Reason::RecordUnknown,
-            Self::Lost => Reason::RecordLost,
-            Self::Full => Reason::KeeperFull,
-            Self::Elsewhere(_) => Reason::KeeperMoved,
-        };
-        Some(Refusal::new(reason))
-    }
-}
-
-/// The reply of an earlier keeper to a newer one.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Held {
-    /// It has no record and will forward no request with the key any more.
-    Free,
-    /// It has this record.
-    Record(Record),
-    /// The record may have been lost before.
-    Lost,
-    /// It does not know; ask this daemon.
-    Ask(Name),
-}
-
-/// Records for one daemon that takes over from one that leaves.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HandOver {
-    /// The daemon that takes over.
-    pub to: Name,
-    /// Its records; may be empty, which also tells it that nothing is missing.
-    pub records: Vec<Record>,
-}
+/// Bytes of responses in one [`HandOver`], well below the largest message between daemons (4 MiB).
+const PART: usize = 1024 * 1024;
 
 /// The at-most-once records of the keys that this daemon keeps.
 ///
@@ -121,91 +23,207 @@
 #[derive(Debug)]
 pub struct Keeper {
     config: KeeperConfig,
-    records: HashMap<Name, RecordState>,
+    records: Records,
+    peers: Peers,
+    leaving: bool,
 }
 
 impl Keeper {
     /// A keeper without records or members.
     #[must_use]
     pub fn new(config: KeeperConfig) -> Self {
-        Self { config, records: HashMap::new() }
+        let KeeperConfig { window, hold, skew, .. } = config;
+        Self {
+            records: Records::new(config.records, config.bytes),
+            peers: Peers::new(config.host.clone(), Rules { window, hold, skew }),
+            config,
+            leaving: false,
+        }
     }
 
-    /// Replaces the view of the daemons; those of other domains are ignored.
-    pub fn set_members(&mut self, _members: &[Member], _now: Instant) {}
+    /// Replaces the view of the daemons, this one included; those of other domains are ignored.
+    /// Members that left or died must be listed for a while or at least once.
+    pub fn set_members(&mut self, members: &[Member], now: Instant) {
+        let domain = &self.config.domain;
+        self.peers.update(members.iter().filter(|m| m.domain == *domain), now);
+    }
 
     /// Decides whether a request may be forwarded, and records the key if so.
-    pub fn claim(&mut self, key: &Name, _first_sent: Option<Instant>, _now: Instant) -> Claim {
+    pub fn claim(&mut self, key: &Name, first_sent: Option<Instant>, now: Instant) -> Claim {
+        self.expire(now);
         match self.records.get(key) {
-            None if self.records.len() >= self.config.records => Claim::Full,
-            None => {
-                self.records.insert(key.clone(), RecordState::InProgress);
-                Claim::New
-            }
-            Some(RecordState::InProgress) => Claim::InProgress,
-            Some(RecordState::Answered(answer)) => Claim::Answered(Arc::clone(answer)),
-            Some(RecordState::NotKept) => Claim::NotKept,
-            Some(RecordState::Unknown) => Claim::Unknown,
+            Some(Slot::Kept(state)) => return claim_of(state),
+            Some(Slot::Asking { .. }) => return Claim::InProgress,
+            Some(Slot::Ceded(to)) if self.peers.is_live(to) => return Claim::Elsewhere(to.clone()),
+            Some(Slot::Ceded(_)) => return Claim::Lost,
+            None if self.is_outdated(first_sent, now) => return Claim::Lost,
+            None => {}
+        }
+        if self.leaving {
+            return self.peers.heir(key).map_or(Claim::Full, |heir| Claim::Elsewhere(heir.clone()));
         }
+        let (slot, claim) = match self.peers.duty(key, first_sent, None, now) {
+            Duty::Elsewhere(host) => return Claim::Elsewhere(host),
+            Duty::Own { ask: Some(host), lost } => {
+                (Slot::Asking { asked: 1, lost }, Claim::Ask(host))
+            }
+            Duty::Own { ask: None, lost: true } => return Claim::Lost,
+            Duty::Own { ask: None, lost: false } => {
+                (Slot::Kept(RecordState::InProgress), Claim::New)
+            }
+        };
+        if self.records.insert(key, slot, now) { claim } else { Claim::Full }
     }
 
     /// Records how a claimed request ended. Must be called for every [`Claim::New`].
-    pub fn settle(&mut self, key: &Name, outcome: KeyOutcome, _now: Instant) {
+    pub fn settle(&mut self, key: &Name, outcome: KeyOutcome, now: Instant) {
+        self.expire(now);
+        if !matches!(self.records.get(key), Some(Slot::Kept(RecordState::InProgress))) {
+            return;
+        }
         let state = match outcome {
-            KeyOutcome::NotRun => {
-                self.records.remove(key);
-                return;
+            KeyOutcome::NotRun => return self.records.remove(key),
+            KeyOutcome::Answered(answer) if answer.size() <= ANSWER_LIMIT => {
+                RecordState::Answered(answer.into())
             }
-            KeyOutcome::Answered(answer) if answer.size() > ANSWER_LIMIT => RecordState::NotKept,
-            KeyOutcome::Answered(answer) => RecordState::Answered(Arc::new(answer)),
-            KeyOutcome::NotKept => RecordState::NotKept,
+            KeyOutcome::Answered(_) | KeyOutcome::NotKept => RecordState::NotKept,
             KeyOutcome::Unknown => RecordState::Unknown,
         };
-        if let Some(record) = self.records.get_mut(key) {
-            *record = state;
-        }
+        self.records.replace(key, Slot::Kept(state));
     }
 
-    /// Answers a newer keeper that asks before it forwards a request with this key.
+    /// Answers a newer keeper that asks before it forwards a request with this key; `age` is the
+    /// time since its process started.
     pub fn cede(
         &mut self,
         key: &Name,
-        _first_sent: Option<Instant>,
-        _to: &Name,
-        _now: Instant,
+        first_sent: Option<Instant>,
+        to: &Name,
+        age: Duration,
+        now: Instant,
     ) -> Held {
-        self.records.get(key).map_or(Held::Free, |state| {
-            Held::Record(Record { key: key.clone(), state: state.clone(), age: Duration::ZERO })
-        })
+        self.expire(now);
+        self.peers.started(to, age, now);
+        match self.records.get(key) {
+            Some(Slot::Kept(state)) => return Held::Record(self.record(key, state.clone(), now)),
+            Some(Slot::Asking { .. }) => {
+                return Held::Record(self.record(key, RecordState::InProgress, now));
+            }
+            Some(Slot::Ceded(host)) if host == to => return Held::Free,
+            Some(Slot::Ceded(host)) if self.peers.is_live(host) => return Held::Ask(host.clone()),
+            Some(Slot::Ceded(_)) => return Held::Lost,
+            None if self.is_outdated(first_sent, now) => return Held::Lost,
+            None => {}
+        }
+        match self.peers.duty(key, first_sent, Some(to), now) {
+            Duty::Elsewhere(host) | Duty::Own { ask: Some(host), lost: false } => Held::Ask(host),
+            Duty::Own { lost: true, .. } => Held::Lost,
+            // Without room to remember that the key was ceded, it must not be.
+            Duty::Own { ask: None, lost: false } => {
+                match self.records.insert(key, Slot::Ceded(to.clone()), now) {
+                    true => Held::Free,
+                    false => Held::Lost,
+                }
+            }
+        }
     }
 
     /// Continues a claim that returned [`Claim::Ask`]; `None` if the daemon was not reached.
-    pub fn resume(&mut self, _key: &Name, reply: Option<Held>, _now: Instant) -> Claim {
+    pub fn resume(&mut self, key: &Name, reply: Option<Held>, now: Instant) -> Claim {
+        let (asked, lost) = match self.records.get(key) {
+            Some(Slot::Asking { asked, lost }) => (*asked, *lost),
+            Some(Slot::Kept(state)) => return claim_of(state),
+            Some(Slot::Ceded(_)) | None => return Claim::Lost,
+        };
         match reply {
-            Some(Held::Free) => Claim::New,
-            Some(Held::Ask(host)) => Claim::Ask(host),
-            _ => Claim::Lost,
+            Some(Held::Free) if !lost => {
+                self.records.replace(key, Slot::Kept(RecordState::InProgress));
+                Claim::New
+            }
+            Some(Held::Ask(host)) if asked < ASK_MAX && host != self.config.host => {
+                self.records.replace(key, Slot::Asking { asked: asked + 1, lost });
+                Claim::Ask(host)
+            }
+            Some(Held::Record(Record { state: RecordState::InProgress, .. })) => {
+                // It stays with the earlier keeper, which learns how it ends.
+                self.records.remove(key);
+                Claim::InProgress
+            }
+            Some(Held::Record(record)) => {
+                let claim = claim_of(&record.state);
+                let since = now.checked_sub(record.age).unwrap_or(now);
+                self.records.insert(key, Slot::Kept(record.state), since);
+                claim
+            }
+            Some(Held::Free | Held::Lost | Held::Ask(_)) | None => {
+                self.records.remove(key);
+                Claim::Lost
+            }
         }
     }
 
     /// Takes no new keys from now on.
-    pub const fn leave(&mut self) {}
+    pub const fn leave(&mut self) {
+        self.leaving = true;
+    }
 
-    /// The records for each daemon that takes over. Call it after [`Self::leave`], when no claimed
-    /// request is in progress any more.
-    pub fn hand_over(&mut self, _now: Instant) -> Vec<HandOver> {
-        Vec::new()
+    /// The records for each daemon that takes over, to be sent in this order. Call it after
+    /// [`Self::leave`], when no claimed request is in progress any more; one that still is is
+    /// handed over as unknown.
+    pub fn hand_over(&mut self, now: Instant) -> Vec<HandOver> {
+        self.expire(now);
+        let mut parts = Vec::new();
+        let mut open: HashMap<&Name, (Vec<Record>, usize)> = HashMap::new();
+        for (key, slot, age) in self.records.iter(now) {
+            let (Slot::Kept(state), Some(heir)) = (slot, self.peers.heir(key)) else { continue };
+            let state = match state {
+                RecordState::InProgress => RecordState::Unknown,
+                state => state.clone(),
+            };
+            let size = key.len() + if let RecordState::Answered(a) = &state { a.size() } else { 0 };
+            let (records, used) = open.entry(heir).or_default();
+            if *used + size > PART {
+                let records = std::mem::take(records);
+                parts.push(HandOver { to: heir.clone(), records, last: false });
+                *used = 0;
+            }
+            records.push(Record { key: key.clone(), state, age });
+            *used += size;
+        }
+        for heir in self.peers.heirs() {
+            let records = open.remove(heir).map(|(records, _)| records).unwrap_or_default();
+            parts.push(HandOver { to: heir.clone(), records, last: true });
+        }
+        parts
     }
 
-    /// Takes over the records of a daemon that leaves.
-    pub fn accept(&mut self, _from: &Name, records: Vec<Record>, _now: Instant) {
-        for record in records {
-            self.records.insert(record.key, record.state);
+    /// Takes over a part of the records of a daemon that leaves; `false` if there is no room for
+    /// all of them, in which case [`Self::accept`] must not be called.
+    pub fn accept_part(&mut self, records: Vec<Record>, now: Instant) -> bool {
+        self.expire(now);
+        let mut all = true;
+        for Record { key, state, age } in records {
+            if matches!(self.records.get(&key), Some(Slot::Kept(_))) {
+                continue;
+            }
+            let since = now.checked_sub(age).unwrap_or(now);
+            all &= self.records.insert(&key, Slot::Kept(state), since);
+        }
+        all
+    }
+
+    /// Takes over the last part of the records of a daemon that leaves. If there is no room for all
+    /// of them, its keys count as lost once it has left.
+    pub fn accept(&mut self, from: &Name, records: Vec<Record>, now: Instant) {
+        if self.accept_part(records, now) {
+            self.peers.handed_over(from);
         }
     }
 
     /// Removes what has expired. Claims do so too; call it now and then on an idle keeper.
-    pub fn expire(&mut self, _now: Instant) {}
+    pub fn expire(&mut self, now: Instant) {
+        self.records.expire(self.config.window, now);
+    }
 
     /// Records held.
     #[must_use]
@@ -216,6 +234,27 @@
     /// Whether no record is held.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.records.len() == 0
+    }
+
+    /// Whether the record of a request first sent then may have expired.
+    fn is_outdated(&self, first_sent: Option<Instant>, now: Instant) -> bool {
+        first_sent.is_some_and(|sent| {
+            now.saturating_duration_since(sent) + self.config.skew >= self.config.window
+        })
+    }
+
+    fn record(&self, key: &Name, state: RecordState, now: Instant) -> Record {
+        let age = self.records.age(key, now);
+        Record { key: key.clone(), state, age }
+    }
+}
+
+fn claim_of(state: &RecordState) -> Claim {
+    match state {
+        RecordState::InProgress => Claim::InProgress,
+        RecordState::Answered(answer) => Claim::Answered(answer.clone()),
+        RecordState::NotKept => Claim::NotKept,
+        RecordState::Unknown => Claim::Unknown,
     }
 }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -8,6 +8,7 @@
 mod backoff;
 mod balancer;
 mod budget;
+mod claim;
 mod dispatcher;
 mod endpoint;
 mod fingerprint;
@@ -19,11 +20,13 @@
 mod locality;
 mod member;
 mod outlier;
+mod peers;
 mod placement;
 mod poison;
 mod queue;
 mod reason;
 mod record;
+mod records;
 mod refusal;
 mod router;
 mod shed;
@@ -34,14 +37,14 @@
 pub use admission::{Admission, Arrival, GateConfig, Permit, RunOutcome, Ticket, Wake};
 pub use attempt::{Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo};
 pub use budget::RetryBudget;
+pub use claim::{
+    ANSWER_LIMIT, CLOCK_SKEW, Claim, HandOver, Held, KEEPER_HOLD, KeeperConfig, RECORD_WINDOW,
+};
 pub use dispatcher::{Dispatcher, DispatcherConfig};
 pub use endpoint::{Endpoint, EndpointState};
 pub use fingerprint::Fingerprint;
 pub use gate::Gate;
-pub use keeper::{
-    ANSWER_LIMIT, CLOCK_SKEW, Claim, HandOver, Held, KEEPER_HOLD, Keeper, KeeperConfig,
-    RECORD_WINDOW,
-};
+pub use keeper::Keeper;
 pub use limiter::Limiter;
 pub use load::{Load, ParseLoadError};
 pub use member::{Member, MemberState};
--- a/crates/request/src/member.rs
+++ b/crates/request/src/member.rs
@@ -26,7 +26,8 @@
     pub domain: Name,
     /// Membership state.
     pub state: MemberState,
-    /// When it joined; a later value for the same host means that the host was restarted.
+    /// When its process started, as its first incarnation states. A value that is later by more
+    /// than the clock skew means that the host was restarted.
     pub joined: Instant,
     /// When the state last changed.
     pub changed: Instant,
--- /dev/null
+++ b/crates/request/src/peers.rs
@@ -0,0 +1,239 @@
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
+
+use dw_tables::Name;
+use tokio::time::Instant;
+
+use crate::{
+    Member, MemberState,
+    placement::{name_hash, weight},
+};
+
+/// Times that decide when a record may have been lost.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rules {
+    pub(crate) window: Duration,
+    pub(crate) hold: Duration,
+    pub(crate) skew: Duration,
+}
+
+/// Whose task a key is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Duty {
+    /// Another daemon's.
+    Elsewhere(Name),
+    /// Own, after asking an earlier keeper if there is one.
+    Own {
+        /// The earlier keeper.
+        ask: Option<Name>,
+        /// Whether the record may have been lost with a keeper that is gone.
+        lost: bool,
+    },
+}
+
+/// Another daemon of the domain, and when its records were lost.
+#[derive(Clone, Debug)]
+struct Peer {
+    host: Name,
+    hash: u64,
+    /// State and time of joining, unless it is gone.
+    live: Option<(MemberState, Instant)>,
+    /// When it last died.
+    dead: Option<Instant>,
+    /// When it left without a complete hand-over.
+    left: Option<Instant>,
+    /// Whether it completed its hand-over.
+    handed: bool,
+}
+
+impl Peer {
+    fn new(host: &Name) -> Self {
+        let hash = name_hash(host);
+        Self { host: host.clone(), hash, live: None, dead: None, left: None, handed: false }
+    }
+
+    /// Notices a restart that was not announced; it loses the records as a death does.
+    fn check_start(&mut self, started: Instant, skew: Duration, now: Instant) {
+        if let Some((state, joined)) = self.live
+            && started > joined + skew
+        {
+            self.dead = Some(now);
+            self.handed = false;
+            self.live = Some((state, started));
+        }
+    }
+
+    fn adopt(&mut self, member: &Member, started: Option<Instant>, skew: Duration, now: Instant) {
+        self.check_start(member.joined, skew, now);
+        let was_live = self.live.is_some();
+        match member.state {
+            MemberState::Alive | MemberState::Suspect | MemberState::Leaving => {
+                if !was_live {
+                    self.handed = false;
+                }
+                // The earliest statement stays, so that small differences do not add up.
+                let joined = self.live.map_or(member.joined, |(_, joined)| joined);
+                self.live = Some((member.state, joined));
+            }
+            MemberState::Left => {
+                self.live = None;
+                // What left before this daemon started handed over to those that it asks.
+                if !self.handed && (was_live || started.is_none_or(|own| own < member.changed)) {
+                    self.left = self.left.max(Some(member.changed));
+                }
+            }
+            MemberState::Dead => {
+                self.live = None;
+                self.dead = self.dead.max(Some(member.changed));
+            }
+        }
+    }
+
+    fn vanish(&mut self, now: Instant) {
+        if self.live.take().is_some() {
+            self.dead = Some(now);
+        }
+    }
+
+    /// Whether the record of a key may have been lost with this peer.
+    fn may_have_lost(&self, first_sent: Option<Instant>, rules: Rules, now: Instant) -> bool {
+        let lost = |at: Instant| match first_sent {
+            Some(sent) => now < at + rules.window + rules.skew && sent < at + rules.skew,
+            None => now < at + rules.hold,
+        };
+        self.dead.is_some_and(lost) || self.left.is_some_and(lost)
+    }
+}
+
+/// The daemons of the own failure domain, from which keepers are chosen.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    own: Name,
+    hash: u64,
+    joined: Option<Instant>,
+    list: Vec<Peer>,
+    rules: Rules,
+}
+
+impl Peers {
+    pub(crate) fn new(own: Name, rules: Rules) -> Self {
+        Self { hash: name_hash(&own), own, joined: None, list: Vec::new(), rules }
+    }
+
+    /// Takes over the view of membership; a member that is no longer listed counts as dead.
+    pub(crate) fn update<'a>(&mut self, members: impl Iterator<Item = &'a Member>, now: Instant) {
+        let mut old: HashMap<Name, Peer> =
+            self.list.drain(..).map(|peer| (peer.host.clone(), peer)).collect();
+        for member in members {
+            if member.host == self.own {
+                self.joined = self.joined.max(Some(member.joined));
+                continue;
+            }
+            let mut peer = old.remove(&member.host).unwrap_or_else(|| Peer::new(&member.host));
+            peer.adopt(member, self.joined, self.rules.skew, now);
+            self.list.push(peer);
+        }
+        self.list.extend(old.into_values().map(|mut peer| {
+            peer.vanish(now);
+            peer
+        }));
+        let keep = self.rules.window + self.rules.skew;
+        let recent = |at: Option<Instant>| at.is_some_and(|at| now < at + keep);
+        self.list.retain(|p| p.live.is_some() || recent(p.dead) || recent(p.left));
+    }
+
+    /// The peer completed its hand-over: nothing is lost when it leaves.
+    pub(crate) fn handed_over(&mut self, host: &Name) {
+        if let Some(peer) = self.list.iter_mut().find(|peer| peer.host == *host) {
+            peer.handed = true;
+            peer.left = None;
+        }
+    }
+
+    /// A daemon says how long ago it started, which may be news.
+    pub(crate) fn started(&mut self, host: &Name, age: Duration, now: Instant) {
+        let started = now.checked_sub(age).unwrap_or(now);
+        if let Some(peer) = self.list.iter_mut().find(|peer| peer.host == *host) {
+            peer.check_start(started, self.rules.skew, now);
+        }
+    }
+
+    /// Whether the daemon is there to answer.
+    pub(crate) fn is_live(&self, host: &Name) -> bool {
+        self.list.iter().any(|peer| peer.host == *host && peer.live.is_some())
+    }
+
+    /// The daemons that could take over records.
+    pub(crate) fn heirs(&self) -> impl Iterator<Item = &Name> {
+        self.list.iter().filter(|peer| is_keeper(peer)).map(|peer| &peer.host)
+    }
+
+    /// The daemon that is the keeper of a key once this one has left.
+    pub(crate) fn heir(&self, key: &str) -> Option<&Name> {
+        let key = name_hash(key);
+        let heirs = self.list.iter().filter(|peer| is_keeper(peer));
+        heirs.max_by_key(|peer| (weight(key, peer.hash), &peer.host)).map(|peer| &peer.host)
+    }
+
+    /// Whose task a key is that this daemon has no record of, as if `without`, the daemon that
+    /// asks, were not there.
+    ///
+    /// The cost is a few ns for each daemon of the domain, and for a newcomer a sort of them.
+    pub(crate) fn duty(
+        &mut self,
+        key: &str,
+        first_sent: Option<Instant>,
+        without: Option<&Name>,
+        now: Instant,
+    ) -> Duty {
+        let joined = *self.joined.get_or_insert(now);
+        let key = name_hash(key);
+        let own = (weight(key, self.hash), &self.own);
+        let rank = |peer: &&Peer| Reverse((weight(key, peer.hash), peer.host.clone()));
+        let mut above: Vec<&Peer> =
+            self.list.iter().filter(|p| (weight(key, p.hash), &p.host) > own).collect();
+        above.sort_by_cached_key(rank);
+        let mut lost = false;
+        for peer in above {
+            lost |= peer.may_have_lost(first_sent, self.rules, now);
+            match peer.live.filter(|_| without != Some(&peer.host)) {
+                Some((MemberState::Alive | MemberState::Suspect, _)) => {
+                    return Duty::Elsewhere(peer.host.clone());
+                }
+                Some(_) if !peer.handed => {
+                    return Duty::Own { ask: Some(peer.host.clone()), lost };
+                }
+                _ => {}
+            }
+        }
+        if now.saturating_duration_since(joined) >= self.rules.window {
+            return Duty::Own { ask: None, lost };
+        }
+        // When an earlier keeper is asked, keys sent after all daemons knew of it are its own.
+        if without.is_some() && first_sent.is_some_and(|sent| sent >= joined + self.rules.hold) {
+            return Duty::Own { ask: None, lost };
+        }
+        let mut below: Vec<&Peer> =
+            self.list.iter().filter(|p| (weight(key, p.hash), &p.host) < own).collect();
+        below.sort_by_cached_key(rank);
+        for peer in below {
+            lost |= peer.may_have_lost(first_sent, self.rules, now);
+            match peer.live.filter(|_| without != Some(&peer.host)) {
+                // One that started at about the same time may have been there before.
+                Some((_, since)) if since < joined + self.rules.skew => {
+                    return Duty::Own { ask: Some(peer.host.clone()), lost };
+                }
+                _ => {}
+            }
+        }
+        // Nobody was here before: earlier records of the domain, if there were any, are lost.
+        lost |= match first_sent {
+            Some(sent) => sent < joined + self.rules.skew,
+            None => now < joined + self.rules.hold,
+        };
+        Duty::Own { ask: None, lost }
+    }
+}
+
+fn is_keeper(peer: &Peer) -> bool {
+    matches!(peer.live, Some((MemberState::Alive | MemberState::Suspect, _)))
+}
--- /dev/null
+++ b/crates/request/tests/keeper.rs
@@ -0,0 +1,268 @@
+//! At-most-once records and their passage from keeper to keeper.
+
+mod support;
+
+use bytes::Bytes;
+use dw_request::{
+    Claim, Held, Keeper, KeeperConfig, KeyOutcome, Member, MemberState, Outcome, RECORD_WINDOW,
+    Ranking, Reason, StoredAnswer, home,
+};
+use dw_tables::Name;
+use googletest::prelude::*;
+use support::ms;
+use tokio::time::Instant;
+
+fn keeper(host: &str) -> Keeper {
+    Keeper::new(KeeperConfig { host: host.into(), domain: "d".into(), ..KeeperConfig::default() })
+}
+
+fn member(host: &str, state: MemberState, joined: Instant, changed: Instant) -> Member {
+    Member { host: host.into(), domain: "d".into(), state, joined, changed }
+}
+
+fn alive(host: &str, joined: Instant) -> Member {
+    member(host, MemberState::Alive, joined, joined)
+}
+
+fn answer(size: usize) -> StoredAnswer {
+    StoredAnswer { status: 201, body: Bytes::from(vec![7; size]), ..StoredAnswer::default() }
+}
+
+/// Keys that `first` keeps if both hosts are candidates.
+fn keys_of(first: &'static str, other: &str) -> impl Iterator<Item = Name> {
+    let ranking = Ranking::new([first.into(), other.into()]);
+    let keys = (0..).map(|i| Name::from(format!("key-{i}")));
+    keys.filter(move |key| ranking.first(key).is_some_and(|n| n.as_str() == first))
+}
+
+fn key_of(first: &'static str, other: &str) -> Name {
+    keys_of(first, other).next().unwrap_or_default()
+}
+
+/// A keeper that started a day ago, alone, and the time.
+fn settled(host: &str) -> (Keeper, Instant, Instant) {
+    let start = Instant::now();
+    let now = start + ms(86_400_000);
+    let mut keeper = keeper(host);
+    keeper.set_members(&[alive(host, start)], now);
+    (keeper, start, now)
+}
+
+/// Guards against running a repeat (P6) and against a wrong statement about the first request.
+#[gtest]
+fn a_repeat_gets_what_is_known_of_the_first() {
+    let (mut k, _, now) = settled("a");
+    let large = 64 * 1024;
+    for (idx, (outcome, claim, reason)) in [
+        (KeyOutcome::Answered(answer(9)), Claim::Answered(answer(9).into()), None),
+        (KeyOutcome::Answered(answer(large)), Claim::Answered(answer(large).into()), None),
+        (KeyOutcome::Answered(answer(large + 1)), Claim::NotKept, Some(Reason::AnswerNotKept)),
+        (KeyOutcome::NotKept, Claim::NotKept, Some(Reason::AnswerNotKept)),
+        (KeyOutcome::Unknown, Claim::Unknown, Some(Reason::RecordUnknown)),
+        (KeyOutcome::NotRun, Claim::New, None),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let key = Name::from(format!("key-{idx}"));
+        expect_that!(k.claim(&key, Some(now), now), eq(&Claim::New));
+        let open = k.claim(&key, Some(now), now);
+        expect_that!(
+            open.refusal().map(|r| (r.status, r.outcome)),
+            some(eq((409, Outcome::Unknown)))
+        );
+        k.settle(&key, outcome, now);
+        let again = k.claim(&key, Some(now), now + ms(1000));
+        expect_that!(again, eq(&claim));
+        expect_that!(again.refusal().map(|r| r.reason), eq(reason));
+        if !matches!(claim, Claim::New) {
+            k.settle(&key, KeyOutcome::NotRun, now);
+            expect_that!(k.claim(&key, Some(now), now + ms(1000)), eq(&claim));
+        }
+    }
+}
+
+/// Guards against memory without bound, and against forgetting within the window to make room.
+#[gtest]
+fn records_are_bounded_and_expire() {
+    let config = KeeperConfig {
+        host: "a".into(),
+        domain: "d".into(),
+        records: 2,
+        bytes: 100,
+        ..KeeperConfig::default()
+    };
+    let mut k = Keeper::new(config);
+    let start = Instant::now();
+    let now = start + ms(86_400_000);
+    k.set_members(&[alive("a", start)], now);
+    let [one, two, three] = ["1", "2", "3"].map(Name::new);
+    for key in [&one, &two] {
+        expect_that!(k.claim(key, None, now), eq(&Claim::New));
+        k.settle(key, KeyOutcome::Answered(answer(60)), now);
+    }
+    expect_that!(k.claim(&one, None, now), eq(&Claim::Answered(answer(60).into())));
+    expect_that!(k.claim(&two, None, now), eq(&Claim::NotKept));
+    let full = k.claim(&three, None, now);
+    expect_that!(
+        full.refusal().map(|r| (r.reason, r.outcome)),
+        some(eq((Reason::KeeperFull, Outcome::NotRun)))
+    );
+    let later = now + RECORD_WINDOW;
+    // A request that may be older than its record must not run.
+    expect_that!(k.claim(&one, Some(now), later), eq(&Claim::Lost));
+    expect_that!(k.is_empty(), eq(true));
+    expect_that!(k.claim(&three, None, later), eq(&Claim::New));
+}
+
+/// Guards against a repeat that runs because the keeper died with its records, and against refusing
+/// keys that the dead keeper cannot have seen.
+#[gtest]
+fn keys_of_a_dead_keeper_are_lost() {
+    let (mut k, start, now) = settled("b");
+    let key = key_of("a", "b");
+    let set = |k: &mut Keeper, state, at| {
+        k.set_members(&[alive("b", start), member("a", state, start, at)], at);
+    };
+    for state in [MemberState::Alive, MemberState::Suspect] {
+        set(&mut k, state, now);
+        expect_that!(k.claim(&key, Some(now), now), eq(&Claim::Elsewhere("a".into())));
+    }
+    set(&mut k, MemberState::Dead, now);
+    for (sent, at, lost) in [
+        (Some(now - ms(1000)), now, true),
+        (Some(now - ms(1000)), now + ms(500_000), true),
+        (Some(now + ms(499)), now + ms(2000), true),
+        (Some(now + ms(501)), now + ms(2000), false),
+        (None, now + ms(29_999), true),
+        (None, now + ms(30_000), false),
+    ] {
+        let wanted = if lost { Claim::Lost } else { Claim::New };
+        expect_that!(k.claim(&key, sent, at), eq(&wanted), "{sent:?} {at:?}");
+        k.settle(&key, KeyOutcome::NotRun, at);
+        // A key that was its own all the time is not affected.
+        expect_that!(k.claim(&key_of("b", "a"), Some(now), at), eq(&Claim::New));
+        k.settle(&key_of("b", "a"), KeyOutcome::NotRun, at);
+    }
+}
+
+/// Guards against a repeat that runs at a newcomer because the record is with the keeper before it,
+/// and against one that reaches that keeper after the newcomer took over.
+#[gtest]
+fn a_newcomer_asks_the_previous_keeper() {
+    let (mut old, start, now) = settled("b");
+    let mut new = keeper("a");
+    let mut keys = keys_of("a", "b");
+    let [seen, one, two, three] = [(); 4].map(|()| keys.next().unwrap_or_default());
+    expect_that!(old.claim(&seen, Some(now), now), eq(&Claim::New));
+    old.settle(&seen, KeyOutcome::Answered(answer(3)), now);
+    let view = [alive("b", start), alive("a", now)];
+    new.set_members(&view, now);
+    let sent = Some(now + ms(1));
+    let t = now + ms(1000);
+
+    expect_that!(new.claim(&seen, sent, t), eq(&Claim::Ask("b".into())));
+    expect_that!(new.claim(&seen, sent, t), eq(&Claim::InProgress));
+    let held = old.cede(&seen, sent, &"a".into(), ms(1000), t);
+    expect_that!(new.resume(&seen, Some(held), t), eq(&Claim::Answered(answer(3).into())));
+
+    expect_that!(new.claim(&one, sent, t), eq(&Claim::Ask("b".into())));
+    let held = old.cede(&one, sent, &"a".into(), ms(1000), t);
+    expect_that!(held, eq(&Held::Free));
+    expect_that!(new.resume(&one, Some(held), t), eq(&Claim::New));
+    // The old keeper has not heard of the newcomer, and cannot tell whether it is still there.
+    expect_that!(old.claim(&one, sent, t), eq(&Claim::Lost));
+    old.set_members(&view, t);
+    expect_that!(old.claim(&one, sent, t), eq(&Claim::Elsewhere("a".into())));
+
+    expect_that!(new.claim(&two, sent, t), eq(&Claim::Ask("b".into())));
+    expect_that!(new.resume(&two, None, t), eq(&Claim::Lost));
+    let late = now + RECORD_WINDOW;
+    expect_that!(new.claim(&three, Some(late), late), eq(&Claim::New));
+}
+
+/// Guards against a repeat that runs at a host that was restarted, although the run before the
+/// restart was its own.
+#[gtest]
+fn a_restarted_keeper_has_lost_its_records() {
+    let (mut other, start, now) = settled("b");
+    other.set_members(&[alive("b", start), alive("a", start)], now);
+    let key = key_of("a", "b");
+    let mut again = keeper("a");
+    again.set_members(&[alive("b", start), alive("a", now)], now);
+    let sent = Some(now - ms(3000));
+    expect_that!(again.claim(&key, sent, now + ms(10)), eq(&Claim::Ask("b".into())));
+    let held = other.cede(&key, sent, &"a".into(), ms(10), now + ms(10));
+    expect_that!(held, eq(&Held::Lost));
+    expect_that!(again.resume(&key, Some(held), now + ms(10)), eq(&Claim::Lost));
+
+    // A domain without anyone who was there before.
+    let mut alone = keeper("a");
+    alone.set_members(&[alive("a", now)], now);
+    for (sent, at, lost) in [
+        (Some(now - ms(1)), now, true),
+        (Some(now + ms(1000)), now + ms(1000), false),
+        (None, now, true),
+        (None, now + ms(30_000), false),
+    ] {
+        let wanted = if lost { Claim::Lost } else { Claim::New };
+        expect_that!(alone.claim(&key, sent, at), eq(&wanted), "{sent:?}");
+        alone.settle(&key, KeyOutcome::NotRun, at);
+    }
+}
+
+/// Guards against records that are lost by a planned stop.
+#[gtest]
+fn a_leaving_keeper_hands_over() {
+    let (mut old, start, now) = settled("a");
+    let mut heir = keeper("b");
+    let view = |state, at| [alive("b", start), member("a", state, start, at)];
+    old.set_members(&view(MemberState::Alive, start), now);
+    heir.set_members(&view(MemberState::Alive, start), now);
+    let key = key_of("a", "b");
+    let sent = Some(now);
+    expect_that!(old.claim(&key, sent, now), eq(&Claim::New));
+    old.settle(&key, KeyOutcome::Answered(answer(3)), now);
+    old.leave();
+    let t = now + ms(1000);
+    heir.set_members(&view(MemberState::Leaving, now), t);
+    let other = Name::new("k-other");
+    expect_that!(old.claim(&other, sent, t), eq(&Claim::Elsewhere("b".into())));
+    expect_that!(heir.claim(&key, sent, t), eq(&Claim::Ask("a".into())));
+    let held = old.cede(&key, sent, &"b".into(), ms(86_000_000), t);
+    expect_that!(heir.resume(&key, Some(held), t), eq(&Claim::Answered(answer(3).into())));
+
+    let parts = old.hand_over(t);
+    expect_that!(parts.len(), eq(1));
+    expect_that!(parts[0].last, eq(true));
+    let mut without = keeper("b");
+    for k in [&mut heir, &mut without] {
+        k.set_members(&view(MemberState::Leaving, now), t);
+    }
+    let records = parts.into_iter().flat_map(|part| part.records).collect();
+    heir.accept(&"a".into(), records, t);
+    let next = keys_of("a", "b").nth(1).unwrap_or_default();
+    for (k, wanted) in [(&mut heir, Claim::New), (&mut without, Claim::Lost)] {
+        k.set_members(&view(MemberState::Left, t), t);
+        expect_that!(k.claim(&next, sent, t + ms(100)), eq(&wanted));
+    }
+    expect_that!(heir.claim(&key, sent, t), eq(&Claim::Answered(answer(3).into())));
+}
+
+/// Guards against a home that moves with the view of the daemon that chooses it.
+#[gtest]
+fn home_is_stable() {
+    let known = Ranking::new(["gva-a", "gva-b", "lau-a"].map(Name::new));
+    let turned = Ranking::new(["lau-a", "gva-b", "gva-a"].map(Name::new));
+    let (stated, local) = (Name::new("lau-a"), Name::new("gva-b"));
+    let mut seen = std::collections::HashSet::new();
+    for i in 0..100 {
+        let key = format!("key-{i}");
+        let chosen = home(&key, None, None, &known);
+        expect_that!(chosen, eq(home(&key, None, None, &turned)));
+        seen.insert(chosen);
+        expect_that!(home(&key, Some(&stated), Some(&local), &known), some(eq(&stated)));
+        expect_that!(home(&key, None, Some(&local), &known), some(eq(&local)));
+    }
+    expect_that!(seen.len(), eq(3));
+}
