--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -3,10 +3,12 @@
 //! [`Keeper`] for the idempotency keys of a failure domain. Time comes in as an argument, and
 //! random numbers come from seeded generators; this crate opens no socket and starts no task.
 
+mod admission;
 mod attempt;
 mod backoff;
 mod balancer;
 mod budget;
+mod claim;
 mod dispatcher;
 mod endpoint;
 mod fingerprint;
@@ -18,10 +20,13 @@
 mod locality;
 mod member;
 mod outlier;
+mod peers;
 mod placement;
 mod poison;
+mod queue;
 mod reason;
 mod record;
+mod records;
 mod refusal;
 mod router;
 mod shed;
@@ -29,16 +34,17 @@
 mod upstream;
 mod verdict;
 
+pub use admission::{Admission, Arrival, GateConfig, Permit, RunOutcome, Ticket, Wake};
 pub use attempt::{Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo};
 pub use budget::RetryBudget;
+pub use claim::{
+    ANSWER_LIMIT, CLOCK_SKEW, Claim, HandOver, Held, KEEPER_HOLD, KeeperConfig, RECORD_WINDOW,
+};
 pub use dispatcher::{Dispatcher, DispatcherConfig};
 pub use endpoint::{Endpoint, EndpointState};
 pub use fingerprint::Fingerprint;
-pub use gate::{Admission, Arrival, Gate, GateConfig, Permit, RunOutcome, Ticket, Wake};
-pub use keeper::{
-    ANSWER_LIMIT, CLOCK_SKEW, Claim, HandOver, Held, KEEPER_HOLD, Keeper, KeeperConfig,
-    RECORD_WINDOW,
-};
+pub use gate::Gate;
+pub use keeper::Keeper;
 pub use limiter::Limiter;
 pub use load::{Load, ParseLoadError};
 pub use member::{Member, MemberState};
