Bound a response whose caller stops reading, and test the program

hyper does not poll a body while its receiver takes no data, so a timer inside the body did not fire and a stalled caller would have held a slot of the target. The body is now dropped from outside at the deadline. Claims run in their own task, so that a caller that goes away between two steps leaves no claim open.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -151,8 +151,7 @@
         tasks: tasks.clone(),
     };
     tasks.spawn(admin.run(sockets.admin));
-    let (host, domain) = (&settings.host, &settings.domain);
-    spdlog::info!(logger: log, "[proxy] host {host} in domain {domain} listens");
+    log_start(settings, &log);
     Running {
         addrs: sockets.addrs,
         grace: settings.grace.into(),
@@ -166,6 +165,15 @@
     }
 }
 
+fn log_start(settings: &Settings, log: &Logger) {
+    let Settings { host, domain, callers, peers, data, admin, .. } = settings;
+    spdlog::info!(
+        logger: log,
+        "[proxy] host {host} in domain {domain} listens: callers {callers}, peers {peers}, data \
+         {data}, admin {admin}"
+    );
+}
+
 fn node_config(settings: &Settings) -> NodeConfig {
     let target = |(target, index): (&TargetSettings, u32)| Target {
         index,
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -27,6 +27,7 @@
 mod answer;
 mod beside;
 mod body;
+mod bounded;
 mod call;
 mod entry;
 mod fault;
@@ -39,7 +40,8 @@
 mod slot;
 mod target;
 
-use body::{Checked, Payload, Tracked};
+use body::{Checked, Ended, Payload, Tracked};
+use bounded::Bounded;
 use call::Call;
 use fleet::Fleet;
 use hop::HopPool;
@@ -56,6 +58,7 @@
 /// request needs. No lock is held across an await point.
 pub(crate) struct Proxy {
     host: Name,
+    started: Instant,
     callers: SocketAddr,
     retry_body: usize,
     dispatcher: Mutex<Dispatcher>,
@@ -97,6 +100,7 @@
             targets.map(|(t, idx)| Arc::new(Beside::new(idx, t, tasks.clone()))).collect();
         let proxy = Arc::new(Self {
             host,
+            started: Instant::now(),
             callers: settings.callers,
             retry_body: settings.limits.retry_body as usize,
             dispatcher: Mutex::new(dispatcher),
@@ -196,8 +200,21 @@
             return answer::refuse(&Refusal::new(Reason::PoolLimit));
         };
         let flight = self.flight();
-        let response = self.enter(request, from).await;
-        hold(response, (room, flight))
+        let (response, deadline) = self.enter(request, from).await;
+        let response = hold(response, (room, flight));
+        let counters = self.counters.clone();
+        response.map(|body| {
+            let body = match deadline {
+                Some(at) => Bounded::wrap(body, at, &self.tasks),
+                None => body,
+            };
+            let counted = Tracked::new(body, move |ended| {
+                if ended == Ended::Failed {
+                    counters.refused(Reason::ResponseTruncated);
+                }
+            });
+            counted.boxed_unsync()
+        })
     }
 
     /// Responds to another daemon.
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -10,7 +10,6 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, BodyStream, Empty, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::Incoming;
-use tokio::time::{Instant, Sleep, sleep_until};
 
 /// The body of every request and response that passes through the proxy.
 pub(crate) type Payload = UnsyncBoxBody<Bytes, BodyFault>;
@@ -122,33 +121,23 @@
 
 type OnEnd = Box<dyn FnOnce(Ended) + Send>;
 
-/// A body that reports how it ended, once, and fails at the deadline.
+/// A body that reports how it ended, once.
 pub(crate) struct Tracked {
     inner: Payload,
-    deadline: Option<Pin<Box<Sleep>>>,
     on_end: Option<OnEnd>,
 }
 
 impl Tracked {
     /// Tracks `inner`; `on_end` is called when it ends or is dropped.
     pub(crate) fn new(inner: Payload, on_end: impl FnOnce(Ended) + Send + 'static) -> Self {
-        let mut tracked = Self { inner, deadline: None, on_end: Some(Box::new(on_end)) };
+        let mut tracked = Self { inner, on_end: Some(Box::new(on_end)) };
         if tracked.inner.is_end_stream() {
             tracked.finish(Ended::Complete);
         }
         tracked
     }
 
-    /// Fails the body if it has not ended at `deadline`.
-    pub(crate) fn with_deadline(mut self, deadline: Instant) -> Self {
-        if self.on_end.is_some() {
-            self.deadline = Some(Box::pin(sleep_until(deadline)));
-        }
-        self
-    }
-
     fn finish(&mut self, ended: Ended) {
-        self.deadline = None;
         if let Some(on_end) = self.on_end.take() {
             on_end(ended);
         }
@@ -163,21 +152,14 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
-        if let Poll::Ready(item) = Pin::new(&mut self.inner).poll_frame(cx) {
-            match &item {
-                Some(Ok(_)) if self.inner.is_end_stream() => self.finish(Ended::Complete),
-                Some(Ok(_)) => {}
-                Some(Err(_)) => self.finish(Ended::Failed),
-                None => self.finish(Ended::Complete),
-            }
-            return Poll::Ready(item);
-        }
-        if let Some(deadline) = &mut self.deadline {
-            ready!(deadline.as_mut().poll(cx));
-            self.finish(Ended::Failed);
-            return Poll::Ready(Some(Err(BodyFault::Deadline)));
+        let item = ready!(Pin::new(&mut self.inner).poll_frame(cx));
+        match &item {
+            Some(Ok(_)) if self.inner.is_end_stream() => self.finish(Ended::Complete),
+            Some(Ok(_)) => {}
+            Some(Err(_)) => self.finish(Ended::Failed),
+            None => self.finish(Ended::Complete),
         }
-        Poll::Pending
+        Poll::Ready(item)
     }
 
     fn is_end_stream(&self) -> bool {
--- /dev/null
+++ b/crates/daemon/src/proxy/bounded.rs
@@ -0,0 +1,98 @@
+use std::{
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, Waker},
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use tokio::time::{Instant, sleep_until};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use super::body::{BodyFault, Payload};
+use crate::tasks::Tasks;
+
+/// A body that is dropped at a deadline even if its receiver has stopped reading.
+///
+/// hyper does not poll a body while the receiver takes no data, so a timer inside the body would
+/// not fire, and a caller that stops reading would hold a slot of the target without end.
+pub(crate) struct Bounded {
+    shared: Arc<Shared>,
+    _timer: DropGuard,
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    body: Option<Payload>,
+    waker: Option<Waker>,
+}
+
+impl Bounded {
+    /// Bounds `body`, unless it has ended already.
+    pub(crate) fn wrap(body: Payload, deadline: Instant, tasks: &Tasks) -> Payload {
+        if body.is_end_stream() {
+            return body;
+        }
+        let shared = Arc::new(Shared::default());
+        shared.lock().body = Some(body);
+        let (stop, timed) = (CancellationToken::new(), shared.clone());
+        let ended = stop.clone();
+        tasks.spawn(async move {
+            let expired = ended.run_until_cancelled_owned(sleep_until(deadline)).await.is_some();
+            if expired {
+                timed.expire();
+            }
+        });
+        Self { shared, _timer: stop.drop_guard() }.boxed_unsync()
+    }
+}
+
+impl Shared {
+    fn expire(&self) {
+        let mut state = self.lock();
+        let (body, waker) = (state.body.take(), state.waker.take());
+        drop(state);
+        drop(body);
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Body for Bounded {
+    type Data = Bytes;
+    type Error = BodyFault;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
+        let mut state = self.shared.lock();
+        let Some(body) = &mut state.body else {
+            return Poll::Ready(Some(Err(BodyFault::Deadline)));
+        };
+        let polled = Pin::new(body).poll_frame(cx);
+        if polled.is_pending() {
+            state.waker = Some(cx.waker().clone());
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.shared.lock().body.as_ref().is_some_and(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.shared.lock().body.as_ref().map_or_else(SizeHint::default, Body::size_hint)
+    }
+}
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -5,42 +5,37 @@
 };
 use dw_tables::Repeat;
 use http::{Request, Response, header};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::{
-    Proxy, answer,
-    body::{Ended, Payload, Tracked},
-    call::Call,
-    fault::SendFault,
-    headers,
-};
+use super::{Proxy, answer, body::Payload, call::Call, fault::SendFault, headers};
 
 /// What an attempt led to: for the dispatcher, and for the caller.
 type Tried = (AttemptOutcome, Option<Response<Payload>>);
 
 impl Proxy {
-    /// Responds to a request of a caller.
+    /// Responds to a request of a caller; also returns when the whole response is due.
     pub(super) async fn enter(
         self: &Arc<Self>,
         request: Request<Incoming>,
         from: SocketAddr,
-    ) -> Response<Payload> {
+    ) -> (Response<Payload>, Option<Instant>) {
         let started = Instant::now();
         let mut call = Call::new(request);
         let mut response = match self.admit(&mut call, from).await {
             Ok(response) => response,
             Err(refusal) => {
-                self.counters.refused(refusal.reason);
                 if let Some(reason) = refusal.no_retry {
                     self.counters.not_retried(reason);
                 }
                 answer::refuse(&refusal)
             }
         };
-        let seconds = started.elapsed().as_secs_f64();
-        self.counters.request(answer::outcome_of(&response), seconds);
+        let outcome = answer::outcome_of(&response);
+        if outcome != Outcome::Run {
+            self.counters.refused(answer::reason_of(&response));
+        }
+        self.counters.request(outcome, started.elapsed().as_secs_f64());
         let map = response.headers_mut();
         map.remove(headers::LOAD);
         map.remove(headers::DEATH);
@@ -48,7 +43,7 @@
             // HTTP/1.1 callers connect elsewhere next; hyper drops the header for HTTP/2.
             map.insert(header::CONNECTION, http::HeaderValue::from_static("close"));
         }
-        self.until(response, call.deadline)
+        (response, call.deadline)
     }
 
     async fn admit(
@@ -141,9 +136,13 @@
                 let reason = Reason::ConnectFailed;
                 (AttemptOutcome::NotRun { reason, retry_after: None, load: None }, None)
             }
-            Ok(Err(SendFault::Unknown { reason })) => {
+            Ok(Err(SendFault::Unknown { reason, unresponsive })) => {
                 spdlog::debug!(logger: self.log, "[proxy] {}: {reason}", endpoint.host);
-                (AttemptOutcome::Unknown { reason: Reason::ConnectionLost }, None)
+                let reason = match unresponsive {
+                    true => Reason::ConnectionUnresponsive,
+                    false => Reason::ConnectionLost,
+                };
+                (AttemptOutcome::Unknown { reason }, None)
             }
             Err(_) => (AttemptOutcome::Unknown { reason: Reason::TimedOut }, None),
         }
@@ -181,26 +180,6 @@
             }
         }
     }
-
-    /// Fails the body of a response that has not ended at the deadline, and counts early ends.
-    fn until(
-        self: &Arc<Self>,
-        response: Response<Payload>,
-        deadline: Option<Instant>,
-    ) -> Response<Payload> {
-        let proxy = self.clone();
-        response.map(|body| {
-            let tracked = Tracked::new(body, move |ended| {
-                if ended == Ended::Failed {
-                    proxy.counters.refused(Reason::ResponseTruncated);
-                }
-            });
-            match deadline {
-                Some(at) => tracked.with_deadline(at).boxed_unsync(),
-                None => tracked.boxed_unsync(),
-            }
-        })
-    }
 }
 
 /// What an attempt alone says to the caller.
--- a/crates/daemon/src/proxy/fault.rs
+++ b/crates/daemon/src/proxy/fault.rs
@@ -20,10 +20,17 @@
     Unknown {
         /// What was seen.
         reason: String,
+        /// Whether the connection had stopped responding.
+        unresponsive: bool,
     },
 }
 
 impl SendFault {
+    /// A fault after something may have been sent.
+    pub(crate) fn unknown(error: &hyper::Error) -> Self {
+        Self::Unknown { reason: error.to_string(), unresponsive: error.is_timeout() }
+    }
+
     /// A fault before anything was sent.
     pub(crate) fn not_sent(reason: &impl ToString, request: Request<Payload>) -> Self {
         Self::NotSent { reason: reason.to_string(), request: Some(Box::new(request)) }
--- a/crates/daemon/src/proxy/hop.rs
+++ b/crates/daemon/src/proxy/hop.rs
@@ -90,7 +90,7 @@
                 Ok(response) => return Ok(track(response, busy)),
                 Err(mut fault) => match fault.take_message() {
                     Some(message) => request = message,
-                    None => return Err(SendFault::Unknown { reason: fault.error().to_string() }),
+                    None => return Err(SendFault::unknown(fault.error())),
                 },
             }
         }
--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -85,37 +85,37 @@
         call: &mut Call,
         key: &Name,
     ) -> Result<Response<Payload>, Refusal> {
-        let mut claim = self.keeper().claim(key, call.first_sent, Instant::now());
-        while let Claim::Ask(host) = &claim {
-            let held = self.ask(host, key, call.first_sent).await;
-            claim = self.keeper().resume(key, held, Instant::now());
-        }
-        if let Some(refusal) = claim.refusal() {
-            return Err(refusal);
-        }
+        let claim = self.keeper().claim(key, call.first_sent, Instant::now());
         match claim {
-            Claim::Answered(stored) => Ok(answer::replay(&stored)),
-            _ => self.run_claimed(call, key).await,
+            Claim::New | Claim::Ask(_) => {}
+            claim => return decided(&claim),
         }
+        // The claim is settled even if the caller goes away, so that a repeat gets the response.
+        let (reply, answer) = oneshot::channel();
+        let (proxy, mut call, key) = (self.clone(), call.take(), key.clone());
+        self.tasks.spawn(async move {
+            let _flight = proxy.flights.token();
+            let _ = reply.send(proxy.run_claimed(&mut call, &key, claim).await);
+        });
+        answer.await.unwrap_or_else(|_| Err(Refusal::new(Reason::RecordUnknown)))
     }
 
-    /// Runs a claimed request to its end even if the caller goes away, so that a repeat gets the
-    /// response.
     async fn run_claimed(
         self: &Arc<Self>,
         call: &mut Call,
         key: &Name,
+        mut claim: Claim,
     ) -> Result<Response<Payload>, Refusal> {
+        while let Claim::Ask(host) = &claim {
+            let held = self.ask(host, key, call.first_sent).await;
+            claim = self.keeper().resume(key, held, Instant::now());
+        }
+        if claim != Claim::New {
+            return decided(&claim);
+        }
         let claimed = Claimed { proxy: self.clone(), key: key.clone(), open: true };
-        let (reply, answer) = oneshot::channel();
-        let (proxy, mut call) = (self.clone(), call.take());
-        self.tasks.spawn(async move {
-            let _flight = proxy.flights.token();
-            let result = proxy.forward(&mut call).await;
-            // The caller may have gone away.
-            let _ = reply.send(claimed.end(result).await);
-        });
-        answer.await.unwrap_or_else(|_| Err(Refusal::new(Reason::RecordUnknown)))
+        let result = self.forward(call).await;
+        claimed.end(result).await
     }
 
     /// Asks an earlier keeper for its record.
@@ -126,6 +126,7 @@
         let map = request.headers_mut();
         headers::set(map, headers::STEP, "cede");
         headers::set(map, headers::FROM, &self.host);
+        headers::set(map, headers::AGE, self.started.elapsed().as_millis());
         if let Some(first) = first {
             let age = u64::try_from(first.elapsed().as_millis()).unwrap_or(u64::MAX);
             headers::set(map, headers::FIRST_SENT, clock::unix_ms().saturating_sub(age));
@@ -142,7 +143,9 @@
         let key = collect(body).await.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok());
         let (Some(from), Some(key)) = (from, key) else { return status(StatusCode::BAD_REQUEST) };
         let first = first.and_then(clock::from_unix_ms);
-        let held = self.keeper().cede(&Name::from(key), first, &from, Instant::now());
+        let age = headers::read(&head.headers, &headers::AGE).unwrap_or(0);
+        let age = Duration::from_millis(age);
+        let held = self.keeper().cede(&Name::from(key), first, &from, age, Instant::now());
         Response::new(full(records::encode_held(&held)))
     }
 
@@ -152,33 +155,46 @@
         let from = headers::read::<String>(&head.headers, &headers::FROM).map(Name::from);
         let list = collect(body).await.and_then(|bytes| records::decode_list(&bytes));
         let (Some(from), Some(list)) = (from, list) else { return status(StatusCode::BAD_REQUEST) };
-        self.keeper().accept(&from, list, Instant::now());
+        let now = Instant::now();
+        if headers::read::<u8>(&head.headers, &headers::LAST) == Some(1) {
+            self.keeper().accept(&from, list, now);
+        } else if !self.keeper().accept_part(list, now) {
+            return status(StatusCode::INSUFFICIENT_STORAGE);
+        }
         status(StatusCode::NO_CONTENT)
     }
 
     /// Hands the records over to the daemons that keep the keys next.
     pub(crate) async fn hand_over(&self) {
         let parts = self.keeper().hand_over(Instant::now());
-        for HandOver { to, records } in parts {
-            let Some(addr) = self.members().iter().find(|m| m.host == to).map(|m| m.data) else {
+        let mut failed: Vec<Name> = Vec::new();
+        for part in parts {
+            // A daemon that misses a part must not get the last one: it would take the records for
+            // complete.
+            if failed.contains(&part.to) {
                 continue;
-            };
-            let mut request = Request::new(full(records::encode_list(&records)));
-            *request.uri_mut() = http::Uri::from_static("http://damaskwick/");
-            headers::set(request.headers_mut(), headers::STEP, "hand-over");
-            headers::set(request.headers_mut(), headers::FROM, &self.host);
-            let count = records.len();
-            match self.exchange(addr, request).await {
-                Some(_) => {
-                    spdlog::info!(logger: self.log, "[proxy] {count} records handed over to {to}");
-                }
-                None => {
-                    spdlog::warn!(logger: self.log, "[proxy] {count} records not taken by {to}");
-                }
+            }
+            let (to, count) = (part.to.clone(), part.records.len());
+            if self.send_part(part).await.is_none() {
+                spdlog::warn!(logger: self.log, "[proxy] {count} records not taken by {to}");
+                failed.push(to);
+            } else if count > 0 {
+                spdlog::info!(logger: self.log, "[proxy] {count} records handed over to {to}");
             }
         }
     }
 
+    async fn send_part(&self, part: HandOver) -> Option<Bytes> {
+        let addr = self.members().iter().find(|m| m.host == part.to)?.data;
+        let mut request = Request::new(full(records::encode_list(&part.records)));
+        *request.uri_mut() = http::Uri::from_static("http://damaskwick/");
+        let map = request.headers_mut();
+        headers::set(map, headers::STEP, "hand-over");
+        headers::set(map, headers::FROM, &self.host);
+        headers::set(map, headers::LAST, u8::from(part.last));
+        self.exchange(addr, request).await
+    }
+
     async fn exchange(&self, addr: SocketAddr, request: Request<Payload>) -> Option<Bytes> {
         let work = async {
             let response = self.hops.send(addr, request).await.ok()?;
@@ -247,6 +263,14 @@
     }
 }
 
+/// The response to a claim that needs no run.
+fn decided(claim: &Claim) -> Result<Response<Payload>, Refusal> {
+    match claim {
+        Claim::Answered(stored) => Ok(answer::replay(stored)),
+        claim => Err(claim.refusal().unwrap_or(Refusal::new(Reason::RecordUnknown))),
+    }
+}
+
 async fn collect(body: Payload) -> Option<Bytes> {
     Limited::new(body, RECORDS_LIMIT).collect().await.ok().map(http_body_util::Collected::to_bytes)
 }
--- a/crates/daemon/src/proxy/server.rs
+++ b/crates/daemon/src/proxy/server.rs
@@ -18,6 +18,9 @@
 /// The longest wait for the next request on a caller's HTTP/1.1 connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
+/// Interval of the pings to callers over HTTP/2, and the wait for each; their networks are slower.
+const CALLER_PING: Duration = Duration::from_secs(20);
+
 /// Requests at the same time on one connection between daemons, which carries those of all
 /// callers of a host.
 const STREAMS: u32 = 2048;
@@ -79,8 +82,8 @@
         builder
             .http2()
             .timer(TokioTimer::new())
-            .keep_alive_interval(PING)
-            .keep_alive_timeout(PING)
+            .keep_alive_interval(CALLER_PING)
+            .keep_alive_timeout(CALLER_PING)
             .max_concurrent_streams(STREAMS);
         let conn = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(conn);
--- a/crates/daemon/src/proxy/target.rs
+++ b/crates/daemon/src/proxy/target.rs
@@ -65,7 +65,7 @@
                 Ok(response) => return Ok(self.keep(sender, response)),
                 Err(mut fault) => match fault.take_message() {
                     Some(message) => request = message,
-                    None => return Err(SendFault::Unknown { reason: fault.error().to_string() }),
+                    None => return Err(SendFault::unknown(fault.error())),
                 },
             }
         }
--- a/crates/daemon/tests/one_daemon.rs
+++ b/crates/daemon/tests/one_daemon.rs
@@ -4,7 +4,7 @@
 
 use dw_tables::Tables;
 use googletest::prelude::*;
-use support::{Act, connect, get, header, post, publish, send, served};
+use support::{Act, connect, get, header, post, publish, send, send_once, served};
 
 /// Guards against a version on the platform that is not served, and against a request that does
 /// not reach its target or loses its headers.
@@ -76,7 +76,7 @@
 async fn runs_a_key_once() -> Result<()> {
     let (_standin, raw, running) = served(Act::Hold).await;
     let addr = running.addrs().callers;
-    let first = tokio::spawn(send(addr, post("/credit", "k1")));
+    let first = tokio::spawn(send_once(addr, "k1"));
     raw.arrived.notified().await;
     let repeat = send(addr, post("/credit", "k1")).await;
     expect_that!(repeat.status().as_u16(), eq(409));
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -8,6 +8,7 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
@@ -131,12 +132,25 @@
     Request::get(path).header("host", "kiosk.test").body(Full::default()).expect("request")
 }
 
-/// A POST request with an idempotency key.
+/// A POST request with an idempotency key that is first sent now.
 pub(crate) fn post(path: &str, key: &str) -> Request<Full<Bytes>> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
     let request = Request::post(path).header("host", "kiosk.test").header("idempotency-key", key);
+    let request = request.header("damaskwick-first-sent", now.to_string());
     request.body(Full::from("credit")).expect("request")
 }
 
+/// Sends a request with a key, and again while the keeper, which has just started, cannot rule out
+/// that an earlier one ran the key: until half a second after its start.
+pub(crate) async fn send_once(addr: SocketAddr, key: &str) -> Response<Incoming> {
+    loop {
+        let response = send(addr, post("/credit", key)).await;
+        if header(&response, "damaskwick-reason") != "record-lost" {
+            return response;
+        }
+    }
+}
+
 /// The value of a header, or an empty text.
 pub(crate) fn header<'a, B>(response: &'a Response<B>, name: &str) -> &'a str {
     response.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
