Start the time of tests paused so that timers fire exactly when due

Tokio's timers have a granularity of 1 ms counted from the start of the runtime. Time paused later is off that grid, so a timer of one second does not fire when the clock is advanced by one second. ManualClock now expects a runtime that started paused and only keeps the time from advancing by itself.

--- a/crates/fakes/src/clock.rs
+++ b/crates/fakes/src/clock.rs
@@ -5,18 +5,20 @@
 /// Paused time alone advances whenever the runtime is idle, also while bytes are still on their
 /// way through the kernel, so a time-out can fire before an answer is read. This clock keeps a
 /// blocking task open, which makes tokio leave the time alone until `advance` is called.
-/// It requires a current-thread runtime, which is the default of `#[tokio::test]`.
+///
+/// It requires a runtime that started paused, `#[tokio::test(start_paused = true)]`: timers have
+/// a granularity of 1 ms from the start of the runtime, so after a later pause they would fire up
+/// to 1 ms late.
 #[derive(Debug)]
 pub struct ManualClock {
     _hold: mpsc::Sender<()>,
 }
 
 impl ManualClock {
-    /// Pauses the time of the current runtime.
+    /// Keeps the paused time of the current runtime from advancing by itself.
     #[must_use]
     #[allow(clippy::new_without_default)] // has a side effect on the runtime
     pub fn new() -> Self {
-        tokio::time::pause();
         let (hold, held) = mpsc::channel::<()>();
         tokio::task::spawn_blocking(move || held.recv());
         Self { _hold: hold }
--- a/crates/fakes/tests/standin.rs
+++ b/crates/fakes/tests/standin.rs
@@ -65,7 +65,7 @@
 }
 
 /// Guards against a lease that outlives its time or is renewed after it ended.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn leases_expire_by_the_clock() {
     let clock = ManualClock::new();
     let (standin, http, addr) = start().await;
@@ -123,7 +123,7 @@
 
 /// Guards against a rate limit that does not count pending watches, and against refused calls
 /// that take effect.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn rates_are_limited_and_watches_use_them_up() {
     let clock = ManualClock::new();
     let (standin, http, addr) = start().await;
--- a/crates/platform/tests/calls.rs
+++ b/crates/platform/tests/calls.rs
@@ -16,7 +16,7 @@
 
 /// Guards against two holders of one slot: of two compare-and-swaps on the same revision exactly
 /// one may win, and the other must be told what is there.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn one_of_two_racing_swaps_wins() {
     let setup = setup().await;
     for round in 0..20 {
@@ -38,7 +38,7 @@
 
 /// Guards against a lost answer that is reported as "not done" or sent a second time: the write
 /// took effect, so either would repeat or misreport it.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn lost_answer_is_unanswered_and_not_sent_again() {
     let setup = setup().await;
     let twice = HttpPlatform::new(vec![setup.standin.addr(); 2]);
@@ -56,7 +56,7 @@
 
 /// Guards against a write that times out and is reported as "not done" although the slow
 /// platform carries it out later.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn slow_write_takes_effect_after_the_time_out() {
     let setup = setup().await;
     setup.standin.slow(Duration::from_secs(10));
@@ -73,7 +73,7 @@
 
 /// Guards against a holder that believes in a lease that has ended, and against keys that
 /// survive their lease.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn lapsed_lease_is_reported_and_removes_its_keys() {
     let setup = setup().await;
     let lease = setup.platform.grant(Duration::from_secs(6)).await.unwrap();
@@ -101,7 +101,7 @@
 }
 
 /// Guards against an overload that is reported as an outage or hides whether the write was done.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn rate_limit_is_overloaded_and_nothing_is_done() {
     let setup = setup().await;
     setup.standin.limit(Some(1.0), Some(1.0));
@@ -118,7 +118,7 @@
 
 /// Guards against a client that stays broken after an outage, or reports refused connections
 /// as if a write might have taken effect.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn down_is_unreachable_until_up() {
     let setup = setup().await;
     write(&setup.platform, "a", "1").await;
@@ -138,7 +138,7 @@
 }
 
 /// Guards against a client that stops at a dead address, or tries it first for every call.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn next_address_is_tried() {
     let setup = setup().await;
     let dead = Standin::new().start().await.unwrap();
@@ -161,7 +161,7 @@
 }
 
 /// Guards against the reuse of a connection that has stopped responding.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn silent_connection_is_replaced() {
     let setup = setup().await;
     write(&setup.platform, "a", "1").await;
@@ -176,7 +176,7 @@
 
 /// Guards against a value that the platform would refuse or cut, and against a limit that
 /// refuses the largest permitted one.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn values_over_the_limit_are_refused() {
     let setup = setup().await;
     let sized = |size| Txn {
@@ -194,7 +194,7 @@
 }
 
 /// Guards against a prefix that takes in neighbouring keys, and a transaction done by halves.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn ranges_and_transactions_are_exact() {
     let setup = setup().await;
     for key in ["a", "relay/", "relay/b", "relay/a", "relay0", "z"] {
@@ -218,7 +218,7 @@
 
 /// Guards against a daemon that exceeds its share of the platform's rate, and against refusals
 /// that are not counted.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn budget_refuses_before_sending() {
     let setup = setup().await;
     let platform = HttpPlatform::new(vec![setup.standin.addr()]).with_budget(Budget::new(2.0, 3));
--- a/crates/platform/tests/watches.rs
+++ b/crates/platform/tests/watches.rs
@@ -12,7 +12,7 @@
 
 /// Guards against events that are lost or doubled when a watch is cut and resumed while writes
 /// go on.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn watch_resumes_without_losing_or_doubling() {
     let setup = setup().await;
     let mut written = vec![(write(&setup.platform, "head", "0").await, "0".to_owned())];
@@ -39,7 +39,7 @@
 }
 
 /// Guards against an event that is lost because the caller dropped the future, as `select!` does.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn dropping_the_future_loses_no_event() {
     let setup = setup().await;
     let mut watch = setup.platform.watch("head", 0).await.unwrap();
@@ -64,7 +64,7 @@
 }
 
 /// Guards against a holder's end that nobody is told of.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn end_of_a_lease_is_an_event() {
     let setup = setup().await;
     let lease = setup.platform.grant(Duration::from_secs(6)).await.unwrap();
@@ -83,7 +83,7 @@
 }
 
 /// Guards against a watch on a dead connection that waits forever.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn silent_watch_is_an_error() {
     let setup = setup().await;
     let mut watch = setup.platform.watch("head", 0).await.unwrap();
@@ -102,7 +102,7 @@
 }
 
 /// Guards against a quiet but healthy watch that is taken for a dead one.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn progress_keeps_a_quiet_watch_open() {
     let setup = setup().await;
     let mut watch = setup.platform.watch("head", 0).await.unwrap();
@@ -117,7 +117,7 @@
 }
 
 /// Guards against a watch that is reported as open after the platform went down.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn broken_watch_is_an_error() {
     let setup = setup().await;
     let mut watch = setup.platform.watch("head", 0).await.unwrap();
@@ -131,7 +131,7 @@
 
 /// Guards against a compaction after which changes are skipped silently, or an old or absent key
 /// can never be watched again.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn compaction_is_reported_only_if_changes_are_lost() {
     let setup = setup().await;
     let first = write(&setup.platform, "head", "1").await;
@@ -151,7 +151,7 @@
 
 /// Guards against a watch that waits for a revision which a restored platform reaches only after
 /// it has made other changes, and so misses them.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn watch_after_a_restore_is_refused() {
     let setup = setup().await;
     write(&setup.platform, "head", "1").await;
