Add small targets with slots, faults and a ledger of runs

The request path's guarantees can only be tested against targets that fail on request and record what they ran. A target sheds load when its slots are full, limits connections, starts cold, crashes on a marked request, pauses, stops single connections, drains, reports false health and load, and respects deadlines and cancellation. Each answer is derived from the request id, so mixed-up and short answers are recognised. The ledger keeps every run with its idempotency key and end, and targets can share one.

--- /dev/null
+++ b/crates/fakes/src/answer.rs
@@ -0,0 +1,57 @@
+use bytes::Bytes;
+use thiserror::Error;
+
+/// Why a body is not the answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum AnswerFault {
+    /// It belongs to another request, or is not an answer of a target.
+    #[error("the body is not the answer to request {request:?}")]
+    Mixed {
+        /// The request that was made.
+        request: String,
+    },
+    /// It ends early.
+    #[error("the body has {found} of {wanted} bytes")]
+    Short {
+        /// Bytes found.
+        found: usize,
+        /// Bytes of the complete answer.
+        wanted: usize,
+    },
+}
+
+/// The answer of a target to a request: the first line gives the request id and the length, and
+/// the rest repeats the id. An answer is at least as long as its first line.
+#[must_use]
+pub fn answer_body(request: &str, size: usize) -> Bytes {
+    let head = format!("{request} {size}\n");
+    let size = size.max(head.len());
+    let mut body = Vec::with_capacity(size + head.len());
+    body.extend_from_slice(head.as_bytes());
+    while body.len() < size {
+        body.extend_from_slice(request.as_bytes());
+        body.push(b'\n');
+    }
+    body.truncate(size);
+    body.into()
+}
+
+/// Checks that `body` is the complete answer to a request.
+///
+/// # Errors
+/// The body is that of another request or too short.
+pub fn check_answer(request: &str, body: &[u8]) -> Result<(), AnswerFault> {
+    let mixed = || AnswerFault::Mixed { request: request.to_owned() };
+    let rest = body.strip_prefix(request.as_bytes()).ok_or_else(mixed)?;
+    let line = rest.split(|byte| *byte == b'\n').next().unwrap_or_default();
+    let size = std::str::from_utf8(line).ok().and_then(|line| line.strip_prefix(' '));
+    let size: usize = size.and_then(|size| size.parse().ok()).ok_or_else(mixed)?;
+    let wanted = answer_body(request, size);
+    if body == wanted {
+        Ok(())
+    } else if wanted.starts_with(body) {
+        Err(AnswerFault::Short { found: body.len(), wanted: wanted.len() })
+    } else {
+        Err(mixed())
+    }
+}
--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -3,12 +3,12 @@
 use hyper::{Response, StatusCode, Uri};
 
 use crate::{
-    serve::{Answer, Serve, full},
+    serve::{Answer, Limits, Serve, full},
     standin::Inner,
 };
 
-/// Connections of the control endpoint.
-const MAX_CONNECTIONS: usize = 64;
+/// Limits of a control endpoint.
+pub(crate) const LIMITS: Limits = Limits { connections: 64, delay: Duration::ZERO };
 
 /// The parameters of a control request's query.
 pub(crate) struct Query(HashMap<String, String>);
@@ -46,7 +46,7 @@
     let handler = Arc::new(move |request: hyper::Request<hyper::body::Incoming>, _| {
         Box::pin(handle(inner.clone(), request.into_parts().0.uri)) as _
     });
-    Serve::start(addr, MAX_CONNECTIONS, handler)
+    Serve::start(addr, LIMITS, handler)
 }
 
 async fn handle(inner: Inner, uri: Uri) -> Answer {
--- /dev/null
+++ b/crates/fakes/src/ledger.rs
@@ -0,0 +1,146 @@
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::unix_ms;
+
+/// Runs kept by default, about 200 bytes each.
+const MAX_RUNS: usize = 1_000_000;
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RunEnd {
+    /// It has not ended.
+    Running,
+    /// The work was done.
+    Finished,
+    /// The client closed the connection before the work was done.
+    Cancelled,
+    /// The target crashed before the work was done.
+    Crashed,
+}
+
+/// One start of a request's work at a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The header `x-request-id`, empty if there was none.
+    pub request: Arc<str>,
+    /// The header `idempotency-key`.
+    pub key: Option<Arc<str>>,
+    /// The target's service.
+    pub service: Arc<str>,
+    /// The target's address.
+    pub target: SocketAddr,
+    /// Length of the request's body in bytes.
+    pub body: usize,
+    /// When the work started.
+    pub started: Instant,
+    /// When the work ended, in whatever way.
+    pub ended: Option<Instant>,
+    /// How it ended.
+    pub end: RunEnd,
+}
+
+impl Run {
+    /// For the control endpoint; times in milliseconds since the Unix epoch.
+    pub(crate) fn json(&self) -> serde_json::Value {
+        serde_json::json!({
+            "request": self.request, "key": self.key, "service": self.service,
+            "target": self.target, "body": self.body, "end": self.end,
+            "started": unix_ms(self.started), "ended": self.ended.map(unix_ms),
+        })
+    }
+}
+
+/// The record of all runs at one or more targets; clones share it.
+#[derive(Clone, Debug)]
+pub struct Ledger(Arc<Mutex<Book>>);
+
+#[derive(Debug)]
+struct Book {
+    runs: VecDeque<Run>,
+    /// Runs removed from the front.
+    removed: usize,
+    limit: usize,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self::new(MAX_RUNS)
+    }
+}
+
+impl Ledger {
+    /// Keeps the newest `limit` runs.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self(Arc::new(Mutex::new(Book { runs: VecDeque::new(), removed: 0, limit })))
+    }
+
+    /// The runs kept, in the order of their start.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.book().runs.iter().cloned().collect()
+    }
+
+    /// The runs of one request.
+    #[must_use]
+    pub fn runs_of(&self, request: &str) -> Vec<Run> {
+        self.book().runs.iter().filter(|run| *run.request == *request).cloned().collect()
+    }
+
+    /// The runs under one idempotency key.
+    #[must_use]
+    pub fn runs_with_key(&self, key: &str) -> Vec<Run> {
+        self.book().runs.iter().filter(|run| run.key.as_deref() == Some(key)).cloned().collect()
+    }
+
+    /// The idempotency keys that ran more than once, with the number of their runs.
+    #[must_use]
+    pub fn repeated_keys(&self) -> Vec<(Arc<str>, usize)> {
+        let book = self.book();
+        let mut counts: HashMap<&Arc<str>, usize> = HashMap::new();
+        for key in book.runs.iter().filter_map(|run| run.key.as_ref()) {
+            *counts.entry(key).or_default() += 1;
+        }
+        let repeated = counts.into_iter().filter(|(_, count)| *count > 1);
+        repeated.map(|(key, count)| (key.clone(), count)).collect()
+    }
+
+    /// Runs started, including those no longer kept.
+    #[must_use]
+    pub fn started(&self) -> usize {
+        let book = self.book();
+        book.removed + book.runs.len()
+    }
+
+    /// Records a start and returns the run's number.
+    pub(crate) fn start(&self, run: Run) -> usize {
+        let mut book = self.book();
+        book.runs.push_back(run);
+        if book.runs.len() > book.limit {
+            book.runs.pop_front();
+            book.removed += 1;
+        }
+        book.removed + book.runs.len() - 1
+    }
+
+    pub(crate) fn end(&self, number: usize, end: RunEnd, now: Instant) {
+        let mut book = self.book();
+        let index = number.checked_sub(book.removed);
+        if let Some(run) = index.and_then(|index| book.runs.get_mut(index)) {
+            run.end = end;
+            run.ended = Some(now);
+        }
+    }
+
+    fn book(&self) -> MutexGuard<'_, Book> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -3,17 +3,30 @@
 //! and call counts, and small targets with slots, cold start, load shedding, crashes and a ledger
 //! of executed requests. A clock that moves only on request keeps tests independent of real time.
 
+mod answer;
 mod bucket;
 mod clock;
 mod control;
 mod counts;
 mod gateway;
+mod ledger;
 mod messages;
 mod serve;
+mod service_time;
 mod standin;
 mod store;
+mod target;
+mod target_control;
+mod wall;
 mod watching;
+mod working;
 
+pub use answer::{AnswerFault, answer_body, check_answer};
 pub use clock::ManualClock;
 pub use counts::Counts;
+pub use ledger::{Ledger, Run, RunEnd};
+pub use service_time::ServiceTime;
 pub use standin::{RunningStandin, Snapshot, Standin};
+pub use target::{RunningTarget, Target};
+pub use wall::unix_ms;
+pub use working::{Report, TargetCounts};
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -1,5 +1,4 @@
 use std::{
-    convert::Infallible,
     future::{Future, pending},
     io,
     net::SocketAddr,
@@ -22,7 +21,7 @@
     task::{JoinHandle, JoinSet},
 };
 
-pub(crate) type Body = UnsyncBoxBody<Bytes, Infallible>;
+pub(crate) type Body = UnsyncBoxBody<Bytes, Severed>;
 pub(crate) type Answer = Result<Response<Body>, Severed>;
 pub(crate) type Answering = Pin<Box<dyn Future<Output = Answer> + Send>>;
 pub(crate) type Handler = Arc<dyn Fn(Request<Incoming>, Gate) -> Answering + Send + Sync>;
@@ -34,7 +33,7 @@
 
 /// Builds a complete body.
 pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).boxed_unsync()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// Blocks the connections that are to stop responding.
@@ -64,6 +63,15 @@
     }
 }
 
+/// What a server does with new connections.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    /// Most connections at a time; further ones are closed at once.
+    pub(crate) connections: usize,
+    /// Time before a new connection is served.
+    pub(crate) delay: Duration,
+}
+
 /// Connection counts of a server.
 #[derive(Debug, Default)]
 pub(crate) struct Connections {
@@ -92,8 +100,8 @@
 }
 
 impl Serve {
-    /// Binds `addr` and accepts at most `limit` connections at a time.
-    pub(crate) fn start(addr: SocketAddr, limit: usize, handler: Handler) -> io::Result<Self> {
+    /// Binds `addr` and serves.
+    pub(crate) fn start(addr: SocketAddr, limits: Limits, handler: Handler) -> io::Result<Self> {
         let port = Port::reserve(addr)?;
         let addr = port.addr;
         let listener = port.listen()?;
@@ -105,7 +113,7 @@
         let acceptor = Acceptor {
             port,
             listener: Some(listener),
-            limit,
+            limits,
             handler,
             gate: Gate { paused: paused_seen, silenced: silenced_seen, born: 0 },
             connections: connections.clone(),
@@ -188,7 +196,7 @@
 struct Acceptor {
     port: Port,
     listener: Option<TcpListener>,
-    limit: usize,
+    limits: Limits,
     handler: Handler,
     gate: Gate,
     connections: Arc<Connections>,
@@ -235,12 +243,18 @@
     }
 
     fn admit(&mut self, stream: TcpStream) {
-        if self.tasks.len() >= self.limit {
+        if self.tasks.len() >= self.limits.connections {
             self.connections.refused.fetch_add(1, Relaxed);
             return;
         }
         let gate = Gate { born: *self.gate.silenced.borrow(), ..self.gate.clone() };
-        self.tasks.spawn(connection(stream, self.handler.clone(), gate));
+        let (handler, delay) = (self.handler.clone(), self.limits.delay);
+        self.tasks.spawn(async move {
+            if delay > Duration::ZERO {
+                tokio::time::sleep(delay).await;
+            }
+            connection(stream, handler, gate).await;
+        });
         self.connections.accepted.fetch_add(1, Relaxed);
         self.connections.open.store(self.tasks.len(), Relaxed);
         self.connections.peak.fetch_max(self.tasks.len(), Relaxed);
--- a/crates/fakes/src/standin.rs
+++ b/crates/fakes/src/standin.rs
@@ -17,7 +17,7 @@
     control,
     counts::Counts,
     gateway,
-    serve::{Body, Serve},
+    serve::{Body, Limits, Serve},
     store::Store,
 };
 
@@ -27,8 +27,8 @@
 /// Changes kept for watches that resume.
 const HISTORY: usize = 10_000;
 
-/// Most connections; far above what tests and benches open.
-const MAX_CONNECTIONS: usize = 100_000;
+/// Far above what tests and benches open.
+const LIMITS: Limits = Limits { connections: 100_000, delay: Duration::ZERO };
 
 /// The address that lets the system choose a port on loopback.
 pub(crate) const ANY_PORT: SocketAddr =
@@ -89,10 +89,11 @@
         Self { history, ..self }
     }
 
-    /// Reads and writes admitted a second. Each open watch uses up one read a second.
+    /// Reads and writes admitted a second, `None` for no limit. Each open watch uses up one read
+    /// a second.
     #[must_use]
-    pub fn with_rates(self, reads: f64, writes: f64) -> Self {
-        Self { reads: Some(reads), writes: Some(writes), ..self }
+    pub fn with_rates(self, reads: Option<f64>, writes: Option<f64>) -> Self {
+        Self { reads, writes, ..self }
     }
 
     /// Binds the addresses and serves until `close`.
@@ -107,7 +108,7 @@
             let handler = Arc::new(move |request, gate| {
                 Box::pin(gateway::handle(shared.clone(), request, gate)) as _
             });
-            Arc::new(Serve::start(self.addr, MAX_CONNECTIONS, handler)?)
+            Arc::new(Serve::start(self.addr, LIMITS, handler)?)
         };
         let inner = Inner { shared: shared.clone(), gateway };
         let control = control::start(self.control, inner.clone())?;
--- /dev/null
+++ b/crates/fakes/src/target.rs
@@ -0,0 +1,264 @@
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
+
+use tokio::task::JoinSet;
+
+use crate::{
+    Ledger, Report, ServiceTime, TargetCounts,
+    serve::{Limits, Serve},
+    standin::ANY_PORT,
+    target_control,
+    working::{self, Conduct, Working},
+};
+
+/// Settings of a small target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    addr: SocketAddr,
+    control: SocketAddr,
+    limits: Limits,
+    conduct: Conduct,
+    ledger: Ledger,
+}
+
+impl Target {
+    /// A target of this service on any free port on loopback, with 12 slots, 120 connections, a
+    /// service time of 1 ms and answers of 256 bytes.
+    #[must_use]
+    pub fn new(service: &str) -> Self {
+        let conduct = Conduct {
+            service: service.into(),
+            slots: 12,
+            time: ServiceTime::Fixed(Duration::from_millis(1)),
+            answer: 256,
+            retry_after: 1,
+            cold: None,
+        };
+        Self {
+            addr: ANY_PORT,
+            control: ANY_PORT,
+            limits: Limits { connections: 120, delay: Duration::ZERO },
+            conduct,
+            ledger: Ledger::default(),
+        }
+    }
+
+    /// Serves at this address.
+    #[must_use]
+    pub fn with_addr(self, addr: SocketAddr) -> Self {
+        Self { addr, ..self }
+    }
+
+    /// Serves the control endpoint at this address.
+    #[must_use]
+    pub fn with_control(self, control: SocketAddr) -> Self {
+        Self { control, ..self }
+    }
+
+    /// Requests worked on at a time; further ones are shed.
+    #[must_use]
+    pub fn with_slots(mut self, slots: usize) -> Self {
+        self.conduct.slots = slots;
+        self
+    }
+
+    /// Connections open at a time; further ones are closed at once.
+    #[must_use]
+    pub fn with_connections(mut self, connections: usize) -> Self {
+        self.limits.connections = connections;
+        self
+    }
+
+    /// Time before a new connection is served, none by default.
+    #[must_use]
+    pub fn with_accept_delay(mut self, delay: Duration) -> Self {
+        self.limits.delay = delay;
+        self
+    }
+
+    /// How long a request takes.
+    #[must_use]
+    pub fn with_service_time(mut self, time: impl Into<ServiceTime>) -> Self {
+        self.conduct.time = time.into();
+        self
+    }
+
+    /// Multiplies the service time by `factor` for the time `cold` after each start.
+    #[must_use]
+    pub fn with_cold_start(mut self, cold: Duration, factor: f64) -> Self {
+        self.conduct.cold = Some((cold, factor));
+        self
+    }
+
+    /// Length of an answer in bytes.
+    #[must_use]
+    pub fn with_answer(mut self, size: usize) -> Self {
+        self.conduct.answer = size;
+        self
+    }
+
+    /// Seconds that a refusal asks the client to wait.
+    #[must_use]
+    pub fn with_retry_after(mut self, seconds: u64) -> Self {
+        self.conduct.retry_after = seconds;
+        self
+    }
+
+    /// Records runs in a ledger that several targets may share.
+    #[must_use]
+    pub fn with_ledger(self, ledger: Ledger) -> Self {
+        Self { ledger, ..self }
+    }
+
+    /// Binds the addresses and serves until `close`.
+    ///
+    /// # Errors
+    /// An address cannot be bound.
+    #[allow(clippy::unused_async)] // requires a runtime, and binding may come to wait
+    pub async fn start(self) -> io::Result<RunningTarget> {
+        let working = Arc::new(Working::new(self.conduct, self.ledger));
+        let handler = {
+            let working = working.clone();
+            Arc::new(move |request, gate| {
+                Box::pin(working::handle(working.clone(), request, gate)) as _
+            })
+        };
+        let serve = Arc::new(Serve::start(self.addr, self.limits, handler)?);
+        working.set_addr(serve.addr());
+        let inner = Inner { working, serve };
+        let control = target_control::start(self.control, inner.clone())?;
+        let mut crashes = JoinSet::new();
+        crashes.spawn(crash_on_notice(inner.clone()));
+        Ok(RunningTarget { inner, control, crashes })
+    }
+}
+
+/// A target that serves; dropping it without `close` stops it some time later.
+#[derive(Debug)]
+pub struct RunningTarget {
+    inner: Inner,
+    control: Serve,
+    crashes: JoinSet<()>,
+}
+
+impl RunningTarget {
+    /// Where requests are served.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.inner.serve.addr()
+    }
+
+    /// Where the control endpoint is served.
+    #[must_use]
+    pub fn control_addr(&self) -> SocketAddr {
+        self.control.addr()
+    }
+
+    /// The record of all runs.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.inner.working.ledger
+    }
+
+    /// Requests since the start, and those in progress.
+    #[must_use]
+    pub fn counts(&self) -> TargetCounts {
+        self.inner.working.lock().counts
+    }
+
+    /// Connections open now, and the most at a time.
+    #[must_use]
+    pub fn connections(&self) -> (usize, usize) {
+        let connections = self.inner.serve.connections();
+        (connections.open.load(Relaxed), connections.peak.load(Relaxed))
+    }
+
+    /// Connections accepted, and those closed because there were too many.
+    #[must_use]
+    pub fn accepted(&self) -> (usize, usize) {
+        let connections = self.inner.serve.connections();
+        (connections.accepted.load(Relaxed), connections.refused.load(Relaxed))
+    }
+
+    /// Closes the listener and all connections without an answer.
+    pub async fn crash(&self) {
+        self.inner.crash().await;
+    }
+
+    /// Starts a new, cold process in place of the crashed one.
+    pub async fn restart(&self) {
+        self.inner.restart().await;
+    }
+
+    /// Accepts connections and requests, but neither starts nor answers any until `resume`.
+    pub fn pause(&self) {
+        self.inner.serve.pause(true);
+    }
+
+    /// Ends `pause`.
+    pub fn resume(&self) {
+        self.inner.serve.pause(false);
+    }
+
+    /// Existing connections never answer again; new ones work.
+    pub fn silence(&self) {
+        self.inner.serve.silence();
+    }
+
+    /// Refuses new work or accepts it again; work in progress goes on.
+    pub fn drain(&self, draining: bool) {
+        self.inner.working.lock().draining = draining;
+    }
+
+    /// What `/healthz` reports.
+    pub fn set_health(&self, health: Report<bool>) {
+        self.inner.working.lock().health = health;
+    }
+
+    /// What `/load` reports as the share of slots in use.
+    pub fn set_load(&self, load: Report<f64>) {
+        self.inner.working.lock().load = load;
+    }
+
+    /// Closes the listeners and all connections.
+    pub async fn close(mut self) {
+        self.crashes.shutdown().await;
+        self.control.close().await;
+        self.inner.serve.cut(false);
+        self.inner.serve.cut_done().await;
+    }
+}
+
+/// The parts that the control endpoint shares.
+#[derive(Clone, Debug)]
+pub(crate) struct Inner {
+    pub(crate) working: Arc<Working>,
+    pub(crate) serve: Arc<Serve>,
+}
+
+impl Inner {
+    pub(crate) async fn crash(&self) {
+        self.working.lock().crashed = true;
+        self.serve.cut(false);
+        self.serve.cut_done().await;
+    }
+
+    pub(crate) async fn restart(&self) {
+        self.crash().await;
+        self.working.restart();
+        self.serve.cut(true);
+        self.serve.cut_done().await;
+    }
+}
+
+/// Carries out the crashes that requests cause.
+async fn crash_on_notice(inner: Inner) {
+    loop {
+        inner.working.crash.notified().await;
+        inner.crash().await;
+    }
+}
--- a/crates/fakes/src/watching.rs
+++ b/crates/fakes/src/watching.rs
@@ -1,4 +1,4 @@
-use std::{convert::Infallible, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -9,7 +9,7 @@
 
 use crate::{
     gateway::{event, header},
-    serve::{Body, Gate},
+    serve::{Body, Gate, Severed},
     standin::Shared,
     store::{Change, Span, StoreError},
 };
@@ -39,7 +39,7 @@
         Watching { shared, span, next: from, revision, gate, created: false, ended: false };
     let lines = stream::unfold(watching, |mut watching| async move {
         let line = watching.line().await?;
-        Some((Ok::<_, Infallible>(Frame::data(line)), watching))
+        Some((Ok::<_, Severed>(Frame::data(line)), watching))
     });
     Response::new(StreamBody::new(lines).boxed_unsync())
 }
--- /dev/null
+++ b/crates/fakes/src/working.rs
@@ -0,0 +1,317 @@
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER},
+};
+use serde::Serialize;
+use serde_json::json;
+use tokio::{sync::Notify, time::Instant};
+
+use crate::{
+    Ledger, Run, RunEnd, ServiceTime, answer_body,
+    serve::{Answer, Body, Gate, Severed, full},
+    standin::ANY_PORT,
+    unix_ms,
+};
+
+/// What a target has been asked since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct TargetCounts {
+    /// Runs that finished.
+    pub finished: u64,
+    /// Runs whose client closed the connection.
+    pub cancelled: u64,
+    /// Runs that a crash ended.
+    pub crashed: u64,
+    /// Requests refused because all slots were taken.
+    pub shed: u64,
+    /// Requests refused while draining.
+    pub drained: u64,
+    /// Requests that arrived after their deadline.
+    pub late: u64,
+    /// Runs in progress.
+    pub in_flight: usize,
+    /// Most runs in progress at a time.
+    pub peak: usize,
+}
+
+/// What a health or load endpoint reports.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Report<T> {
+    /// The truth.
+    #[default]
+    Honest,
+    /// Always this.
+    Says(T),
+}
+
+/// The part of a target's settings that its work depends on.
+#[derive(Clone, Debug)]
+pub(crate) struct Conduct {
+    pub(crate) service: Arc<str>,
+    pub(crate) slots: usize,
+    pub(crate) time: ServiceTime,
+    pub(crate) answer: usize,
+    pub(crate) retry_after: u64,
+    pub(crate) cold: Option<(Duration, f64)>,
+}
+
+/// The state that all connections of a target share.
+#[derive(Debug)]
+pub(crate) struct Working {
+    pub(crate) conduct: Conduct,
+    pub(crate) ledger: Ledger,
+    pub(crate) crash: Notify,
+    state: Mutex<WorkState>,
+}
+
+#[derive(Debug)]
+pub(crate) struct WorkState {
+    pub(crate) counts: TargetCounts,
+    pub(crate) draining: bool,
+    pub(crate) crashed: bool,
+    pub(crate) started: Instant,
+    pub(crate) health: Report<bool>,
+    pub(crate) load: Report<f64>,
+    addr: Option<SocketAddr>,
+}
+
+impl Working {
+    pub(crate) fn new(conduct: Conduct, ledger: Ledger) -> Self {
+        let state = WorkState {
+            counts: TargetCounts::default(),
+            draining: false,
+            crashed: false,
+            started: Instant::now(),
+            health: Report::Honest,
+            load: Report::Honest,
+            addr: None,
+        };
+        Self { conduct, ledger, crash: Notify::new(), state: Mutex::new(state) }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, WorkState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn set_addr(&self, addr: SocketAddr) {
+        self.lock().addr = Some(addr);
+    }
+
+    /// A new process in place of a crashed one: cold, and with nothing in progress.
+    pub(crate) fn restart(&self) {
+        let mut state = self.lock();
+        state.crashed = false;
+        state.draining = false;
+        state.started = Instant::now();
+    }
+
+    pub(crate) fn fail(&self) {
+        self.lock().crashed = true;
+        self.crash.notify_one();
+    }
+
+    fn work_time(&self) -> Duration {
+        let time = self.conduct.time.draw(&mut rand::rng());
+        match self.conduct.cold {
+            Some((cold, factor)) if self.lock().started.elapsed() < cold => time.mul_f64(factor),
+            _ => time,
+        }
+    }
+
+    fn health(&self) -> Response<Body> {
+        let state = self.lock();
+        let healthy = match state.health {
+            Report::Honest => !state.draining,
+            Report::Says(healthy) => healthy,
+        };
+        let status = if healthy { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        respond(status, full(if healthy { "ok\n" } else { "failing\n" }))
+    }
+
+    /// The share of the slots in use.
+    fn load(&self) -> Response<Body> {
+        let state = self.lock();
+        let load = match state.load {
+            Report::Honest => ratio(state.counts.in_flight, self.conduct.slots),
+            Report::Says(load) => load,
+        };
+        respond(StatusCode::OK, full(json!({"load": load}).to_string()))
+    }
+
+    /// Takes a slot and records the start, or says why the request is refused.
+    fn admit(self: &Arc<Self>, headers: &HeaderMap, body: usize) -> Result<Slot, Refusal> {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let deadline: Option<u64> = number(headers, "damaskwick-deadline");
+        if deadline.is_some_and(|deadline| unix_ms(now) >= deadline) {
+            state.counts.late += 1;
+            return Err(Refusal::Late);
+        }
+        if state.draining {
+            state.counts.drained += 1;
+            return Err(Refusal::Draining);
+        }
+        if state.counts.in_flight >= self.conduct.slots {
+            state.counts.shed += 1;
+            return Err(Refusal::Shed);
+        }
+        state.counts.in_flight += 1;
+        state.counts.peak = state.counts.peak.max(state.counts.in_flight);
+        let run = self.ledger.start(Run {
+            request: text(headers, "x-request-id").unwrap_or_default().into(),
+            key: text(headers, "idempotency-key").map(Arc::from),
+            service: self.conduct.service.clone(),
+            target: state.addr.unwrap_or(ANY_PORT),
+            body,
+            started: now,
+            ended: None,
+            end: RunEnd::Running,
+        });
+        Ok(Slot { working: self.clone(), run, done: false })
+    }
+}
+
+/// Why a target does not start a request.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    Late,
+    Draining,
+    Shed,
+}
+
+impl Refusal {
+    /// The header `x-refusal` says why, for tests.
+    fn answer(self, retry_after: u64) -> Response<Body> {
+        let (status, reason) = match self {
+            Self::Late => (StatusCode::GATEWAY_TIMEOUT, "late"),
+            Self::Draining => (StatusCode::SERVICE_UNAVAILABLE, "draining"),
+            Self::Shed => (StatusCode::SERVICE_UNAVAILABLE, "shed"),
+        };
+        let mut answer = respond(status, full(reason));
+        let headers = answer.headers_mut();
+        headers.insert("x-refusal", HeaderValue::from_static(reason));
+        match self {
+            Self::Late => {}
+            Self::Shed => {
+                headers.insert(RETRY_AFTER, HeaderValue::from(retry_after));
+            }
+            Self::Draining => {
+                headers.insert(RETRY_AFTER, HeaderValue::from(retry_after));
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+        }
+        answer
+    }
+}
+
+/// A slot in use; given back when the request ends in whatever way.
+struct Slot {
+    working: Arc<Working>,
+    run: usize,
+    done: bool,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut state = self.working.lock();
+        state.counts.in_flight -= 1;
+        let (end, count) = if self.done {
+            (RunEnd::Finished, &mut state.counts.finished)
+        } else if state.crashed {
+            (RunEnd::Crashed, &mut state.counts.crashed)
+        } else {
+            (RunEnd::Cancelled, &mut state.counts.cancelled)
+        };
+        *count += 1;
+        self.working.ledger.end(self.run, end, Instant::now());
+    }
+}
+
+/// Answers one request.
+///
+/// Headers that set its fate: `x-crash` (the target crashes after that many milliseconds of
+/// work), `x-work-ms` (service time), `x-answer-bytes` (length of the answer), `x-cut-after`
+/// (the connection breaks after that many bytes of the answer).
+pub(crate) async fn handle(
+    working: Arc<Working>,
+    request: Request<Incoming>,
+    mut gate: Gate,
+) -> Answer {
+    match request.uri().path() {
+        "/healthz" => return Ok(working.health()),
+        "/load" => return Ok(working.load()),
+        _ => {}
+    }
+    let (head, body) = request.into_parts();
+    // A request that is not complete is not run.
+    let body = body.collect().await.map_err(|_| Severed)?.to_bytes();
+    gate.pass().await;
+    let headers = &head.headers;
+    let mut slot = match working.admit(headers, body.len()) {
+        Ok(slot) => slot,
+        Err(refusal) => return Ok(refusal.answer(working.conduct.retry_after)),
+    };
+    if let Some(delay) = text(headers, "x-crash") {
+        let delay = delay.parse().unwrap_or_default();
+        work(Duration::from_millis(delay)).await;
+        working.fail();
+        // The crash drops this connection.
+        std::future::pending::<()>().await;
+    }
+    let time = number(headers, "x-work-ms").map(Duration::from_millis);
+    work(time.unwrap_or_else(|| working.work_time())).await;
+    slot.done = true;
+    drop(slot);
+    let size = number(headers, "x-answer-bytes").unwrap_or(working.conduct.answer);
+    let answer = answer_body(&text(headers, "x-request-id").unwrap_or_default(), size);
+    let length = HeaderValue::from(answer.len());
+    let body = match number(headers, "x-cut-after") {
+        Some(at) => cut_body(&answer, at),
+        None => full(answer),
+    };
+    let mut response = respond(StatusCode::OK, body);
+    response.headers_mut().insert(CONTENT_LENGTH, length);
+    Ok(response)
+}
+
+/// Timers have a granularity of 1 ms, so no work must not take one.
+async fn work(time: Duration) {
+    if time > Duration::ZERO {
+        tokio::time::sleep(time).await;
+    }
+}
+
+fn cut_body(answer: &Bytes, at: usize) -> Body {
+    let sent = answer.slice(..at.min(answer.len()));
+    StreamBody::new(stream::iter([Ok(Frame::data(sent)), Err(Severed)])).boxed_unsync()
+}
+
+fn respond(status: StatusCode, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    text(headers, name)?.parse().ok()
+}
+
+fn ratio(part: usize, whole: usize) -> f64 {
+    let float = |count| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    float(part) / float(whole.max(1))
+}
