Add dw-standin to run the stand-ins as separate processes

Trials on one machine need the platform and targets outside the daemons' processes. `dw-standin platform` and `dw-standin target` serve on a free or a given port, print both addresses on one line and end on SIGTERM.

--- /dev/null
+++ b/crates/fakes/src/bin/dw-standin.rs
@@ -0,0 +1,128 @@
+//! Runs the platform's stand-in or a small target as a process of its own.
+
+use std::{
+    error::Error,
+    io::{Write, stdout},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use dw_fakes::{Standin, Target};
+use gumdrop::Options;
+
+/// Small stand-ins for trying damaskwick on one machine.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "serve the platform's key-value service")]
+    Platform(PlatformOptions),
+    #[options(help = "serve a target")]
+    Target(TargetOptions),
+}
+
+#[derive(Debug, Options)]
+struct PlatformOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address to serve at, a free port on loopback without it", meta = "ADDR")]
+    addr: Option<SocketAddr>,
+    #[options(help = "address of the control endpoint", meta = "ADDR")]
+    control: Option<SocketAddr>,
+    #[options(help = "reads a second, no limit without it", meta = "RATE")]
+    reads: Option<f64>,
+    #[options(help = "writes a second, no limit without it", meta = "RATE")]
+    writes: Option<f64>,
+}
+
+#[derive(Debug, Options)]
+struct TargetOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address to serve at, a free port on loopback without it", meta = "ADDR")]
+    addr: Option<SocketAddr>,
+    #[options(help = "address of the control endpoint", meta = "ADDR")]
+    control: Option<SocketAddr>,
+    #[options(help = "name of the service", required, meta = "NAME")]
+    service: String,
+    #[options(help = "requests worked on at a time", default = "12", meta = "COUNT")]
+    slots: usize,
+    #[options(help = "connections open at a time", default = "120", meta = "COUNT")]
+    connections: usize,
+    #[options(help = "service time in milliseconds", default = "1", meta = "MS")]
+    work: u64,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let arguments = Arguments::parse_args_default_or_exit();
+    match arguments.command {
+        Some(Command::Platform(options)) => platform(options).await,
+        Some(Command::Target(options)) => target(options).await,
+        None => {
+            writeln!(stdout(), "{}", Arguments::usage())?;
+            let commands = Arguments::command_list().unwrap_or_default();
+            writeln!(stdout(), "Commands:\n{commands}")?;
+            std::process::exit(2);
+        }
+    }
+}
+
+async fn platform(options: PlatformOptions) -> Result<(), Box<dyn Error>> {
+    let mut standin = Standin::new();
+    if let Some(addr) = options.addr {
+        standin = standin.with_addr(addr);
+    }
+    if let Some(control) = options.control {
+        standin = standin.with_control(control);
+    }
+    standin = standin.with_rates(options.reads, options.writes);
+    let running = standin.start().await?;
+    announce("platform", running.addr(), running.control_addr())?;
+    stopped().await?;
+    running.close().await;
+    Ok(())
+}
+
+async fn target(options: TargetOptions) -> Result<(), Box<dyn Error>> {
+    let mut target = Target::new(&options.service)
+        .with_slots(options.slots)
+        .with_connections(options.connections)
+        .with_service_time(Duration::from_millis(options.work));
+    if let Some(addr) = options.addr {
+        target = target.with_addr(addr);
+    }
+    if let Some(control) = options.control {
+        target = target.with_control(control);
+    }
+    let running = target.start().await?;
+    announce(&options.service, running.addr(), running.control_addr())?;
+    stopped().await?;
+    running.close().await;
+    Ok(())
+}
+
+/// Prints one line, which scripts read to learn the ports.
+fn announce(name: &str, addr: SocketAddr, control: SocketAddr) -> std::io::Result<()> {
+    let mut out = stdout();
+    writeln!(out, "{name} {addr} control {control}")?;
+    out.flush()
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn stopped() -> std::io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (mut term, mut interrupt) =
+        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
