Add the commands of the operators' tool as a library

Each command is written against the Platform trait and an Admin trait for the daemons' status, so the tests run them without sockets. apply writes parts first, then head and history in one guarded transaction. After a lost response it looks for its change id in head and history and sends the same transaction again if the id is not there: a read alone cannot exclude a write that is still on its way, and the guard lets at most one copy take effect.

--- /dev/null
+++ b/crates/cli/src/apply.rs
@@ -0,0 +1,145 @@
+use std::net::SocketAddr;
+
+use dw_platform::Platform;
+use dw_tables::{Head, Name, Version, changes};
+use futures_util::future::join_all;
+use serde_json::{Value as Json, json};
+
+use crate::{
+    Admin, ApplyArgs, Console, DaemonStatus, Exit, Failure,
+    files::read_tables,
+    show::row_lines,
+    stale::stale,
+    store::{Held, read_head, read_number, write_parts},
+    swap::{Swap, swap},
+};
+
+/// The longest author, in bytes.
+const MAX_AUTHOR: usize = 64;
+
+/// Who makes an edit and when.
+#[derive(Clone, Debug)]
+pub struct Edit {
+    /// Who makes it, unless the command names somebody.
+    pub author: Name,
+    /// Random id, by which the tool recognises its own write after a lost response.
+    pub change: Name,
+    /// The time, in ms since the Unix epoch.
+    pub time: u64,
+}
+
+/// Makes the tables the next version: shows what will change, writes the parts, then head and
+/// history in one transaction.
+///
+/// # Errors
+/// Findings, a stale base, a daemon that serves a higher version, an unknown outcome, or a
+/// platform that cannot be reached.
+pub async fn apply<P: Platform, A: Admin>(
+    args: &ApplyArgs,
+    edit: &Edit,
+    platform: &P,
+    admin: &A,
+    console: &mut Console,
+) -> Result<Json, Failure> {
+    let author = author(args, edit)?;
+    let tables = read_tables(&args.tables)?;
+    let held = read_head(platform).await?;
+    if held.number() != args.base {
+        return Err(stale(platform, args.base, &tables).await);
+    }
+    check_daemons(admin, &args.daemon, &held).await?;
+    let old = read_number(platform, &held, args.base).await?;
+    let version = Version::new(args.base.saturating_add(1), tables);
+    let rows = changes(&old, &version.tables);
+    if held.head.is_some() && held.hash() == version.hash {
+        console.say(&format!("nothing to change: version {} has these tables", args.base));
+        return Ok(json!({ "version": args.base, "hash": version.hash, "changes": [] }));
+    }
+    rows.iter().flat_map(row_lines).for_each(|line| console.say(&line));
+    let parts = write_parts(platform, &version).await?;
+    let head = Head {
+        number: version.number,
+        hash: version.hash,
+        parent: held.hash(),
+        change: edit.change.clone(),
+        parts,
+        author,
+        time: edit.time,
+    };
+    match swap(platform, &held, &head, args.limit.into()).await? {
+        Swap::Done => {}
+        Swap::Lost => return Err(stale(platform, args.base, &version.tables).await),
+        Swap::Unknown => return Err(unknown(args, &head)),
+        Swap::Failed(e) => return Err(Failure::from(e)),
+    }
+    let Head { number, change, .. } = &head;
+    console.say(&format!("version {number} is accepted (change {change}, {} rows)", rows.len()));
+    console.say(&format!("`damaskwick watch --version {number}` tells when it is in force"));
+    Ok(json!({ "version": number, "hash": head.hash, "change": change, "changes": rows }))
+}
+
+/// The author, who is shown in one line with other fields.
+fn author(args: &ApplyArgs, edit: &Edit) -> Result<Name, Failure> {
+    let author = args.author.as_deref().map_or_else(|| edit.author.clone(), Name::new);
+    let valid =
+        !author.is_empty() && author.len() <= MAX_AUTHOR && !author.contains(char::is_control);
+    valid.then_some(author).ok_or_else(|| {
+        let message = format!("--author takes 1 to {MAX_AUTHOR} bytes without control characters");
+        Failure::new(Exit::Usage, message)
+    })
+}
+
+/// Refuses if a daemon serves another configuration than the platform holds: the platform was then
+/// restored from an older copy, and a version made on top of it would be refused by the fleet. A
+/// daemon that does not answer is not known to pass.
+async fn check_daemons<A: Admin>(
+    admin: &A,
+    addrs: &[SocketAddr],
+    held: &Held,
+) -> Result<(), Failure> {
+    let polls = join_all(addrs.iter().map(|addr| admin.status(*addr))).await;
+    let faults: Vec<String> = polls
+        .iter()
+        .filter_map(|poll| match poll {
+            Ok(status) => daemon_fault(status, held),
+            Err(e) => Some(e.to_string()),
+        })
+        .collect();
+    if faults.is_empty() {
+        return Ok(());
+    }
+    let message = format!("no version was accepted:\n{}", faults.join("\n"));
+    Err(Failure::new(Exit::Failed, message)
+        .with_data(json!({ "head": held.number(), "faults": faults })))
+}
+
+fn daemon_fault(status: &DaemonStatus, held: &Held) -> Option<String> {
+    let (host, number) = (&status.host, held.number());
+    let highest = status.highest();
+    if highest > number {
+        return Some(format!(
+            "host {host} knows version {highest}, higher than version {number} of the platform"
+        ));
+    }
+    let served = &status.version;
+    let fork = served.number == number && !held.hash().to_string().starts_with(&served.hash);
+    (fork && number > 0).then(|| {
+        format!("host {host} serves version {number} with another hash than the platform's")
+    })
+}
+
+fn unknown(args: &ApplyArgs, head: &Head) -> Failure {
+    let (number, change) = (head.number, &head.change);
+    let platform: Vec<String> =
+        args.platform.iter().map(|addr| format!(" --platform {addr}")).collect();
+    let message = format!(
+        "unknown outcome: version {number} may or may not be accepted\n\
+         check with `damaskwick history{}`: it is accepted if version {number} has change \
+         {change}\n\
+         applying again with --base {} is refused if it is",
+        platform.concat(),
+        args.base
+    );
+    Failure::new(Exit::Unknown, message)
+        .with_data(json!({ "version": number, "change": change, "hash": head.hash }))
+}
--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,180 @@
+use std::{net::SocketAddr, path::PathBuf};
+
+use dw_tables::Millis;
+use gumdrop::Options;
+
+/// damaskwick edits the tables of the mesh and shows where they are in force.
+#[derive(Debug, Options)]
+pub struct Args {
+    /// show this text
+    pub help: bool,
+    /// show the version of the tool
+    #[options(no_short)]
+    pub version: bool,
+    /// what to do
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// check the tables and list all findings
+    Check(CheckArgs),
+    /// show in which rows the tables differ from a version of the platform
+    Diff(DiffArgs),
+    /// make the tables the next version
+    Apply(ApplyArgs),
+    /// show the tables of a version
+    Get(GetArgs),
+    /// list accepted versions, newest first
+    History(HistoryArgs),
+    /// show where versions are in force, as daemons see it
+    Status(StatusArgs),
+    /// wait until a version is in force everywhere
+    Watch(WatchArgs),
+}
+
+/// Options of `check`.
+#[derive(Debug, Options)]
+pub struct CheckArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// directory of routes.jsonc and pools.jsonc
+    #[options(no_short, meta = "DIR", default = ".")]
+    pub tables: PathBuf,
+}
+
+/// Options of `diff`.
+#[derive(Debug, Options)]
+pub struct DiffArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// directory of routes.jsonc and pools.jsonc
+    #[options(no_short, meta = "DIR", default = ".")]
+    pub tables: PathBuf,
+    /// address of the platform; may be repeated
+    #[options(no_short, meta = "IP:PORT")]
+    pub platform: Vec<SocketAddr>,
+    /// version to compare with instead of the newest
+    #[options(no_short, meta = "VERSION")]
+    pub base: Option<u64>,
+}
+
+/// Options of `apply`.
+#[derive(Debug, Options)]
+pub struct ApplyArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// directory of routes.jsonc and pools.jsonc
+    #[options(no_short, meta = "DIR", default = ".")]
+    pub tables: PathBuf,
+    /// address of the platform; may be repeated
+    #[options(no_short, meta = "IP:PORT")]
+    pub platform: Vec<SocketAddr>,
+    /// version that was edited; 0 for the first
+    #[options(no_short, required, meta = "VERSION")]
+    pub base: u64,
+    /// admin address of a daemon that must not serve a higher version than the platform's; may be
+    /// repeated
+    #[options(no_short, meta = "IP:PORT")]
+    pub daemon: Vec<SocketAddr>,
+    /// who makes the edit (default: the user)
+    #[options(no_short, meta = "NAME")]
+    pub author: Option<String>,
+    /// time in which the outcome must be found out
+    #[options(no_short, meta = "TIME", default = "10s")]
+    pub limit: Millis,
+}
+
+/// Options of `get`.
+#[derive(Debug, Options)]
+pub struct GetArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// address of the platform; may be repeated
+    #[options(no_short, meta = "IP:PORT")]
+    pub platform: Vec<SocketAddr>,
+    /// version to show instead of the newest
+    #[options(no_short, meta = "VERSION")]
+    pub version: Option<u64>,
+    /// directory to write routes.jsonc and pools.jsonc to; existing files are not replaced
+    #[options(no_short, meta = "DIR")]
+    pub out: Option<PathBuf>,
+}
+
+/// Options of `history`.
+#[derive(Debug, Options)]
+pub struct HistoryArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// address of the platform; may be repeated
+    #[options(no_short, meta = "IP:PORT")]
+    pub platform: Vec<SocketAddr>,
+    /// how many versions to list
+    #[options(no_short, meta = "COUNT", default = "20")]
+    pub last: u64,
+}
+
+/// Options of `status`.
+#[derive(Debug, Options)]
+pub struct StatusArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// admin address of a daemon; may be repeated
+    #[options(no_short, meta = "IP:PORT")]
+    pub daemon: Vec<SocketAddr>,
+}
+
+/// Options of `watch`.
+#[derive(Debug, Options)]
+pub struct WatchArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// admin address of a daemon; may be repeated, then all must report it
+    #[options(no_short, meta = "IP:PORT")]
+    pub daemon: Vec<SocketAddr>,
+    /// version that, or a later one, must be in force everywhere
+    #[options(no_short, required, meta = "VERSION")]
+    pub version: u64,
+    /// the longest wait
+    #[options(no_short, meta = "TIME", default = "10s")]
+    pub limit: Millis,
+}
+
+impl Command {
+    /// Whether the result is printed as JSON.
+    #[must_use]
+    pub const fn json(&self) -> bool {
+        match self {
+            Self::Check(args) => args.json,
+            Self::Diff(args) => args.json,
+            Self::Apply(args) => args.json,
+            Self::Get(args) => args.json,
+            Self::History(args) => args.json,
+            Self::Status(args) => args.json,
+            Self::Watch(args) => args.json,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/check.rs
@@ -0,0 +1,14 @@
+use serde_json::{Value as Json, json};
+
+use crate::{CheckArgs, Console, Failure, files::read_tables};
+
+/// Checks the tables.
+///
+/// # Errors
+/// All findings, or a file that cannot be read.
+pub fn check(args: &CheckArgs, console: &mut Console) -> Result<Json, Failure> {
+    let tables = read_tables(&args.tables)?;
+    let (routes, pools) = (tables.routes.len(), tables.pools.len());
+    console.say(&format!("no findings in {routes} routes and {pools} pools"));
+    Ok(json!({ "routes": routes, "pools": pools, "findings": [] }))
+}
--- /dev/null
+++ b/crates/cli/src/console.rs
@@ -0,0 +1,51 @@
+use std::io::Write;
+
+use serde_json::{Value as Json, json};
+
+use crate::{Exit, Failure};
+
+/// Where a command writes: lines for people, or one JSON object.
+pub struct Console {
+    json: bool,
+    out: Box<dyn Write + Send>,
+    err: Box<dyn Write + Send>,
+    broken: bool,
+}
+
+impl Console {
+    /// Writes results to `out` and the messages of failures to `err`; with `json` only one object
+    /// to `out`.
+    #[must_use]
+    pub fn new(json: bool, out: Box<dyn Write + Send>, err: Box<dyn Write + Send>) -> Self {
+        Self { json, out, err, broken: false }
+    }
+
+    /// Writes a line for people at once.
+    pub fn say(&mut self, line: &str) {
+        if !self.json {
+            let written = writeln!(self.out, "{line}").and_then(|()| self.out.flush());
+            self.broken |= written.is_err();
+        }
+    }
+
+    /// Writes the result of a command and returns its exit code.
+    pub fn finish(&mut self, result: Result<Json, Failure>) -> Exit {
+        let (exit, message, mut data) = match result {
+            Ok(data) => (Exit::Ok, String::new(), data),
+            Err(failure) => (failure.exit, failure.message, failure.data),
+        };
+        if self.json {
+            data["exit"] = json!(exit.code());
+            if exit != Exit::Ok {
+                data["message"] = json!(message);
+            }
+            let written = writeln!(self.out, "{data}").and_then(|()| self.out.flush());
+            self.broken |= written.is_err();
+        } else if exit != Exit::Ok {
+            let written = writeln!(self.err, "{message}");
+            self.broken |= written.is_err();
+        }
+        // A result that nobody can read was not reported.
+        if self.broken && exit == Exit::Ok { Exit::Failed } else { exit }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/failure.rs
@@ -0,0 +1,57 @@
+use dw_platform::PlatformError;
+use dw_tables::Findings;
+use serde_json::{Value as Json, json};
+use thiserror::Error;
+
+use crate::Exit;
+
+/// Why a command did not succeed.
+#[derive(Clone, Debug, PartialEq, Error)]
+#[error("{message}")]
+pub struct Failure {
+    /// The exit code.
+    pub exit: Exit,
+    /// The message for people.
+    pub message: String,
+    /// Details for `--json`, an object.
+    pub data: Json,
+}
+
+impl Failure {
+    /// A failure without details.
+    #[must_use]
+    pub fn new(exit: Exit, message: impl Into<String>) -> Self {
+        Self { exit, message: message.into(), data: json!({}) }
+    }
+
+    /// Adds details for `--json`, an object.
+    #[must_use]
+    pub fn with_data(mut self, data: Json) -> Self {
+        self.data = data;
+        self
+    }
+}
+
+impl From<PlatformError> for Failure {
+    /// For reads and for writes that did not concern the head.
+    fn from(error: PlatformError) -> Self {
+        let exit = match error {
+            PlatformError::Unreachable { .. }
+            | PlatformError::Unanswered
+            | PlatformError::Overloaded
+            | PlatformError::Budget => Exit::Unreachable,
+            PlatformError::TooLarge { .. }
+            | PlatformError::LeaseGone
+            | PlatformError::Compacted
+            | PlatformError::Protocol(_) => Exit::Failed,
+        };
+        Self::new(exit, error.to_string())
+    }
+}
+
+impl From<Findings> for Failure {
+    fn from(findings: Findings) -> Self {
+        let message = format!("{findings}\ntables refused: {} findings", findings.list.len());
+        Self::new(Exit::Refused, message).with_data(json!({ "findings": findings.list }))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,42 @@
+//! The operators' tool `damaskwick`: it checks the tables, makes them the next version by
+//! compare-and-swap in the platform, and shows where versions are in force. Each command is written
+//! against the traits [`dw_platform::Platform`] and [`Admin`], so tests run it without sockets.
+
+mod admin;
+mod apply;
+mod args;
+mod check;
+mod console;
+mod daemon_status;
+mod diff;
+mod exit;
+mod failure;
+mod files;
+mod get;
+mod history;
+mod run;
+mod show;
+mod stale;
+mod status;
+mod store;
+mod swap;
+mod usage;
+mod watch;
+
+pub use admin::{Admin, AdminError, HttpAdmin};
+pub use apply::{Edit, apply};
+pub use args::{
+    ApplyArgs, Args, CheckArgs, Command, DiffArgs, GetArgs, HistoryArgs, StatusArgs, WatchArgs,
+};
+pub use check::check;
+pub use console::Console;
+pub use daemon_status::{DaemonStatus, DomainStatus, RefusedHead, ServedVersion, State};
+pub use diff::diff;
+pub use exit::Exit;
+pub use failure::Failure;
+pub use get::get;
+pub use history::history;
+pub use run::run;
+pub use status::status;
+pub use usage::{Asked, parse_args};
+pub use watch::watch;
--- /dev/null
+++ b/crates/cli/src/run.rs
@@ -0,0 +1,64 @@
+use std::net::SocketAddr;
+
+use dw_platform::Platform;
+use serde_json::Value as Json;
+
+use crate::{
+    Admin, Command, Console, Edit, Exit, Failure, apply, check, diff, get, history, status, watch,
+};
+
+/// Runs a command and returns the exit code. `connect` is called only by commands that use the
+/// platform.
+pub async fn run<P: Platform, A: Admin>(
+    command: &Command,
+    edit: &Edit,
+    connect: impl FnOnce(Vec<SocketAddr>) -> P,
+    admin: &A,
+    console: &mut Console,
+) -> Exit {
+    let result = dispatch(command, edit, connect, admin, console).await;
+    console.finish(result)
+}
+
+async fn dispatch<P: Platform, A: Admin>(
+    command: &Command,
+    edit: &Edit,
+    connect: impl FnOnce(Vec<SocketAddr>) -> P,
+    admin: &A,
+    console: &mut Console,
+) -> Result<Json, Failure> {
+    match command {
+        Command::Check(args) => check(args, console),
+        Command::Diff(args) => {
+            let platform = connect(given("--platform", &args.platform)?);
+            diff(args, &platform, console).await
+        }
+        Command::Apply(args) => {
+            let platform = connect(given("--platform", &args.platform)?);
+            apply(args, edit, &platform, admin, console).await
+        }
+        Command::Get(args) => {
+            let platform = connect(given("--platform", &args.platform)?);
+            get(args, &platform, console).await
+        }
+        Command::History(args) => {
+            let platform = connect(given("--platform", &args.platform)?);
+            history(args, &platform, console).await
+        }
+        Command::Status(args) => {
+            given("--daemon", &args.daemon)?;
+            status(args, admin, console).await
+        }
+        Command::Watch(args) => {
+            given("--daemon", &args.daemon)?;
+            watch(args, admin, console).await
+        }
+    }
+}
+
+fn given(option: &str, addrs: &[SocketAddr]) -> Result<Vec<SocketAddr>, Failure> {
+    if addrs.is_empty() {
+        return Err(Failure::new(Exit::Usage, format!("{option} IP:PORT is missing")));
+    }
+    Ok(addrs.to_vec())
+}
--- /dev/null
+++ b/crates/cli/src/show.rs
@@ -0,0 +1,66 @@
+use std::time::{Duration, UNIX_EPOCH};
+
+use dw_tables::{FieldChange, Head, RowChange};
+use serde_json::Value as Json;
+
+use crate::DaemonStatus;
+
+/// The lines that show a change of a row: what happens to it, then each field that differs.
+pub(crate) fn row_lines(row: &RowChange) -> Vec<String> {
+    let title = format!("{} {:?} {}", row.table, row.name.as_str(), row.change);
+    std::iter::once(title).chain(row.fields.iter().map(field_line)).collect()
+}
+
+/// One line with the values that an edit gives to a row.
+pub(crate) fn row_line(row: &RowChange) -> String {
+    let fields: Vec<String> = row.fields.iter().map(|f| field_line(f).trim().to_owned()).collect();
+    match fields.as_slice() {
+        [] => row.change.to_string(),
+        fields => format!("{} ({})", row.change, fields.join("; ")),
+    }
+}
+
+/// One line for a version in the history.
+pub(crate) fn head_line(head: &Head) -> String {
+    let time = UNIX_EPOCH + Duration::from_millis(head.time.min(MAX_TIME));
+    let time = httpdate::fmt_http_date(time);
+    let Head { number, author, change, hash, .. } = head;
+    format!("version {number}  {time}  by {author}  change {change}  hash {hash}")
+}
+
+/// The latest time that can be shown, the end of the year 9999, in ms since the Unix epoch;
+/// formatting panics beyond it.
+const MAX_TIME: u64 = 253_402_300_799_000;
+
+/// The lines that show a daemon's status.
+pub(crate) fn status_lines(status: &DaemonStatus) -> Vec<String> {
+    let version = &status.version;
+    let mut lines = vec![format!(
+        "host {} in {}: version {} ({}) is {}",
+        status.host, status.domain, version.number, version.hash, status.state
+    )];
+    for domain in &status.domains {
+        lines.push(format!(
+            "  {}: {}, {} of {} members, highest version {}",
+            domain.domain, domain.state, domain.applied, domain.members, domain.highest
+        ));
+        for (label, hosts) in [("behind", &domain.behind), ("unreachable", &domain.unreachable)] {
+            if !hosts.is_empty() {
+                lines.push(format!("    {label}: {}", hosts.join(", ")));
+            }
+        }
+    }
+    for refused in &status.refused {
+        let (number, hash) = (refused.number, &refused.hash);
+        lines.push(format!("  refused: version {number} ({hash}): {}", refused.reason));
+    }
+    lines
+}
+
+fn field_line(field: &FieldChange) -> String {
+    match (&field.old, &field.new) {
+        (Some(old), Some(new)) => format!("  {}: {old} -> {new}", field.path),
+        (None, Some(value)) | (Some(value), None) => format!("  {}: {value}", field.path),
+        (None, None) => format!("  {}: {}", field.path, Json::Null),
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/common/mod.rs
@@ -0,0 +1,234 @@
+//! An in-memory platform with faults, daemons with given statuses, and captured output.
+
+#![allow(dead_code, clippy::expect_used)]
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    io::{self, Write},
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use dw_cli::{Admin, AdminError, Asked, Console, DaemonStatus, Edit, Exit, parse_args, run};
+use dw_platform::{Commit, Entry, Event, LeaseId, Platform, PlatformError, Txn, Watch};
+
+/// What goes wrong with a transaction that guards the head.
+pub(crate) enum Fault {
+    /// It takes effect, the response is lost.
+    LostResponse,
+    /// It is lost before the platform sees it.
+    LostRequest,
+    /// It takes effect just before the next transaction, its response is lost.
+    Late,
+    /// Another transaction takes effect first.
+    Overtaken(Txn),
+    /// It takes effect, the response is lost, and another transaction follows.
+    Followed(Txn),
+    /// It takes effect, the response is lost, and the platform cannot be reached any more.
+    Outage,
+}
+
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) entries: BTreeMap<String, Entry>,
+    pub(crate) faults: VecDeque<Fault>,
+    pub(crate) down: bool,
+    late: Option<Txn>,
+    revision: u64,
+}
+
+impl Store {
+    fn reach(&self) -> Result<(), PlatformError> {
+        let addr = "192.0.2.1:2379".to_owned();
+        if self.down { Err(PlatformError::Unreachable { addr }) } else { Ok(()) }
+    }
+
+    pub(crate) fn commit(&mut self, txn: &Txn) -> Commit {
+        let revision = |key: &str| self.entries.get(key).map_or(0, |entry| entry.revision);
+        if txn.guards.iter().any(|guard| revision(&guard.key) != guard.revision) {
+            let keys = txn.guards.iter().filter_map(|guard| self.entries.get(&guard.key));
+            return Commit::Conflict { present: keys.cloned().collect() };
+        }
+        self.revision += 1;
+        for put in &txn.puts {
+            let (key, value) = (put.key.clone(), put.value.clone());
+            let entry = Entry { key: key.clone(), value, revision: self.revision, lease: None };
+            self.entries.insert(key, entry);
+        }
+        Commit::Done { revision: self.revision }
+    }
+
+    fn fail(&mut self, fault: Fault, txn: &Txn) -> Result<Commit, PlatformError> {
+        match fault {
+            Fault::LostRequest => {}
+            Fault::Late => self.late = Some(txn.clone()),
+            Fault::LostResponse => drop(self.commit(txn)),
+            Fault::Overtaken(other) => {
+                self.commit(&other);
+                return Ok(self.commit(txn));
+            }
+            Fault::Followed(other) => {
+                self.commit(txn);
+                self.commit(&other);
+            }
+            Fault::Outage => {
+                self.commit(txn);
+                self.down = true;
+            }
+        }
+        Err(PlatformError::Unanswered)
+    }
+}
+
+#[derive(Clone, Default)]
+pub(crate) struct Memory(Arc<Mutex<Store>>);
+
+impl Memory {
+    pub(crate) fn store(&self) -> MutexGuard<'_, Store> {
+        self.0.lock().expect("store")
+    }
+
+    /// The change ids in the history, oldest first.
+    pub(crate) fn changes(&self) -> Vec<String> {
+        let store = self.store();
+        let entries = store.entries.iter().filter(|(key, _)| key.starts_with("damaskwick/history"));
+        let head = |entry: &Entry| serde_json::from_slice::<dw_tables::Head>(&entry.value);
+        entries.map(|(_, entry)| head(entry).expect("head").change.to_string()).collect()
+    }
+}
+
+impl Platform for Memory {
+    type Watch = NoWatch;
+
+    async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
+        let store = self.store();
+        store.reach()?;
+        Ok(store.entries.get(key).cloned())
+    }
+
+    async fn range(&self, _: &str) -> Result<Vec<Entry>, PlatformError> {
+        Err(PlatformError::Protocol("not used by the tool".to_owned()))
+    }
+
+    async fn commit(&self, txn: Txn) -> Result<Commit, PlatformError> {
+        let mut store = self.store();
+        store.reach()?;
+        if let Some(late) = store.late.take() {
+            store.commit(&late);
+        }
+        match store.faults.pop_front() {
+            Some(fault) if !txn.guards.is_empty() => store.fail(fault, &txn),
+            fault => {
+                fault.into_iter().for_each(|fault| store.faults.push_front(fault));
+                Ok(store.commit(&txn))
+            }
+        }
+    }
+
+    async fn grant(&self, _: Duration) -> Result<LeaseId, PlatformError> {
+        Err(PlatformError::LeaseGone)
+    }
+
+    async fn renew(&self, _: LeaseId) -> Result<(), PlatformError> {
+        Err(PlatformError::LeaseGone)
+    }
+
+    async fn revoke(&self, _: LeaseId) -> Result<(), PlatformError> {
+        Err(PlatformError::LeaseGone)
+    }
+
+    async fn watch(&self, _: &str, _: u64) -> Result<NoWatch, PlatformError> {
+        Err(PlatformError::Compacted)
+    }
+}
+
+pub(crate) struct NoWatch;
+
+impl Watch for NoWatch {
+    async fn next(&mut self) -> Result<Event, PlatformError> {
+        Err(PlatformError::Compacted)
+    }
+}
+
+/// Daemons that answer with one status after the other; the last one stays.
+#[derive(Default)]
+pub(crate) struct Daemons(pub(crate) Mutex<VecDeque<DaemonStatus>>);
+
+impl Daemons {
+    pub(crate) fn new(list: impl IntoIterator<Item = DaemonStatus>) -> Self {
+        Self(Mutex::new(list.into_iter().collect()))
+    }
+}
+
+impl Admin for Daemons {
+    async fn status(&self, addr: SocketAddr) -> Result<DaemonStatus, AdminError> {
+        let mut list = self.0.lock().expect("statuses");
+        let status = if list.len() > 1 { list.pop_front() } else { list.front().cloned() };
+        status.ok_or(AdminError { addr, reason: "connection refused".to_owned() })
+    }
+}
+
+#[derive(Clone, Default)]
+struct Capture(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Capture {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("capture").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Runs a command line and returns the exit code and both outputs, joined.
+pub(crate) async fn tool(
+    platform: &Memory,
+    daemons: &Daemons,
+    change: &str,
+    line: &str,
+) -> (Exit, String) {
+    let words: Vec<String> = line.split_whitespace().map(str::to_owned).collect();
+    let command = match parse_args(&words) {
+        Asked::Run(args) => args.command.expect("command"),
+        Asked::Show(text) => return (Exit::Ok, text),
+        Asked::Refuse(text) => return (Exit::Usage, text),
+    };
+    let capture = Capture::default();
+    let (out, err) = (Box::new(capture.clone()), Box::new(capture.clone()));
+    let mut console = Console::new(command.json(), out, err);
+    let edit = Edit { author: "ada".into(), change: change.into(), time: 1_000_000_000_000 };
+    let exit = run(&command, &edit, |_| platform.clone(), daemons, &mut console).await;
+    let text = String::from_utf8(capture.0.lock().expect("capture").clone()).expect("UTF-8");
+    (exit, text)
+}
+
+/// Writes tables with the given deadlines of the routes `credit` and `lookup` to a new directory.
+pub(crate) fn tables(test: &str, credit: &str, lookup: &str) -> String {
+    let routes = format!(
+        r#"{{ "routes": [
+        {{ "name": "credit", "match": {{ "path": "/credits" }}, "pool": "ledger",
+           "deadline": "{credit}" }},
+        {{ "name": "lookup", "match": {{ "path": "/copies" }}, "pool": "ledger",
+           "deadline": "{lookup}" }}
+        ] }}"#
+    );
+    let dir = directory(&format!("{test}-{credit}-{lookup}"));
+    std::fs::write(dir.join("routes.jsonc"), routes).expect("routes");
+    let pools = r#"{ "pools": [{ "name": "ledger", "service": "ledger" }] }"#;
+    std::fs::write(dir.join("pools.jsonc"), pools).expect("pools");
+    dir.display().to_string()
+}
+
+/// A new, empty directory.
+pub(crate) fn directory(name: &str) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    if dir.exists() {
+        std::fs::remove_dir_all(&dir).expect("remove");
+    }
+    std::fs::create_dir_all(&dir).expect("directory");
+    dir
+}
