Index the fields of a row that are already seen

A row with very many unknown fields was compared field by field, which takes time in the square of their number.

--- a/crates/tables/src/read.rs
+++ b/crates/tables/src/read.rs
@@ -1,4 +1,4 @@
-use std::marker::PhantomData;
+use std::{collections::HashSet, marker::PhantomData};
 
 use jsonc_parser::{
     ast::{Object, Value as Ast},
@@ -68,7 +68,7 @@
     name: String,
     mark: Mark,
     /// Paths of the fields and groups seen.
-    seen: Vec<String>,
+    seen: HashSet<String>,
     json: Map<String, Json>,
 }
 
@@ -121,7 +121,7 @@
         };
         let name = object.get_string("name").map(|s| s.value.to_string()).unwrap_or_default();
         let mark = Mark { row, line, ..Mark::default() };
-        let mut draft = Draft { name, mark, seen: Vec::new(), json: Map::new() };
+        let mut draft = Draft { name, mark, seen: HashSet::new(), json: Map::new() };
         self.read_level(&mut draft, "", object);
         self.fill_required(&mut draft);
         let Draft { name, mark, json, .. } = draft;
@@ -150,7 +150,7 @@
                 let message = format!("the field {path:?} is unknown");
                 self.fault(draft, line, message, level::<T>(prefix));
             }
-            draft.seen.push(path);
+            draft.seen.insert(path);
         }
     }
 
@@ -187,7 +187,7 @@
     fn fill_required(&mut self, draft: &mut Draft) {
         for field in T::FIELDS.iter().filter(|f| f.default.is_none()) {
             let broken = draft.mark.broken.contains(&field.path);
-            if !broken && draft.seen.iter().any(|path| path == field.path) {
+            if !broken && draft.seen.contains(field.path) {
                 continue;
             }
             if !broken {
