--- a/crates/daemon/tests/program.rs
+++ b/crates/daemon/tests/program.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use std::process::Stdio;
+use std::{net::SocketAddr, process::Stdio};
 
 use dw_fakes::Standin;
 use googletest::prelude::*;
@@ -28,16 +28,23 @@
     path.to_string_lossy().into_owned()
 }
 
-/// A process that listens on free ports, with its log.
-async fn spawn(name: &str, platform: &str, target: &str) -> (Child, BufReader<ChildStderr>) {
+/// A process that listens on free ports, with its log and the addresses it logged.
+struct Process {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    callers: SocketAddr,
+    peers: SocketAddr,
+}
+
+/// Starts a process; `fields` are further fields of its settings.
+async fn spawn(host: &str, domain: &str, fields: &str) -> Process {
     let free = "127.0.0.1:0";
     let file = write_settings(
-        name,
+        &format!("{domain}-{host}.jsonc"),
         &format!(
-            r#"{{"host": "p1", "domain": "portland", "region": "new-england",
-            "callers": "{free}", "peers": "{free}", "admin": "{free}",
-            "platform": ["{platform}"],
-            "targets": [{{"service": "tally", "address": "{target}", "slots": 4}}]}}"#
+            r#"{{"host": "{host}", "domain": "{domain}", "region": "new-england",
+            "callers": "{free}", "peers": "{free}", "admin": "{free}", "preset": "verband",
+            {fields}}}"#
         ),
     );
     let mut child = Command::new(PROGRAM)
@@ -46,8 +53,13 @@
         .kill_on_drop(true)
         .spawn()
         .expect("the program must start");
-    let log = BufReader::new(child.stderr.take().expect("a pipe"));
-    (child, log)
+    let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
+    let line = wait_line(&mut log, "callers ").await;
+    let addr = |name: &str| {
+        let (_, rest) = line.split_once(name).expect("an address");
+        rest.split([',', '\n']).next().and_then(|text| text.parse().ok()).expect("an address")
+    };
+    Process { callers: addr("callers "), peers: addr("peers "), child, log }
 }
 
 /// The next line of the log that contains `text`.
@@ -107,13 +119,14 @@
     let standin = Standin::new().start().await?;
     publish(standin.addr(), 1, support::tables()).await;
     let raw = RawTarget::start(Act::Hold).await;
-    let (mut child, mut log) =
-        spawn("leave.jsonc", &standin.addr().to_string(), &raw.addr.to_string()).await;
-    let line = wait_line(&mut log, "callers ").await;
-    let (_, rest) = line.split_once("callers ").or_fail()?;
-    let addr = rest.split(',').next().or_fail()?.parse()?;
+    let fields = format!(
+        r#""platform": ["{}"], "targets": [{{"service": "tally", "address": "{}", "slots": 4}}]"#,
+        standin.addr(),
+        raw.addr
+    );
+    let Process { mut child, mut log, callers, .. } = spawn("p1", "leaving", &fields).await;
     wait_line(&mut log, "version 1 is served").await;
-    let pending = tokio::spawn(send(addr, get("/lookup")));
+    let pending = tokio::spawn(send(callers, get("/lookup")));
     raw.arrived.notified().await;
     let pid = child.id().or_fail()?.to_string();
     Command::new("kill").args(["-TERM", &pid]).status().await?;
@@ -126,3 +139,32 @@
     expect_that!(child.wait().await?.code(), some(eq(0)));
     Ok(())
 }
+
+/// Guards against daemons that work together in one process only: a request goes from the caller
+/// through its daemon and the daemon beside the target, each a process in its own domain.
+#[gtest]
+#[tokio::test]
+async fn carries_a_request_across_processes() -> Result<()> {
+    let standin = Standin::new().start().await?;
+    publish(standin.addr(), 1, support::tables()).await;
+    let raw = RawTarget::start(Act::Echo).await;
+    let platform = format!(r#""platform": ["{}"]"#, standin.addr());
+    let mut near = spawn("p1", "portland", &platform).await;
+    let fields = format!(
+        r#""join": ["{}"], "targets": [{{"service": "tally", "address": "{}", "slots": 4}}]"#,
+        near.peers, raw.addr
+    );
+    let mut far = spawn("w1", "worcester", &fields).await;
+    wait_line(&mut near.log, "version 1 is served").await;
+    wait_line(&mut far.log, "version 1 is served").await;
+    let response = loop {
+        let response = send(near.callers, get("/lookup")).await;
+        // Membership reaches the caller's daemon shortly after the version.
+        if header(&response, "damaskwick-reason") != "no-target" {
+            break response;
+        }
+    };
+    expect_that!(response.status().as_u16(), eq(200));
+    expect_that!(support::text(response).await?, starts_with("GET /lookup HTTP/1.1"));
+    Ok(())
+}
