Add the distribution bench

Cause: nothing measured how a version reaches a fleet and what that costs. Change: dw_bench distribution runs daemons of nine domains in one process against the stand-in, measures convergence, bytes, CPU, memory and platform calls by fleet size and preset, fits slopes, and repeats under faults.

--- /dev/null
+++ b/crates/bench/src/distribution.rs
@@ -0,0 +1,74 @@
+mod faults;
+mod measure;
+mod report;
+
+use std::{fs, time::Duration};
+
+use dw_daemon::PresetName;
+use gumdrop::Options;
+use serde::Serialize;
+
+use crate::fleet::Failure;
+
+/// Options of `distribution`.
+#[derive(Debug, Options)]
+pub(crate) struct Args {
+    /// Prints this help.
+    #[options(help_flag)]
+    help: bool,
+    /// Sizes of the fleet, separated by commas.
+    #[options(default = "25,50,100,200,400", help = "fleet sizes, separated by commas")]
+    sizes: String,
+    /// Failure domains.
+    #[options(default = "9", help = "failure domains")]
+    domains: usize,
+    /// Seconds of each measured period.
+    #[options(default = "10", help = "seconds of each measured period")]
+    seconds: u64,
+    /// Rows added to the example tables.
+    #[options(default = "200", help = "rows added to the example tables")]
+    rows: usize,
+    /// Size of the fleet for the faults; 0 leaves them out.
+    #[options(default = "100", help = "fleet size for the faults, 0 for none")]
+    faults: usize,
+    /// Where to write JSON.
+    #[options(help = "file for the figures as JSON", meta = "FILE")]
+    json: Option<String>,
+}
+
+/// All figures of one run.
+#[derive(Debug, Serialize)]
+struct Run {
+    scale: Vec<measure::Scale>,
+    fits: Vec<report::Fit>,
+    faults: Vec<faults::Fault>,
+}
+
+/// Runs the bench; false if a goal was missed.
+pub(crate) async fn run(args: Args) -> Result<bool, Failure> {
+    let sizes: Vec<usize> = args.sizes.split(',').map(str::parse).collect::<Result<_, _>>()?;
+    let period = Duration::from_secs(args.seconds);
+    let mut scale = Vec::new();
+    for preset in [PresetName::Cooperative, PresetName::Verband] {
+        for &size in &sizes {
+            let row = measure::scale(size, args.domains, preset, args.rows, period).await?;
+            report::scale_row(&row);
+            scale.push(row);
+        }
+    }
+    let mut faults = Vec::new();
+    if args.faults > 0 {
+        for kind in faults::Kind::ALL {
+            let row = faults::run(kind, args.faults, args.domains, args.rows).await?;
+            report::fault_row(&row);
+            faults.push(row);
+        }
+    }
+    let fits = report::fits(&scale);
+    fits.iter().for_each(report::fit_row);
+    let good = report::goals(&scale, &fits, &faults);
+    if let Some(file) = args.json {
+        fs::write(file, serde_json::to_string_pretty(&Run { scale, fits, faults })?)?;
+    }
+    Ok(good)
+}
--- /dev/null
+++ b/crates/bench/src/distribution/faults.rs
@@ -0,0 +1,116 @@
+use std::time::Duration;
+
+use derive_more::Display;
+use dw_daemon::PresetName;
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+use super::measure::{LIMIT, float, quantile_ms};
+use crate::{
+    fleet::{Failure, Fleet},
+    publish::{example, publish},
+};
+
+/// How long the platform is down.
+const OUTAGE: Duration = Duration::from_secs(10);
+
+/// A fault that happens as a version goes out.
+#[derive(Clone, Copy, Debug, Display, Serialize)]
+pub(crate) enum Kind {
+    #[display("a fifth of the daemons killed")]
+    Fifth,
+    #[display("a whole domain restarted")]
+    Domain,
+    #[display("all relays killed")]
+    Relays,
+    #[display("platform down 10 s")]
+    Outage,
+}
+
+impl Kind {
+    pub(crate) const ALL: [Self; 4] = [Self::Fifth, Self::Domain, Self::Relays, Self::Outage];
+}
+
+/// Convergence under one fault.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Fault {
+    pub fault: String,
+    pub size: usize,
+    /// Milliseconds from acceptance or, if later, the end of the fault.
+    pub median_ms: f64,
+    pub worst_ms: f64,
+    pub missing: usize,
+}
+
+/// Starts a fleet, lets it settle, and publishes a version under the fault.
+pub(crate) async fn run(
+    kind: Kind,
+    size: usize,
+    domains: usize,
+    rows: usize,
+) -> Result<Fault, Failure> {
+    let mut fleet = Fleet::start(size, domains, PresetName::Cooperative).await?;
+    publish(&fleet.platform, 1, example(rows, 0)?).await?;
+    fleet.spread(1, LIMIT).await;
+    fleet.wait_members(LIMIT).await;
+    let mut accepted = Instant::now();
+    match kind {
+        Kind::Fifth => {
+            publish(&fleet.platform, 2, example(rows, 2)?).await?;
+            accepted = Instant::now();
+            kill(&mut fleet, |idx, _| idx % 5 == 0).await;
+        }
+        Kind::Relays => {
+            publish(&fleet.platform, 2, example(rows, 2)?).await?;
+            accepted = Instant::now();
+            kill(&mut fleet, |_, relay| relay).await;
+        }
+        Kind::Domain => {
+            let gone = kill(&mut fleet, |idx, _| idx % domains == 0).await;
+            publish(&fleet.platform, 2, example(rows, 2)?).await?;
+            accepted = Instant::now();
+            for _ in 0..gone {
+                fleet.add(0).await?;
+            }
+        }
+        Kind::Outage => {
+            fleet.standin.down().await;
+            sleep(OUTAGE).await;
+            fleet.standin.up().await;
+            publish(&fleet.platform, 2, example(rows, 2)?).await?;
+            accepted = accepted.max(Instant::now());
+        }
+    }
+    let lead = accepted.elapsed();
+    let spread = fleet.spread(2, LIMIT).await;
+    fleet.close().await;
+    let times: Vec<Duration> = spread.times.iter().map(|time| *time + lead).collect();
+    Ok(Fault {
+        fault: kind.to_string(),
+        size,
+        median_ms: quantile_ms(&times, 0.5),
+        worst_ms: if spread.missing > 0 { float(usize::MAX) } else { quantile_ms(&times, 1.0) },
+        missing: spread.missing,
+    })
+}
+
+/// Kills the daemons that `pick` names by their index and whether they are relays.
+async fn kill(fleet: &mut Fleet, pick: impl Fn(usize, bool) -> bool) -> usize {
+    let relays: Vec<_> = fleet.daemons.iter().map(is_relay).collect();
+    let (mut kept, mut killed) = (Vec::new(), 0);
+    for (idx, daemon) in std::mem::take(&mut fleet.daemons).into_iter().enumerate() {
+        if pick(idx, relays[idx]) {
+            daemon.kill().await;
+            killed += 1;
+        } else {
+            kept.push(daemon);
+        }
+    }
+    fleet.daemons = kept;
+    killed
+}
+
+fn is_relay(daemon: &dw_daemon::Running) -> bool {
+    let peer = daemon.addrs().peers;
+    daemon.members().iter().any(|member| member.peer == peer && member.relay)
+}
--- /dev/null
+++ b/crates/bench/src/distribution/measure.rs
@@ -0,0 +1,163 @@
+use std::time::Duration;
+
+use dw_daemon::PresetName;
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    fleet::{Failure, Fleet},
+    publish::{example, publish},
+    usage::Usage,
+};
+
+/// The longest wait for a version or for the member table; far above the goal of 4 s so that a
+/// miss is measured rather than cut off.
+pub(crate) const LIMIT: Duration = Duration::from_secs(30);
+
+/// Time between two edits at 11,000 changes a day.
+const DAILY: Duration = Duration::from_millis(86_400_000 / 11_000);
+
+/// Edits whose convergence is measured one by one.
+const EDITS: u64 = 10;
+
+/// Figures at one size of the fleet.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Scale {
+    pub preset: String,
+    pub size: usize,
+    pub domains: usize,
+    /// Seconds until every daemon sees all members.
+    pub joined: Option<f64>,
+    /// Milliseconds from acceptance until a daemon serves the version, over daemons and edits.
+    pub median_ms: f64,
+    pub p99_ms: f64,
+    pub worst_ms: f64,
+    /// Daemons that missed an edit within the limit.
+    pub missing: usize,
+    /// Bytes sent a second by a daemon.
+    pub idle_bytes: f64,
+    pub daily_bytes: f64,
+    pub tenfold_bytes: f64,
+    /// Bytes sent by a daemon for one edit.
+    pub edit_bytes: f64,
+    /// Calls a second at the platform, idle, and waiting watches.
+    pub calls: f64,
+    pub watches: u64,
+    /// Percent of a core used by a daemon, idle and at ten times the daily rate.
+    pub idle_cpu: f64,
+    pub tenfold_cpu: f64,
+    /// Resident bytes for each daemon.
+    pub memory: f64,
+}
+
+/// Cost of a fleet over one period.
+struct Period {
+    bytes: f64,
+    cpu: f64,
+    calls: f64,
+}
+
+/// Measures a fleet of `size` daemons.
+pub(crate) async fn scale(
+    size: usize,
+    domains: usize,
+    preset: PresetName,
+    rows: usize,
+    period: Duration,
+) -> Result<Scale, Failure> {
+    let before = Usage::now();
+    let fleet = Fleet::start(size, domains, preset).await?;
+    publish(&fleet.platform, 1, example(rows, 0)?).await?;
+    let first = fleet.spread(1, LIMIT).await;
+    let joined = fleet.wait_members(LIMIT).await;
+    let mut number = 1;
+    let idle = cost(&fleet, period, None, &mut number, rows).await?;
+    let watches = fleet.standin.counts().waiting;
+
+    let mut times = Vec::new();
+    let mut missing = first.missing;
+    let sent = fleet.sent();
+    let start = Instant::now();
+    for _ in 0..EDITS {
+        number += 1;
+        publish(&fleet.platform, number, example(rows, number)?).await?;
+        let spread = fleet.spread(number, LIMIT).await;
+        missing += spread.missing;
+        times.extend(spread.times);
+    }
+    let background = idle.bytes * float(size) * start.elapsed().as_secs_f64();
+    let edit_bytes = (float64(fleet.sent() - sent) - background) / float(size) / float64(EDITS);
+    times.sort_unstable();
+
+    let daily = cost(&fleet, period.max(DAILY * 2), Some(DAILY), &mut number, rows).await?;
+    let tenfold = cost(&fleet, period, Some(DAILY / 10), &mut number, rows).await?;
+    let after = Usage::now();
+    fleet.close().await;
+    let at = |share: f64| quantile_ms(&times, share);
+    Ok(Scale {
+        preset: preset.to_string(),
+        size,
+        domains,
+        joined: joined.map(|d| d.as_secs_f64()),
+        median_ms: at(0.5),
+        p99_ms: at(0.99),
+        worst_ms: at(1.0),
+        missing,
+        idle_bytes: idle.bytes,
+        daily_bytes: daily.bytes,
+        tenfold_bytes: tenfold.bytes,
+        edit_bytes,
+        calls: idle.calls,
+        watches,
+        idle_cpu: idle.cpu,
+        tenfold_cpu: tenfold.cpu,
+        memory: float64(after.resident.saturating_sub(before.resident)) / float(size),
+    })
+}
+
+/// Runs the fleet for a period, with an edit each `every`.
+async fn cost(
+    fleet: &Fleet,
+    period: Duration,
+    every: Option<Duration>,
+    number: &mut u64,
+    rows: usize,
+) -> Result<Period, Failure> {
+    let size = float(fleet.daemons.len());
+    let (sent, usage, calls) = (fleet.sent(), Usage::now(), fleet.standin.counts().calls());
+    let start = Instant::now();
+    while start.elapsed() < period {
+        let Some(every) = every else {
+            sleep(period).await;
+            break;
+        };
+        *number += 1;
+        publish(&fleet.platform, *number, example(rows, *number)?).await?;
+        sleep(every.min(period.saturating_sub(start.elapsed()))).await;
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let cpu = (Usage::now().cpu - usage.cpu).as_secs_f64();
+    Ok(Period {
+        bytes: float64(fleet.sent() - sent) / size / seconds,
+        cpu: cpu / size / seconds * 100.0,
+        calls: float64(fleet.standin.counts().calls() - calls) / seconds,
+    })
+}
+
+/// The value at `share` of ascending times, in ms.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(crate) fn quantile_ms(times: &[Duration], share: f64) -> f64 {
+    let last = times.len().saturating_sub(1);
+    let idx = (float(last) * share).round() as usize;
+    times.get(idx).map_or(f64::NAN, |time| time.as_secs_f64() * 1000.0)
+}
+
+#[allow(clippy::cast_precision_loss)]
+pub(crate) const fn float(count: usize) -> f64 {
+    count as f64
+}
+
+#[allow(clippy::cast_precision_loss)]
+const fn float64(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,132 @@
+use std::{net::SocketAddr, time::Duration};
+
+use dw_daemon::{Daemon, LogLevel, PresetName, Running, Settings, TargetSettings};
+use dw_fakes::{RunningStandin, Standin};
+use dw_platform::HttpPlatform;
+use dw_tables::Name;
+use tokio::time::{Instant, sleep};
+
+/// What ends a bench early.
+pub(crate) type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// How often the served versions are read while a version spreads.
+const POLL: Duration = Duration::from_millis(2);
+
+/// Daemons of several failure domains in this process, with the stand-in of the platform.
+pub(crate) struct Fleet {
+    pub standin: RunningStandin,
+    pub platform: HttpPlatform,
+    pub daemons: Vec<Running>,
+    pub domains: usize,
+    preset: PresetName,
+    seeds: Vec<SocketAddr>,
+    started: usize,
+}
+
+impl Fleet {
+    /// A fleet of `size` daemons spread evenly over `domains`.
+    pub(crate) async fn start(
+        size: usize,
+        domains: usize,
+        preset: PresetName,
+    ) -> Result<Self, Failure> {
+        let standin = Standin::new().start().await?;
+        let platform = HttpPlatform::new(vec![standin.addr()]);
+        let mut fleet = Self {
+            standin,
+            platform,
+            daemons: Vec::new(),
+            domains,
+            preset,
+            seeds: Vec::new(),
+            started: 0,
+        };
+        for idx in 0..size {
+            fleet.add(idx % domains).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts one more daemon in a domain, under a new host name.
+    pub(crate) async fn add(&mut self, domain: usize) -> Result<(), Failure> {
+        let host = Name::from(format!("host-{}", self.started));
+        self.started += 1;
+        let target = TargetSettings {
+            service: Name::from(format!("service-{}", self.started % 120)),
+            address: ([127, 0, 0, 1], 9).into(),
+            slots: 12,
+            connections: 120,
+        };
+        let daemon = Daemon::new(
+            Settings::new(host, Name::from(format!("domain-{domain}")), "region".into())
+                .with_platform(vec![self.standin.addr()])
+                .with_join(self.seeds.clone())
+                .with_target(target)
+                .with_preset(self.preset)
+                .with_log(LogLevel::Off),
+        )
+        .start()
+        .await?;
+        if self.seeds.len() < self.domains {
+            self.seeds.push(daemon.addrs().peers);
+        }
+        self.daemons.push(daemon);
+        Ok(())
+    }
+
+    /// Waits until every daemon sees `size` live members, and returns the time it took.
+    pub(crate) async fn wait_members(&self, limit: Duration) -> Option<Duration> {
+        let start = Instant::now();
+        let full = |d: &Running| {
+            d.members().iter().filter(|m| m.state.is_live()).count() == self.daemons.len()
+        };
+        while start.elapsed() < limit {
+            if self.daemons.iter().all(full) {
+                return Some(start.elapsed());
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        None
+    }
+
+    /// Waits until every daemon serves `number`, and returns the time of each in order.
+    pub(crate) async fn spread(&self, number: u64, limit: Duration) -> Spread {
+        let start = Instant::now();
+        let mut times = Vec::with_capacity(self.daemons.len());
+        let mut left: Vec<&Running> = self.daemons.iter().collect();
+        while !left.is_empty() && start.elapsed() < limit {
+            left.retain(|daemon| {
+                let done = daemon.served().number >= number;
+                if done {
+                    times.push(start.elapsed());
+                }
+                !done
+            });
+            sleep(POLL).await;
+        }
+        times.sort_unstable();
+        Spread { times, missing: left.len() }
+    }
+
+    /// Bytes of control traffic sent by all daemons.
+    pub(crate) fn sent(&self) -> u64 {
+        self.daemons.iter().map(|d| d.counters().sent.values().sum::<u64>()).sum()
+    }
+
+    /// Ends all daemons without goodbyes, then the stand-in.
+    pub(crate) async fn close(self) {
+        for daemon in self.daemons {
+            daemon.kill().await;
+        }
+        self.standin.close().await;
+    }
+}
+
+/// When each daemon served a version, counted from the platform's acceptance.
+#[derive(Debug, Default)]
+pub(crate) struct Spread {
+    /// In ascending order.
+    pub times: Vec<Duration>,
+    /// Daemons that did not serve it within the limit.
+    pub missing: usize,
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,45 @@
-//! The benches.
-fn main() {}
+//! The benches: `distribution` measures how a version reaches a fleet and what that costs.
+//! Each run prints a table and, with `--json FILE`, writes the same figures as JSON.
+
+mod distribution;
+mod fit;
+mod fleet;
+mod publish;
+mod usage;
+
+use gumdrop::Options;
+
+/// Command line of the benches.
+#[derive(Debug, Options)]
+struct Args {
+    /// Prints this help.
+    #[options(help_flag)]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    /// Convergence and control cost by the size of the fleet, with baselines and faults.
+    #[options(help = "convergence and control cost by fleet size")]
+    Distribution(distribution::Args),
+}
+
+#[allow(clippy::print_stderr)]
+#[tokio::main]
+async fn main() -> std::process::ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    let done = match args.command {
+        Some(Command::Distribution(args)) => distribution::run(args).await,
+        None => Err("name a bench: distribution".into()),
+    };
+    match done {
+        Ok(true) => std::process::ExitCode::SUCCESS,
+        Ok(false) => std::process::ExitCode::from(1),
+        Err(error) => {
+            eprintln!("dw_bench: {error}");
+            std::process::ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/usage.rs
@@ -0,0 +1,35 @@
+use std::{fs, time::Duration};
+
+use serde::Serialize;
+
+/// Kernel clock ticks of one second in `/proc/self/stat`; Linux fixes `USER_HZ` at 100.
+const TICKS: u64 = 100;
+
+/// CPU time and memory of this process so far.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct Usage {
+    /// User and system time.
+    pub cpu: Duration,
+    /// Resident memory in bytes.
+    pub resident: u64,
+}
+
+impl Usage {
+    /// Reads the figures of this process from `/proc`; zero where they cannot be read.
+    pub(crate) fn now() -> Self {
+        let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+        // The name of the process may hold spaces, so the fields are counted after its bracket.
+        let fields: Vec<&str> =
+            stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let field = |idx: usize| fields.get(idx).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
+        let ticks = field(11) + field(12);
+        let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+        let kib = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))
+            .and_then(|rest| rest.split_whitespace().next())
+            .and_then(|kib| kib.parse::<u64>().ok())
+            .unwrap_or(0);
+        Self { cpu: Duration::from_millis(ticks * 1000 / TICKS), resident: kib * 1024 }
+    }
+}
