Add the program damaskwick over the HTTP client of the platform

The program parses the command line and runs the library's commands with HttpPlatform and the admin API over HTTP.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,51 @@
-//! The operators tool.
-fn main() {}
+//! The operators' tool.
+
+use std::{
+    env,
+    io::{self, Write},
+    process::ExitCode,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use dw_cli::{Asked, Command, Console, Edit, Exit, HttpAdmin, parse_args, run};
+use dw_platform::HttpPlatform;
+use dw_tables::Name;
+
+fn main() -> ExitCode {
+    let words: Vec<String> =
+        env::args_os().skip(1).map(|word| word.to_string_lossy().into_owned()).collect();
+    let exit = match parse_args(&words) {
+        Asked::Run(args) => args.command.as_ref().map_or(Exit::Usage, start),
+        Asked::Show(text) => write(&mut io::stdout(), &text, Exit::Ok),
+        Asked::Refuse(text) => write(&mut io::stderr(), &text, Exit::Usage),
+    };
+    ExitCode::from(exit.code())
+}
+
+fn start(command: &Command) -> Exit {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            let text = format!("the runtime cannot be started: {e}");
+            return write(&mut io::stderr(), &text, Exit::Failed);
+        }
+    };
+    let mut console = Console::new(command.json(), Box::new(io::stdout()), Box::new(io::stderr()));
+    runtime.block_on(run(command, &edit(), HttpPlatform::new, &HttpAdmin, &mut console))
+}
+
+fn edit() -> Edit {
+    let user = env::var("USER").unwrap_or_default();
+    let author = if user.is_empty() { Name::new("unknown") } else { Name::from(user) };
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Edit {
+        author,
+        change: Name::from(format!("{:032x}", rand::random::<u128>())),
+        time: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn write(out: &mut impl Write, text: &str, exit: Exit) -> Exit {
+    let written = writeln!(out, "{}", text.trim_end());
+    if written.is_err() && exit == Exit::Ok { Exit::Failed } else { exit }
+}
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -171,7 +171,13 @@
 }
 
 #[derive(Clone, Default)]
-struct Capture(Arc<Mutex<Vec<u8>>>);
+pub(crate) struct Capture(Arc<Mutex<Vec<u8>>>);
+
+impl Capture {
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8(self.0.lock().expect("capture").clone()).expect("UTF-8")
+    }
+}
 
 impl Write for Capture {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
@@ -202,8 +208,7 @@
     let mut console = Console::new(command.json(), out, err);
     let edit = Edit { author: "ada".into(), change: change.into(), time: 1_000_000_000_000 };
     let exit = run(&command, &edit, |_| platform.clone(), daemons, &mut console).await;
-    let text = String::from_utf8(capture.0.lock().expect("capture").clone()).expect("UTF-8");
-    (exit, text)
+    (exit, capture.text())
 }
 
 /// Writes tables with the given deadlines of the routes `credit` and `lookup` to a new directory.
