Name required options in the help and report failed output

The help text hid which options are required, and a result that could not be written ended with exit code 1, which says that nothing was accepted. It is now the code for an unknown outcome. All tests of the crate pass.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -35,7 +35,7 @@
     Watch(WatchArgs),
 }
 
-/// Options of `check`.
+/// `check` checks the tables and lists all findings.
 #[derive(Debug, Options)]
 pub struct CheckArgs {
     /// show this text
@@ -48,7 +48,7 @@
     pub tables: PathBuf,
 }
 
-/// Options of `diff`.
+/// `diff` shows in which rows the tables differ from a version of the platform.
 #[derive(Debug, Options)]
 pub struct DiffArgs {
     /// show this text
@@ -59,7 +59,7 @@
     /// directory of routes.jsonc and pools.jsonc
     #[options(no_short, meta = "DIR", default = ".")]
     pub tables: PathBuf,
-    /// address of the platform; may be repeated
+    /// address of the platform (required); may be repeated
     #[options(no_short, meta = "IP:PORT")]
     pub platform: Vec<SocketAddr>,
     /// version to compare with instead of the newest
@@ -67,7 +67,7 @@
     pub base: Option<u64>,
 }
 
-/// Options of `apply`.
+/// `apply` makes the tables the next version of the platform.
 #[derive(Debug, Options)]
 pub struct ApplyArgs {
     /// show this text
@@ -78,14 +78,13 @@
     /// directory of routes.jsonc and pools.jsonc
     #[options(no_short, meta = "DIR", default = ".")]
     pub tables: PathBuf,
-    /// address of the platform; may be repeated
+    /// address of the platform (required); may be repeated
     #[options(no_short, meta = "IP:PORT")]
     pub platform: Vec<SocketAddr>,
-    /// version that was edited; 0 for the first
+    /// version that was edited, 0 for the first (required)
     #[options(no_short, required, meta = "VERSION")]
     pub base: u64,
-    /// admin address of a daemon that must not serve a higher version than the platform's; may be
-    /// repeated
+    /// admin address of a daemon that must not be ahead of the platform; may be repeated
     #[options(no_short, meta = "IP:PORT")]
     pub daemon: Vec<SocketAddr>,
     /// who makes the edit (default: the user)
@@ -96,7 +95,7 @@
     pub limit: Millis,
 }
 
-/// Options of `get`.
+/// `get` shows the tables of a version.
 #[derive(Debug, Options)]
 pub struct GetArgs {
     /// show this text
@@ -104,7 +103,7 @@
     /// print one JSON object
     #[options(no_short)]
     pub json: bool,
-    /// address of the platform; may be repeated
+    /// address of the platform (required); may be repeated
     #[options(no_short, meta = "IP:PORT")]
     pub platform: Vec<SocketAddr>,
     /// version to show instead of the newest
@@ -115,7 +114,7 @@
     pub out: Option<PathBuf>,
 }
 
-/// Options of `history`.
+/// `history` lists accepted versions, newest first.
 #[derive(Debug, Options)]
 pub struct HistoryArgs {
     /// show this text
@@ -123,7 +122,7 @@
     /// print one JSON object
     #[options(no_short)]
     pub json: bool,
-    /// address of the platform; may be repeated
+    /// address of the platform (required); may be repeated
     #[options(no_short, meta = "IP:PORT")]
     pub platform: Vec<SocketAddr>,
     /// how many versions to list
@@ -131,7 +130,7 @@
     pub last: u64,
 }
 
-/// Options of `status`.
+/// `status` shows what daemons know of the versions in force.
 #[derive(Debug, Options)]
 pub struct StatusArgs {
     /// show this text
@@ -139,12 +138,12 @@
     /// print one JSON object
     #[options(no_short)]
     pub json: bool,
-    /// admin address of a daemon; may be repeated
+    /// admin address of a daemon (required); may be repeated
     #[options(no_short, meta = "IP:PORT")]
     pub daemon: Vec<SocketAddr>,
 }
 
-/// Options of `watch`.
+/// `watch` waits until a version is in force everywhere.
 #[derive(Debug, Options)]
 pub struct WatchArgs {
     /// show this text
@@ -152,10 +151,10 @@
     /// print one JSON object
     #[options(no_short)]
     pub json: bool,
-    /// admin address of a daemon; may be repeated, then all must report it
+    /// admin address of a daemon (required); if repeated, all must report it
     #[options(no_short, meta = "IP:PORT")]
     pub daemon: Vec<SocketAddr>,
-    /// version that, or a later one, must be in force everywhere
+    /// version that, or a later one, must be in force everywhere (required)
     #[options(no_short, required, meta = "VERSION")]
     pub version: u64,
     /// the longest wait
--- a/crates/cli/src/console.rs
+++ b/crates/cli/src/console.rs
@@ -45,7 +45,7 @@
             let written = writeln!(self.err, "{message}");
             self.broken |= written.is_err();
         }
-        // A result that nobody can read was not reported.
-        if self.broken && exit == Exit::Ok { Exit::Failed } else { exit }
+        // Exit code 1 would say that nothing was accepted.
+        if self.broken && exit == Exit::Ok { Exit::Unknown } else { exit }
     }
 }
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -13,7 +13,7 @@
     Refused,
     /// The edit was made on another version than the platform's head.
     Stale,
-    /// It could not be found out whether the edit was accepted.
+    /// It could not be found out whether the edit was accepted, or the result not be written.
     Unknown,
     /// The version is not known to be in force everywhere within the limit.
     NotInForce,
@@ -58,7 +58,9 @@
             Self::Usage => "usage",
             Self::Refused => "tables refused",
             Self::Stale => "stale base",
-            Self::Unknown => "unknown outcome: the edit may or may not be accepted",
+            Self::Unknown => {
+                "unknown outcome: the edit may or may not be accepted, or the output failed"
+            }
             Self::NotInForce => "not known to be in force everywhere within the limit",
             Self::Unreachable => "platform unreachable; no version was accepted",
         }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use common::{Daemons, Memory, directory, tables, tool};
 use dw_cli::{
-    Admin, DaemonStatus, DomainStatus, Exit, HttpAdmin, RefusedHead, ServedVersion, State,
+    Admin, Console, DaemonStatus, DomainStatus, Exit, HttpAdmin, RefusedHead, ServedVersion, State,
 };
 use googletest::prelude::*;
 use http_body_util::Full;
@@ -43,6 +43,14 @@
     }
 }
 
+/// Guards against exit code 0 for a result that nobody could read.
+#[gtest]
+fn unwritten_result_is_an_unknown_outcome() {
+    let full = || -> Box<&mut [u8]> { Box::default() };
+    let mut console = Console::new(true, full(), full());
+    expect_that!(console.finish(Ok(serde_json::json!({}))), eq(Exit::Unknown));
+}
+
 /// Guards against tables that are refused without all findings, or with the wrong code.
 #[gtest]
 #[tokio::test(start_paused = true)]
