End tests that hang and cover two gaps in the client's tests

With a clock that moves only on request, a violated guarantee often shows as a test that waits forever. ManualClock now ends the test program with the test's name after two minutes. Deliberate faults in the client showed two that no test noticed: a call that keeps going to the address that did not answer, and lines of a watch that arrive in many pieces. Both have tests now, which fail with these faults.

--- a/crates/fakes/src/clock.rs
+++ b/crates/fakes/src/clock.rs
@@ -1,4 +1,15 @@
-use std::{sync::mpsc, time::Duration};
+use std::{
+    io::{Write, stderr},
+    sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel},
+    thread,
+    time::Duration,
+};
+
+/// Real time after which a test counts as hung; tests with this clock take less than a second.
+const HUNG: Duration = Duration::from_secs(120);
+
+/// Exit code of a test program that fails.
+const FAILED: i32 = 101;
 
 /// Tokio's clock under the control of a test.
 ///
@@ -8,10 +19,11 @@
 ///
 /// It requires a runtime that started paused, `#[tokio::test(start_paused = true)]`: timers have
 /// a granularity of 1 ms from the start of the runtime, so after a later pause they would fire up
-/// to 1 ms late.
+/// to 1 ms late. With this clock no time-out ends a test that waits in vain, so the test program
+/// is ended, with the test's name, after two minutes of real time.
 #[derive(Debug)]
 pub struct ManualClock {
-    _hold: mpsc::Sender<()>,
+    _hold: Sender<()>,
 }
 
 impl ManualClock {
@@ -19,8 +31,9 @@
     #[must_use]
     #[allow(clippy::new_without_default)] // has a side effect on the runtime
     pub fn new() -> Self {
-        let (hold, held) = mpsc::channel::<()>();
-        tokio::task::spawn_blocking(move || held.recv());
+        let (hold, held) = channel();
+        let test = thread::current().name().unwrap_or("a test").to_owned();
+        tokio::task::spawn_blocking(move || wait(&held, &test));
         Self { _hold: hold }
     }
 
@@ -41,6 +54,14 @@
     }
 }
 
+fn wait(held: &Receiver<()>, test: &str) {
+    if held.recv_timeout(HUNG) == Err(RecvTimeoutError::Timeout) {
+        // Nothing is left to report a failure to.
+        let _ = writeln!(stderr(), "{test} hung for {} s", HUNG.as_secs());
+        std::process::exit(FAILED);
+    }
+}
+
 /// Polls of the runtime per `settle`. A call over loopback takes a handful of task switches on
 /// each side; the runtime polls the sockets at least once every 61 task polls.
 const SETTLE_ROUNDS: usize = 256;
--- a/crates/platform/tests/calls.rs
+++ b/crates/platform/tests/calls.rs
@@ -156,6 +156,14 @@
     setup.clock.advance(Duration::from_secs(3)).await;
     assert_that!(call.await.unwrap(), some(eq("1")));
     assert_that!(both.budget().counted(CallReason::RetryRead), eq(1));
+
+    // A write is not repeated, but the next call avoids the address that did not answer.
+    let both = HttpPlatform::new(vec![dead.addr(), setup.standin.addr()]);
+    let writer = both.clone();
+    let call = tokio::spawn(async move { writer.commit(put("b", "1", 0, None)).await });
+    setup.clock.advance(Duration::from_secs(3)).await;
+    assert_that!(call.await.unwrap(), err(eq(&PlatformError::Unanswered)));
+    assert_that!(read(&both, "b").await, none());
     dead.close().await;
     setup.standin.close().await;
 }
--- a/crates/platform/tests/watches.rs
+++ b/crates/platform/tests/watches.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use common::{events_until, put, read, setup, write};
-use dw_platform::{CallReason, Event, Platform, PlatformError, Watch};
+use dw_platform::{CallReason, Event, MAX_VALUE, Platform, PlatformError, Watch};
 use googletest::prelude::*;
 
 /// Guards against events that are lost or doubled when a watch is cut and resumed while writes
@@ -63,6 +63,22 @@
     setup.standin.close().await;
 }
 
+/// Guards against lines that are split or joined wrongly when they arrive in many pieces.
+#[tokio::test(start_paused = true)]
+async fn large_values_are_read_in_pieces() {
+    let setup = setup().await;
+    let mut watch = setup.platform.watch("part", 0).await.unwrap();
+    let mut written = Vec::new();
+    for letter in ["a", "b", "c"] {
+        let value = letter.repeat(MAX_VALUE);
+        written.push((write(&setup.platform, "part", &value).await, value));
+        written.push((write(&setup.platform, "part", letter).await, letter.to_owned()));
+    }
+    let seen = events_until(&mut watch, "c").await.unwrap();
+    assert_that!(seen == written, eq(true));
+    setup.standin.close().await;
+}
+
 /// Guards against a holder's end that nobody is told of.
 #[tokio::test(start_paused = true)]
 async fn end_of_a_lease_is_an_event() {
