--- a/crates/request/src/claim.rs
+++ b/crates/request/src/claim.rs
@@ -104,15 +104,17 @@
     Ask(Name),
 }
 
-/// Records for one daemon that takes over from one that leaves.
+/// A part of the records for one daemon that takes over from one that leaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HandOver {
     /// The daemon that takes over.
     pub to: Name,
-    /// A part of its records; may be empty.
+    /// The records; may be empty.
     pub records: Vec<Record>,
-    /// Whether this is the last part, for [`crate::Keeper::accept`]; the others go to
-    /// [`crate::Keeper::accept_part`]. Every daemon that takes over gets one, so that it knows that
-    /// nothing is missing.
+    /// Whether this is the last part, without records. Every daemon that takes over gets one, so
+    /// that it knows that nothing is missing.
     pub last: bool,
+    /// Digest of the daemons among which the records were divided. One that knows of others may
+    /// expect records that went elsewhere.
+    pub heirs: u64,
 }
--- a/crates/request/src/keeper.rs
+++ b/crates/request/src/keeper.rs
@@ -13,6 +13,10 @@
 /// daemons of a domain joined within the window.
 const ASK_MAX: u32 = 16;
 
+/// Time in which earlier keepers must have replied. A later reply may rest on a hold that ended
+/// after the claim was made.
+const ASK_TIME: Duration = Duration::from_secs(2);
+
 /// Bytes of responses in one [`HandOver`], well below the largest message between daemons (4 MiB).
 const PART: usize = 1024 * 1024;
 
@@ -54,8 +58,10 @@
         match self.records.get(key) {
             Some(Slot::Kept(state)) => return claim_of(state),
             Some(Slot::Asking { .. }) => return Claim::InProgress,
-            Some(Slot::Ceded(to)) if self.peers.is_live(to) => return Claim::Elsewhere(to.clone()),
-            Some(Slot::Ceded(_)) => return Claim::Lost,
+            Some(Slot::Ceded { to, .. }) if self.peers.is_live(to) => {
+                return Claim::Elsewhere(to.clone());
+            }
+            Some(Slot::Ceded { .. }) => return Claim::Lost,
             None if self.is_outdated(first_sent, now) => return Claim::Lost,
             None => {}
         }
@@ -103,15 +109,21 @@
         now: Instant,
     ) -> Held {
         self.expire(now);
-        self.peers.started(to, age, now);
+        let started = now.checked_sub(age).unwrap_or(now);
+        self.peers.started(to, started, now);
         match self.records.get(key) {
             Some(Slot::Kept(state)) => return Held::Record(self.record(key, state.clone(), now)),
             Some(Slot::Asking { .. }) => {
                 return Held::Record(self.record(key, RecordState::InProgress, now));
             }
-            Some(Slot::Ceded(host)) if host == to => return Held::Free,
-            Some(Slot::Ceded(host)) if self.peers.is_live(host) => return Held::Ask(host.clone()),
-            Some(Slot::Ceded(_)) => return Held::Lost,
+            Some(Slot::Ceded { to: host, started: before }) if host == to => {
+                let same = started <= *before + self.config.skew;
+                return if same { Held::Free } else { Held::Lost };
+            }
+            Some(Slot::Ceded { to: host, .. }) if self.peers.is_live(host) => {
+                return Held::Ask(host.clone());
+            }
+            Some(Slot::Ceded { .. }) => return Held::Lost,
             None if self.is_outdated(first_sent, now) => return Held::Lost,
             None => {}
         }
@@ -120,7 +132,8 @@
             Duty::Own { lost: true, .. } => Held::Lost,
             // Without room to remember that the key was ceded, it must not be.
             Duty::Own { ask: None, lost: false } => {
-                match self.records.insert(key, Slot::Ceded(to.clone()), now) {
+                let slot = Slot::Ceded { to: to.clone(), started };
+                match self.records.insert(key, slot, now) {
                     true => Held::Free,
                     false => Held::Lost,
                 }
@@ -128,14 +141,16 @@
         }
     }
 
-    /// Continues a claim that returned [`Claim::Ask`]; `None` if the daemon was not reached.
+    /// Continues a claim that returned [`Claim::Ask`]; `None` if the daemon was not reached. Must be
+    /// called for every such claim, within 2 s, or the key counts as lost.
     pub fn resume(&mut self, key: &Name, reply: Option<Held>, now: Instant) -> Claim {
         let (asked, lost) = match self.records.get(key) {
             Some(Slot::Asking { asked, lost }) => (*asked, *lost),
             Some(Slot::Kept(state)) => return claim_of(state),
-            Some(Slot::Ceded(_)) | None => return Claim::Lost,
+            Some(Slot::Ceded { .. }) | None => return Claim::Lost,
         };
-        match reply {
+        let late = self.records.age(key, now) > ASK_TIME;
+        match reply.filter(|_| !late) {
             Some(Held::Free) if !lost => {
                 self.records.replace(key, Slot::Kept(RecordState::InProgress));
                 Claim::New
@@ -167,57 +182,56 @@
         self.leaving = true;
     }
 
-    /// The records for each daemon that takes over, to be sent in this order. Call it after
-    /// [`Self::leave`], when no claimed request is in progress any more; one that still is is
-    /// handed over as unknown.
+    /// The records for each daemon that takes over. Call it after [`Self::leave`], when no claimed
+    /// request is in progress any more; one that still is is handed over as unknown.
+    ///
+    /// The parts must be sent in this order. If one with records is not accepted, the last parts
+    /// must not be sent to anyone: update the members and start again, or leave without.
     pub fn hand_over(&mut self, now: Instant) -> Vec<HandOver> {
         self.expire(now);
+        let heirs = self.peers.digest(None);
+        let part = |to: &Name, records, last| HandOver { to: to.clone(), records, last, heirs };
         let mut parts = Vec::new();
         let mut open: HashMap<&Name, (Vec<Record>, usize)> = HashMap::new();
         for (key, slot, age) in self.records.iter(now) {
-            let (Slot::Kept(state), Some(heir)) = (slot, self.peers.heir(key)) else { continue };
-            let state = match state {
-                RecordState::InProgress => RecordState::Unknown,
-                state => state.clone(),
+            let Some(heir) = self.peers.heir(key) else { continue };
+            let state = match slot {
+                Slot::Asking { .. } => continue,
+                Slot::Ceded { to, .. } if to == heir => continue,
+                Slot::Kept(RecordState::InProgress) | Slot::Ceded { .. } => RecordState::Unknown,
+                Slot::Kept(state) => state.clone(),
             };
             let size = key.len() + if let RecordState::Answered(a) = &state { a.size() } else { 0 };
             let (records, used) = open.entry(heir).or_default();
             if *used + size > PART {
-                let records = std::mem::take(records);
-                parts.push(HandOver { to: heir.clone(), records, last: false });
+                parts.push(part(heir, std::mem::take(records), false));
                 *used = 0;
             }
             records.push(Record { key: key.clone(), state, age });
             *used += size;
         }
-        for heir in self.peers.heirs() {
-            let records = open.remove(heir).map(|(records, _)| records).unwrap_or_default();
-            parts.push(HandOver { to: heir.clone(), records, last: true });
-        }
+        parts.extend(open.into_iter().map(|(heir, (records, _))| part(heir, records, false)));
+        parts.extend(self.peers.heirs().map(|heir| part(heir, Vec::new(), true)));
         parts
     }
 
-    /// Takes over a part of the records of a daemon that leaves; `false` if there is no room for
-    /// all of them, in which case [`Self::accept`] must not be called.
-    pub fn accept_part(&mut self, records: Vec<Record>, now: Instant) -> bool {
+    /// Takes over a part of the records of a daemon that leaves, in the order of
+    /// [`Self::hand_over`]; `false` if there is no room.
+    pub fn accept(&mut self, from: &Name, part: HandOver, now: Instant) -> bool {
         self.expire(now);
-        let mut all = true;
-        for Record { key, state, age } in records {
+        for Record { key, state, age } in part.records {
             if matches!(self.records.get(&key), Some(Slot::Kept(_))) {
                 continue;
             }
             let since = now.checked_sub(age).unwrap_or(now);
-            all &= self.records.insert(&key, Slot::Kept(state), since);
+            if !self.records.insert(&key, Slot::Kept(state), since) {
+                return false;
+            }
         }
-        all
-    }
-
-    /// Takes over the last part of the records of a daemon that leaves. If there is no room for all
-    /// of them, its keys count as lost once it has left.
-    pub fn accept(&mut self, from: &Name, records: Vec<Record>, now: Instant) {
-        if self.accept_part(records, now) {
-            self.peers.handed_over(from);
+        if part.last {
+            self.peers.handed_over(from, part.heirs);
         }
+        true
     }
 
     /// Removes what has expired. Claims do so too; call it now and then on an idle keeper.
--- a/crates/request/src/peers.rs
+++ b/crates/request/src/peers.rs
@@ -41,14 +41,24 @@
     dead: Option<Instant>,
     /// When it left without a complete hand-over.
     left: Option<Instant>,
-    /// Whether it completed its hand-over.
+    /// Whether it handed over what it had, whatever a stale view of membership says.
+    leaving: bool,
+    /// Whether nothing was missing in its hand-over.
     handed: bool,
 }
 
 impl Peer {
     fn new(host: &Name) -> Self {
         let hash = name_hash(host);
-        Self { host: host.clone(), hash, live: None, dead: None, left: None, handed: false }
+        Self {
+            host: host.clone(),
+            hash,
+            live: None,
+            dead: None,
+            left: None,
+            leaving: false,
+            handed: false,
+        }
     }
 
     /// Notices a restart that was not announced; it loses the records as a death does.
@@ -57,7 +67,7 @@
             && started > joined + skew
         {
             self.dead = Some(now);
-            self.handed = false;
+            (self.leaving, self.handed) = (false, false);
             self.live = Some((state, started));
         }
     }
@@ -68,11 +78,12 @@
         match member.state {
             MemberState::Alive | MemberState::Suspect | MemberState::Leaving => {
                 if !was_live {
-                    self.handed = false;
+                    (self.leaving, self.handed) = (false, false);
                 }
                 // The earliest statement stays, so that small differences do not add up.
                 let joined = self.live.map_or(member.joined, |(_, joined)| joined);
-                self.live = Some((member.state, joined));
+                let state = if self.leaving { MemberState::Leaving } else { member.state };
+                self.live = Some((state, joined));
             }
             MemberState::Left => {
                 self.live = None;
@@ -141,17 +152,23 @@
         self.list.retain(|p| p.live.is_some() || recent(p.dead) || recent(p.left));
     }
 
-    /// The peer completed its hand-over: nothing is lost when it leaves.
-    pub(crate) fn handed_over(&mut self, host: &Name) {
-        if let Some(peer) = self.list.iter_mut().find(|peer| peer.host == *host) {
+    /// The peer completed its hand-over among the daemons of the digest: nothing is lost when it
+    /// leaves, and it takes over nothing from others.
+    pub(crate) fn handed_over(&mut self, host: &Name, heirs: u64) {
+        let agreed = heirs == self.digest(Some(host));
+        let Some(peer) = self.list.iter_mut().find(|peer| peer.host == *host) else { return };
+        peer.leaving = true;
+        if let Some((state, _)) = &mut peer.live {
+            *state = MemberState::Leaving;
+        }
+        if agreed {
             peer.handed = true;
             peer.left = None;
         }
     }
 
-    /// A daemon says how long ago it started, which may be news.
-    pub(crate) fn started(&mut self, host: &Name, age: Duration, now: Instant) {
-        let started = now.checked_sub(age).unwrap_or(now);
+    /// A daemon says when it started, which may be news.
+    pub(crate) fn started(&mut self, host: &Name, started: Instant, now: Instant) {
         if let Some(peer) = self.list.iter_mut().find(|peer| peer.host == *host) {
             peer.check_start(started, self.rules.skew, now);
         }
@@ -167,6 +184,14 @@
         self.list.iter().filter(|peer| is_keeper(peer)).map(|peer| &peer.host)
     }
 
+    /// Digest of the daemons that take over from `from`, or from this one. Both must come to the
+    /// same value to agree on who takes over which key.
+    pub(crate) fn digest(&self, from: Option<&Name>) -> u64 {
+        let others = self.list.iter().filter(|p| is_keeper(p) && Some(&p.host) != from);
+        let own = from.map_or(0, |_| weight(0, self.hash));
+        others.fold(own, |sum, peer| sum.wrapping_add(weight(0, peer.hash)))
+    }
+
     /// The daemon that is the keeper of a key once this one has left.
     pub(crate) fn heir(&self, key: &str) -> Option<&Name> {
         let key = name_hash(key);
@@ -192,19 +217,21 @@
         let mut above: Vec<&Peer> =
             self.list.iter().filter(|p| (weight(key, p.hash), &p.host) > own).collect();
         above.sort_by_cached_key(rank);
-        let mut lost = false;
+        let (mut ask, mut lost) = (None, false);
         for peer in above {
             lost |= peer.may_have_lost(first_sent, self.rules, now);
             match peer.live.filter(|_| without != Some(&peer.host)) {
                 Some((MemberState::Alive | MemberState::Suspect, _)) => {
                     return Duty::Elsewhere(peer.host.clone());
                 }
-                Some(_) if !peer.handed => {
-                    return Duty::Own { ask: Some(peer.host.clone()), lost };
-                }
+                // It leaves: the daemon that ranks next takes over and asks it.
+                Some(_) if !peer.handed => ask = ask.or(Some(peer.host.clone())),
                 _ => {}
             }
         }
+        if ask.is_some() {
+            return Duty::Own { ask, lost };
+        }
         if now.saturating_duration_since(joined) >= self.rules.window {
             return Duty::Own { ask: None, lost };
         }
--- a/crates/request/src/records.rs
+++ b/crates/request/src/records.rs
@@ -21,7 +21,12 @@
         lost: bool,
     },
     /// A newer keeper was told that it may forward the request.
-    Ceded(Name),
+    Ceded {
+        /// The newer keeper.
+        to: Name,
+        /// When its process started; a later process of the same host does not have its records.
+        started: Instant,
+    },
 }
 
 /// The records of a keeper, bounded in number, bytes and age.
@@ -112,6 +117,6 @@
 fn size(slot: &Slot) -> usize {
     match slot {
         Slot::Kept(RecordState::Answered(answer)) => answer.size(),
-        Slot::Kept(_) | Slot::Asking { .. } | Slot::Ceded(_) => 0,
+        Slot::Kept(_) | Slot::Asking { .. } | Slot::Ceded { .. } => 0,
     }
 }
--- a/crates/request/tests/keeper.rs
+++ b/crates/request/tests/keeper.rs
@@ -233,14 +233,15 @@
     expect_that!(heir.resume(&key, Some(held), t), eq(&Claim::Answered(answer(3).into())));
 
     let parts = old.hand_over(t);
-    expect_that!(parts.len(), eq(1));
-    expect_that!(parts[0].last, eq(true));
+    let shape = parts.iter().map(|p| (p.records.len(), p.last)).collect::<Vec<_>>();
+    expect_that!(shape, elements_are![eq(&(1, false)), eq(&(0, true))]);
     let mut without = keeper("b");
     for k in [&mut heir, &mut without] {
         k.set_members(&view(MemberState::Leaving, now), t);
     }
-    let records = parts.into_iter().flat_map(|part| part.records).collect();
-    heir.accept(&"a".into(), records, t);
+    for part in parts {
+        expect_that!(heir.accept(&"a".into(), part, t), eq(true));
+    }
     let next = keys_of("a", "b").nth(1).unwrap_or_default();
     for (k, wanted) in [(&mut heir, Claim::New), (&mut without, Claim::Lost)] {
         k.set_members(&view(MemberState::Left, t), t);
@@ -249,6 +250,51 @@
     expect_that!(heir.claim(&key, sent, t), eq(&Claim::Answered(answer(3).into())));
 }
 
+/// Guards against the faults that random schedules found: a key ceded to an earlier process of the
+/// asking host, a leaving keeper with two successors, a late reply, and daemons that disagree about
+/// who takes over.
+#[gtest]
+fn faults_found_by_random_schedules() {
+    let (mut b, start, now) = settled("b");
+    let key = key_of("a", "b");
+    b.set_members(&[alive("b", start), alive("a", now)], now);
+    let (first, again) = (ms(1000), ms(10));
+    expect_that!(b.cede(&key, None, &"a".into(), first, now + first), eq(&Held::Free));
+    expect_that!(b.cede(&key, None, &"a".into(), first * 2, now + first * 2), eq(&Held::Free));
+    expect_that!(b.cede(&key, None, &"a".into(), again, now + ms(3000)), eq(&Held::Lost));
+
+    // "b" knows of "c" and "d"; the key ranks them "c", "d", "b".
+    let rank = |names: [&str; 2]| Ranking::new(names.map(Name::new));
+    let is = |r: &Ranking, key: &Name, n: &str| r.first(key).is_some_and(|f| f.as_str() == n);
+    let (cd, db) = (rank(["c", "d"]), rank(["d", "b"]));
+    let mut keys = (0..).map(|i| Name::from(format!("key-{i}")));
+    let key = keys.find(|k| is(&cd, k, "c") && is(&db, k, "d")).unwrap_or_default();
+    let leaving = member("c", MemberState::Leaving, start, now);
+    b.set_members(&[alive("b", start), alive("d", start), leaving.clone()], now);
+    expect_that!(b.claim(&key, Some(now), now), eq(&Claim::Elsewhere("d".into())));
+
+    let key = keys_of("c", "b").next().unwrap_or_default();
+    let (mut b, _, _) = settled("b");
+    b.set_members(&[alive("b", start), leaving.clone()], now);
+    expect_that!(b.claim(&key, None, now), eq(&Claim::Ask("c".into())));
+    expect_that!(b.resume(&key, Some(Held::Free), now + ms(2001)), eq(&Claim::Lost));
+
+    for (unknown, wanted) in [(None, Claim::New), (Some("d"), Claim::Lost)] {
+        let mut c = keeper("c");
+        let mut view = vec![leaving.clone(), alive("b", start)];
+        view.extend(unknown.map(|host| alive(host, start)));
+        c.set_members(&view, now);
+        c.leave();
+        let (mut b, _, _) = settled("b");
+        b.set_members(&[alive("b", start), alive("c", start)], now);
+        let last = c.hand_over(now).into_iter().find(|part| part.to.as_str() == "b");
+        expect_that!(last.map(|part| b.accept(&"c".into(), part, now)), some(eq(true)));
+        let left = member("c", MemberState::Left, start, now);
+        b.set_members(&[alive("b", start), left], now);
+        expect_that!(b.claim(&key, Some(now), now), eq(&wanted), "{unknown:?}");
+    }
+}
+
 /// Guards against a home that moves with the view of the daemon that chooses it.
 #[gtest]
 fn home_is_stable() {
