Make random schedules repeatable by seed

Hand-over and the model's crash iterated over hash maps, whose order differs between runs, so that a seed did not always give the same schedule. Both use ordered maps now.

--- a/crates/request/src/admission.rs
+++ b/crates/request/src/admission.rs
@@ -44,8 +44,9 @@
     pub fingerprint: Option<Fingerprint>,
 }
 
-/// The right to run one request; returned by [`Gate::finish`].
+/// The right to run one request; returned by [`crate::Gate::finish`].
 #[derive(Debug, PartialEq, Eq)]
+#[must_use = "a permit that is not finished keeps its slot for ever"]
 pub struct Permit(pub(crate) u64);
 
 /// The place of a request in the queue.
--- a/crates/request/src/keeper.rs
+++ b/crates/request/src/keeper.rs
@@ -1,4 +1,4 @@
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use dw_tables::Name;
 use tokio::time::Instant;
@@ -192,7 +192,7 @@
         let heirs = self.peers.digest(None);
         let part = |to: &Name, records, last| HandOver { to: to.clone(), records, last, heirs };
         let mut parts = Vec::new();
-        let mut open: HashMap<&Name, (Vec<Record>, usize)> = HashMap::new();
+        let mut open: BTreeMap<&Name, (Vec<Record>, usize)> = BTreeMap::new();
         for (key, slot, age) in self.records.iter(now) {
             let Some(heir) = self.peers.heir(key) else { continue };
             let state = match slot {
--- a/crates/request/src/peers.rs
+++ b/crates/request/src/peers.rs
@@ -1,4 +1,4 @@
-use std::{cmp::Reverse, collections::HashMap, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use dw_tables::Name;
 use tokio::time::Instant;
@@ -132,7 +132,7 @@
 
     /// Takes over the view of membership; a member that is no longer listed counts as dead.
     pub(crate) fn update<'a>(&mut self, members: impl Iterator<Item = &'a Member>, now: Instant) {
-        let mut old: HashMap<Name, Peer> =
+        let mut old: BTreeMap<Name, Peer> =
             self.list.drain(..).map(|peer| (peer.host.clone(), peer)).collect();
         for member in members {
             if member.host == self.own {
--- a/crates/request/src/records.rs
+++ b/crates/request/src/records.rs
@@ -95,11 +95,12 @@
         }
     }
 
-    /// The records with the time since the first claim.
+    /// The records with the time since the first claim, the oldest first.
     pub(crate) fn iter(&self, now: Instant) -> impl Iterator<Item = (&Name, &Slot, Duration)> {
-        self.slots
-            .iter()
-            .map(move |(key, (slot, since))| (key, slot, now.saturating_duration_since(*since)))
+        self.ages.iter().filter_map(move |(since, key)| {
+            let (slot, _) = self.slots.get(key)?;
+            Some((key, slot, now.saturating_duration_since(*since)))
+        })
     }
 
     /// Counts the bytes of the slot; a response that does not fit is not kept.
--- a/crates/request/tests/schedule.rs
+++ b/crates/request/tests/schedule.rs
@@ -9,7 +9,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, HashMap},
+    collections::{BTreeMap, BinaryHeap, HashMap},
 };
 
 use dw_request::{
@@ -41,7 +41,7 @@
 struct Target {
     gate: Gate,
     waiting: HashMap<Ticket, Call>,
-    running: HashMap<u64, (Permit, Call)>,
+    running: BTreeMap<u64, (Permit, Call)>,
     /// Requests that the target still runs, also those that its daemon has given up.
     busy: u32,
     /// Counts restarts.
@@ -105,7 +105,7 @@
         let target = || Target {
             gate: Gate::new(config.clone()),
             waiting: HashMap::new(),
-            running: HashMap::new(),
+            running: BTreeMap::new(),
             busy: 0,
             life: 0,
             draining: false,
@@ -343,7 +343,7 @@
         self.targets[target].gate.target_died(self.now);
         self.targets[target].life += 1;
         self.targets[target].busy = 0;
-        let running: Vec<_> = self.targets[target].running.drain().collect();
+        let running = std::mem::take(&mut self.targets[target].running);
         for (_, (permit, call)) in running {
             let wakes = self.targets[target].gate.finish(permit, RunOutcome::Lost, self.now);
             let outcome = AttemptOutcome::Unknown { reason: Reason::TargetDied };
