--- a/crates/request/src/records.rs
+++ b/crates/request/src/records.rs
@@ -21,7 +21,12 @@
         lost: bool,
     },
     /// A newer keeper was told that it may forward the request.
-    Ceded(Name),
+    Ceded {
+        /// The newer keeper.
+        to: Name,
+        /// When its process started; a later process of the same host does not have its records.
+        started: Instant,
+    },
 }
 
 /// The records of a keeper, bounded in number, bytes and age.
@@ -90,11 +95,12 @@
         }
     }
 
-    /// The records with the time since the first claim.
+    /// The records with the time since the first claim, the oldest first.
     pub(crate) fn iter(&self, now: Instant) -> impl Iterator<Item = (&Name, &Slot, Duration)> {
-        self.slots
-            .iter()
-            .map(move |(key, (slot, since))| (key, slot, now.saturating_duration_since(*since)))
+        self.ages.iter().filter_map(move |(since, key)| {
+            let (slot, _) = self.slots.get(key)?;
+            Some((key, slot, now.saturating_duration_since(*since)))
+        })
     }
 
     /// Counts the bytes of the slot; a response that does not fit is not kept.
@@ -112,6 +118,6 @@
 fn size(slot: &Slot) -> usize {
     match slot {
         Slot::Kept(RecordState::Answered(answer)) => answer.size(),
-        Slot::Kept(_) | Slot::Asking { .. } | Slot::Ceded(_) => 0,
+        Slot::Kept(_) | Slot::Asking { .. } | Slot::Ceded { .. } => 0,
     }
 }
