Let a target leave on its own, and test the admin API

A target could leave only with its daemon. PUT and DELETE on /targets/<index>/drain refuse its new work or take it again, and the fleet is told.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,6 +1,7 @@
 use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
+use dw_mesh::{Input, LocalEvent};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -64,10 +65,14 @@
     }
 
     async fn answer(&self, request: &Request<Incoming>) -> Reply {
+        let path = request.uri().path();
+        if let Some(index) = drain_path(path) {
+            return self.drain_target(index, request.method()).await;
+        }
         if !matches!(*request.method(), Method::GET | Method::HEAD) {
             return text(StatusCode::METHOD_NOT_ALLOWED, "only GET is allowed\n".to_owned());
         }
-        match request.uri().path() {
+        match path {
             "/version" => self.version(),
             "/tables" => reply(&self.view.borrow().version.tables),
             "/members" => self.members(),
@@ -84,6 +89,25 @@
         }
     }
 
+    /// Lets a target leave on its own: PUT to drain it, DELETE to take it back.
+    async fn drain_target(&self, index: u32, method: &Method) -> Reply {
+        let draining = match *method {
+            Method::PUT => true,
+            Method::DELETE => false,
+            _ => {
+                let body = "only PUT and DELETE are allowed\n".to_owned();
+                return text(StatusCode::METHOD_NOT_ALLOWED, body);
+            }
+        };
+        if !self.proxy.drain_target(index, draining) {
+            return text(StatusCode::NOT_FOUND, "no such target\n".to_owned());
+        }
+        let event = LocalEvent::TargetDraining { index, draining };
+        // The node is gone only when the daemon is being closed.
+        let _ = self.node.send(ToNode::Input(Input::Local(event))).await;
+        text(StatusCode::OK, format!("target {index}: draining {draining}\n"))
+    }
+
     /// A version is validated before the node holds it and served in the same step, so that both
     /// marks are the same.
     fn version(&self) -> Reply {
@@ -145,6 +169,11 @@
     }
 }
 
+/// The index in `/targets/<index>/drain`.
+fn drain_path(path: &str) -> Option<u32> {
+    path.strip_prefix("/targets/")?.strip_suffix("/drain")?.parse().ok()
+}
+
 fn reply(value: &impl Serialize) -> Reply {
     match serde_json::to_vec(value) {
         Ok(body) => {
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -5,6 +5,7 @@
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
 };
 
 use dw_mesh::{Input, LocalEvent, Member, MemberTable};
@@ -18,7 +19,7 @@
 use spdlog::Logger;
 use tokio::{
     sync::{Semaphore, mpsc},
-    time::Instant,
+    time::{Instant, sleep},
 };
 use tokio_util::task::TaskTracker;
 
@@ -48,6 +49,9 @@
 pub(crate) use server::Server;
 use slot::Beside;
 
+/// Time between two removals of what has expired.
+const SWEEP: Duration = Duration::from_secs(10);
+
 /// The most requests remembered as poisoned by a broadcast.
 const PRINTS: usize = 4096;
 
@@ -172,6 +176,27 @@
         }
     }
 
+    /// Refuses new work for one target, or takes it again; `false` if there is no such target.
+    pub(crate) fn drain_target(&self, index: u32, draining: bool) -> bool {
+        let target = self.targets.get(index as usize);
+        if let Some(target) = target {
+            target.set_draining(draining);
+        }
+        target.is_some()
+    }
+
+    /// Removes what has expired, until the daemon is closed. The cores do so too when they are
+    /// used; this bounds the memory of an idle daemon.
+    pub(crate) async fn sweep(self: Arc<Self>) {
+        loop {
+            sleep(SWEEP).await;
+            let now = Instant::now();
+            self.keeper().expire(now);
+            self.dispatcher().poison_mut().expire(now);
+            lock(&self.prints).retain(|_, until| now < *until);
+        }
+    }
+
     /// Closes the connections that are not in use.
     pub(crate) fn close_idle(&self) {
         for target in &self.targets {
--- a/crates/daemon/src/proxy/slot.rs
+++ b/crates/daemon/src/proxy/slot.rs
@@ -9,8 +9,8 @@
 };
 
 use dw_request::{
-    Admission, Arrival, Fingerprint, Gate, GateConfig, Load, Permit, Refusal, RunOutcome, Ticket,
-    Wake,
+    Admission, Arrival, Fingerprint, Gate, GateConfig, Load, Permit, Reason, Refusal, RunOutcome,
+    Ticket, Wake,
 };
 use dw_tables::Name;
 use tokio::{
@@ -40,6 +40,7 @@
     // switches to each request.
     state: Mutex<State>,
     changed: Notify,
+    draining: AtomicBool,
     down: AtomicBool,
     deaths: AtomicU64,
 }
@@ -61,6 +62,7 @@
             addr: settings.address,
             state: Mutex::new(State { gate, waiting: HashMap::new() }),
             changed: Notify::new(),
+            draining: AtomicBool::new(false),
             down: AtomicBool::new(false),
             deaths: AtomicU64::new(0),
         }
@@ -68,6 +70,9 @@
 
     /// Waits for a slot.
     pub(crate) async fn admit(self: &Arc<Self>, arrival: Arrival) -> Result<Slot, Refusal> {
+        if self.draining.load(Ordering::Relaxed) {
+            return Err(Refusal::new(Reason::Draining));
+        }
         let (ticket, turn) = {
             let mut state = self.lock();
             match state.gate.offer(arrival, Instant::now()) {
@@ -85,7 +90,7 @@
         match (&mut waiting.turn).await {
             Ok(Ok(permit)) => Ok(Slot::new(self.clone(), permit)),
             Ok(Err(refusal)) => Err(refusal),
-            Err(_) => Err(Refusal::new(dw_request::Reason::Draining)),
+            Err(_) => Err(Refusal::new(Reason::Draining)),
         }
     }
 
@@ -117,6 +122,11 @@
         self.lock().gate.drain();
     }
 
+    /// Refuses new work, or takes it again, while the daemon stays.
+    pub(crate) fn set_draining(&self, draining: bool) {
+        self.draining.store(draining, Ordering::Relaxed);
+    }
+
     /// What is reported with each response.
     pub(crate) fn load(&self) -> Load {
         self.lock().gate.load()
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -102,6 +102,16 @@
         self.counters.counts()
     }
 
+    /// Refuses new work for the target of the given index, or takes it again, and tells the fleet;
+    /// `false` if there is no such target.
+    pub async fn drain_target(&self, index: u32, draining: bool) -> bool {
+        let known = self.proxy.drain_target(index, draining);
+        if known {
+            self.tell(LocalEvent::TargetDraining { index, draining }).await;
+        }
+        known
+    }
+
     /// Leaves in order: announces it, refuses new work as not run, waits up to the grace for what
     /// is in flight, hands the at-most-once records over, and closes the connections. Further calls
     /// return at once.
--- /dev/null
+++ b/crates/daemon/tests/admin.rs
@@ -0,0 +1,90 @@
+//! The admin API over real sockets.
+
+mod support;
+
+use dw_mesh::MemberTable;
+use googletest::prelude::*;
+use http::Request;
+use http_body_util::Full;
+use serde_json::{Value, json};
+use support::{Act, fetch, get, header, send, served, settings, start};
+
+/// Guards against an API whose answers do not say what the daemon serves and does.
+#[gtest]
+#[tokio::test]
+async fn shows_what_the_daemon_serves_and_does() -> Result<()> {
+    let (_standin, _raw, running) = served(Act::Echo).await;
+    let addrs = running.addrs();
+    send(addrs.callers, get("/lookup")).await;
+    send(addrs.callers, get("/nowhere")).await;
+    let json = async |path| -> Result<Value> {
+        Ok(serde_json::from_str(&fetch(addrs.admin, get(path)).await?)?)
+    };
+    let mark = json!({"number": 1, "hash": running.served().hash.to_string()});
+    expect_that!(json("/version").await?, eq(&json!({"held": mark, "served": mark})));
+    expect_that!(json("/tables").await?["pools"].as_array().map(Vec::len), some(eq(2)));
+    expect_that!(json("/members").await?["members"][0]["host"], eq("p1"));
+    expect_that!(json("/limits").await?["targets"][0]["slots"], eq(&json!(4)));
+    expect_that!(json("/reasons").await?["no-route"]["refused"], eq(&json!(1)));
+    expect_that!(json("/status").await?["version"], eq(&mark));
+    let metrics = fetch(addrs.admin, get("/metrics")).await?;
+    for line in [
+        "damaskwick_version_served 1",
+        "damaskwick_requests_total{outcome=\"run\"} 1",
+        "damaskwick_requests_total{outcome=\"not-run\"} 1",
+        "damaskwick_refusals_total{reason=\"no-route\"} 1",
+        "damaskwick_refusals_total{reason=\"queue-full\"} 0",
+        "damaskwick_platform_calls_total{call=\"watch\"} 1",
+        "damaskwick_request_seconds_count 2",
+    ] {
+        expect_that!(metrics, contains_substring(line));
+    }
+    expect_that!(fetch(addrs.admin, get("/healthz")).await?, eq("ok\n"));
+    expect_that!(send(addrs.admin, get("/readyz")).await.status().as_u16(), eq(200));
+    expect_that!(send(addrs.admin, get("/nowhere")).await.status().as_u16(), eq(404));
+    running.kill().await;
+    Ok(())
+}
+
+/// Guards against a daemon without tables that takes traffic, and against refusals of it that do
+/// not count as not run.
+#[gtest]
+#[tokio::test]
+async fn is_not_ready_without_a_version() {
+    let running = start(settings("p1", "portland")).await;
+    let addrs = running.addrs();
+    expect_that!(send(addrs.admin, get("/readyz")).await.status().as_u16(), eq(503));
+    let response = send(addrs.callers, get("/lookup")).await;
+    expect_that!(response.status().as_u16(), eq(503));
+    expect_that!(header(&response, "damaskwick-outcome"), eq("not-run"));
+    expect_that!(header(&response, "damaskwick-reason"), eq("not-ready"));
+    running.kill().await;
+}
+
+/// Guards against a target that leaves on its own and still receives work (P7).
+#[gtest]
+#[tokio::test]
+async fn drains_one_target_and_takes_it_back() -> Result<()> {
+    let (_standin, raw, running) = served(Act::Echo).await;
+    let addrs = running.addrs();
+    let draining = |members: &MemberTable| {
+        members.iter().flat_map(|m| &m.targets).filter(|target| target.draining).count()
+    };
+    let drain = |method: &str| {
+        Request::builder().method(method).uri("/targets/0/drain").header("host", "admin")
+    };
+    let put = drain("PUT").body(Full::default())?;
+    expect_that!(send(addrs.admin, put).await.status().as_u16(), eq(200));
+    running.wait_members(|m| draining(m) == 1).await;
+    let response = send(addrs.callers, get("/lookup")).await;
+    expect_that!(header(&response, "damaskwick-outcome"), eq("not-run"));
+    expect_that!(raw.count(), eq(0));
+    let delete = drain("DELETE").body(Full::default())?;
+    expect_that!(send(addrs.admin, delete).await.status().as_u16(), eq(200));
+    running.wait_members(|m| draining(m) == 0).await;
+    let response = send(addrs.callers, get("/lookup")).await;
+    expect_that!(response.status().as_u16(), eq(200));
+    expect_that!(header(&response, "damaskwick-reason"), eq(""));
+    running.kill().await;
+    Ok(())
+}
