Rank keepers without copying names

Ranking the daemons of a domain copied every host name for each claim. The texts of reasons and loads get a test.

--- a/crates/request/src/peers.rs
+++ b/crates/request/src/peers.rs
@@ -1,4 +1,4 @@
-use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use dw_tables::Name;
 use tokio::time::Instant;
@@ -199,6 +199,14 @@
         heirs.max_by_key(|peer| (weight(key, peer.hash), &peer.host)).map(|peer| &peer.host)
     }
 
+    /// The peers whose rank for a key is accepted, the first ranked first.
+    fn ranked(&self, key: u64, accept: impl Fn((u64, &Name)) -> bool) -> Vec<&Peer> {
+        let ranks = self.list.iter().map(|peer| (weight(key, peer.hash), peer));
+        let mut list: Vec<_> = ranks.filter(|(rank, p)| accept((*rank, &p.host))).collect();
+        list.sort_unstable_by(|(a, p), (b, q)| (b, &q.host).cmp(&(a, &p.host)));
+        list.into_iter().map(|(_, peer)| peer).collect()
+    }
+
     /// Whose task a key is that this daemon has no record of, as if `without`, the daemon that
     /// asks, were not there.
     ///
@@ -213,10 +221,7 @@
         let joined = *self.joined.get_or_insert(now);
         let key = name_hash(key);
         let own = (weight(key, self.hash), &self.own);
-        let rank = |peer: &&Peer| Reverse((weight(key, peer.hash), peer.host.clone()));
-        let mut above: Vec<&Peer> =
-            self.list.iter().filter(|p| (weight(key, p.hash), &p.host) > own).collect();
-        above.sort_by_cached_key(rank);
+        let above = self.ranked(key, |rank| rank > own);
         let (mut ask, mut lost) = (None, false);
         for peer in above {
             lost |= peer.may_have_lost(first_sent, self.rules, now);
@@ -239,9 +244,7 @@
         if without.is_some() && first_sent.is_some_and(|sent| sent >= joined + self.rules.hold) {
             return Duty::Own { ask: None, lost };
         }
-        let mut below: Vec<&Peer> =
-            self.list.iter().filter(|p| (weight(key, p.hash), &p.host) < own).collect();
-        below.sort_by_cached_key(rank);
+        let below = self.ranked(key, |rank| rank < own);
         for peer in below {
             lost |= peer.may_have_lost(first_sent, self.rules, now);
             match peer.live.filter(|_| without != Some(&peer.host)) {
--- /dev/null
+++ b/crates/request/tests/text.rs
@@ -0,0 +1,33 @@
+//! Texts in headers and metrics.
+
+use std::collections::HashSet;
+
+use dw_request::{Load, Outcome, Reason};
+use googletest::prelude::*;
+
+/// Guards against reasons that share a text or a header that another daemon cannot read, and
+/// against a status that contradicts the outcome.
+#[gtest]
+fn reasons_have_stable_texts() {
+    let texts: HashSet<_> = Reason::ALL.iter().map(|r| r.as_str()).collect();
+    expect_that!(texts.len(), eq(Reason::ALL.len()));
+    for reason in Reason::ALL {
+        let text = reason.as_str();
+        expect_that!(text.parse::<Reason>(), ok(eq(reason)));
+        expect_that!(text.bytes().all(|b| b.is_ascii_lowercase() || b == b'-'), eq(true), "{text}");
+        let proven = matches!(reason.status(), 503 | 404);
+        let denial = text.starts_with("retry-");
+        expect_that!(reason.outcome() == Outcome::NotRun || denial, eq(proven), "{text}");
+    }
+    expect_that!("no-such-reason".parse::<Reason>(), err(anything()));
+}
+
+/// Guards against a load header that is misread.
+#[gtest]
+fn loads_survive_the_header() {
+    let load = Load { in_flight: 3, slots: 12, queued: 7, shedding: true };
+    expect_that!(load.to_string().parse::<Load>(), ok(eq(load)));
+    for text in ["", "1/2/3", "1/2/3/0/0", "1/2/-3/0", "a/b/c/d"] {
+        expect_that!(text.parse::<Load>(), err(anything()), "{text}");
+    }
+}
