Send keeper records with their digest of heirs

Cause: the request core now divides records among named heirs, and a daemon that takes over must know the same division; the wire only had a list. Change: one message carries records, the last mark and the digest.

--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -29,8 +29,6 @@
 pub(crate) const FROM: HeaderName = HeaderName::from_static("damaskwick-from");
 /// Time since the process of that host started in ms, between daemons.
 pub(crate) const AGE: HeaderName = HeaderName::from_static("damaskwick-from-age-ms");
-/// Whether records that are handed over are the last ones, between daemons.
-pub(crate) const LAST: HeaderName = HeaderName::from_static("damaskwick-last");
 /// The load of a target, on responses between daemons.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("damaskwick-load");
 /// Counts the deaths of a target, on responses between daemons.
--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -153,12 +153,10 @@
     pub(super) async fn accept(&self, request: Request<Payload>) -> Response<Payload> {
         let (head, body) = request.into_parts();
         let from = headers::read::<String>(&head.headers, &headers::FROM).map(Name::from);
-        let list = collect(body).await.and_then(|bytes| records::decode_list(&bytes));
-        let (Some(from), Some(list)) = (from, list) else { return status(StatusCode::BAD_REQUEST) };
-        let now = Instant::now();
-        if headers::read::<u8>(&head.headers, &headers::LAST) == Some(1) {
-            self.keeper().accept(&from, list, now);
-        } else if !self.keeper().accept_part(list, now) {
+        let to = self.host.clone();
+        let part = collect(body).await.and_then(|bytes| records::decode_part(&bytes, to));
+        let (Some(from), Some(part)) = (from, part) else { return status(StatusCode::BAD_REQUEST) };
+        if !self.keeper().accept(&from, part, Instant::now()) {
             return status(StatusCode::INSUFFICIENT_STORAGE);
         }
         status(StatusCode::NO_CONTENT)
@@ -186,12 +184,11 @@
 
     async fn send_part(&self, part: HandOver) -> Option<Bytes> {
         let addr = self.members().iter().find(|m| m.host == part.to)?.data;
-        let mut request = Request::new(full(records::encode_list(&part.records)));
+        let mut request = Request::new(full(records::encode_part(&part)));
         *request.uri_mut() = http::Uri::from_static("http://damaskwick/");
         let map = request.headers_mut();
         headers::set(map, headers::STEP, "hand-over");
         headers::set(map, headers::FROM, &self.host);
-        headers::set(map, headers::LAST, u8::from(part.last));
         self.exchange(addr, request).await
     }
 
--- a/crates/daemon/src/proxy/records.rs
+++ b/crates/daemon/src/proxy/records.rs
@@ -1,7 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use dw_request::{Held, Record, RecordState, StoredAnswer};
+use dw_request::{HandOver, Held, Record, RecordState, StoredAnswer};
 use dw_tables::Name;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use prost::Message;
@@ -37,6 +37,10 @@
 struct WireRecords {
     #[prost(message, repeated, tag = "1")]
     list: Vec<WireRecord>,
+    #[prost(bool, tag = "2")]
+    last: bool,
+    #[prost(fixed64, tag = "3")]
+    heirs: u64,
 }
 
 /// The reply of an earlier keeper.
@@ -75,14 +79,17 @@
     }
 }
 
-/// Encodes records for the daemon that takes over.
-pub(super) fn encode_list(records: &[Record]) -> Vec<u8> {
-    WireRecords { list: records.iter().map(pack).collect() }.encode_to_vec()
+/// Encodes a part of the records for the daemon that takes over.
+pub(super) fn encode_part(part: &HandOver) -> Vec<u8> {
+    let list = part.records.iter().map(pack).collect();
+    WireRecords { list, last: part.last, heirs: part.heirs }.encode_to_vec()
 }
 
-/// Decodes records that are handed over; `None` if one of them cannot be read.
-pub(super) fn decode_list(bytes: &[u8]) -> Option<Vec<Record>> {
-    WireRecords::decode(bytes).ok()?.list.into_iter().map(unpack).collect()
+/// Decodes a part that is handed over to `to`; `None` if one of its records cannot be read.
+pub(super) fn decode_part(bytes: &[u8], to: Name) -> Option<HandOver> {
+    let WireRecords { list, last, heirs } = WireRecords::decode(bytes).ok()?;
+    let records = list.into_iter().map(unpack).collect::<Option<_>>()?;
+    Some(HandOver { to, records, last, heirs })
 }
 
 fn pack(record: &Record) -> WireRecord {
