--- a/crates/request/tests/text.rs
+++ b/crates/request/tests/text.rs
@@ -13,7 +13,7 @@
     expect_that!(texts.len(), eq(Reason::ALL.len()));
     for reason in Reason::ALL {
         let text = reason.as_str();
-        expect_that!(text.parse::<Reason>(), ok(eq(reason)));
+        expect_that!(text.parse::<Reason>(), ok(eq(*reason)));
         expect_that!(text.bytes().all(|b| b.is_ascii_lowercase() || b == b'-'), eq(true), "{text}");
         let proven = matches!(reason.status(), 503 | 404);
         let denial = text.starts_with("retry-");
