--- a/crates/request/src/peers.rs
+++ b/crates/request/src/peers.rs
@@ -1,4 +1,4 @@
-use std::{cmp::Reverse, collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use dw_tables::Name;
 use tokio::time::Instant;
@@ -41,14 +41,24 @@
     dead: Option<Instant>,
     /// When it left without a complete hand-over.
     left: Option<Instant>,
-    /// Whether it completed its hand-over.
+    /// Whether it handed over what it had, whatever a stale view of membership says.
+    leaving: bool,
+    /// Whether nothing was missing in its hand-over.
     handed: bool,
 }
 
 impl Peer {
     fn new(host: &Name) -> Self {
         let hash = name_hash(host);
-        Self { host: host.clone(), hash, live: None, dead: None, left: None, handed: false }
+        Self {
+            host: host.clone(),
+            hash,
+            live: None,
+            dead: None,
+            left: None,
+            leaving: false,
+            handed: false,
+        }
     }
 
     /// Notices a restart that was not announced; it loses the records as a death does.
@@ -57,7 +67,7 @@
             && started > joined + skew
         {
             self.dead = Some(now);
-            self.handed = false;
+            (self.leaving, self.handed) = (false, false);
             self.live = Some((state, started));
         }
     }
@@ -68,11 +78,12 @@
         match member.state {
             MemberState::Alive | MemberState::Suspect | MemberState::Leaving => {
                 if !was_live {
-                    self.handed = false;
+                    (self.leaving, self.handed) = (false, false);
                 }
                 // The earliest statement stays, so that small differences do not add up.
                 let joined = self.live.map_or(member.joined, |(_, joined)| joined);
-                self.live = Some((member.state, joined));
+                let state = if self.leaving { MemberState::Leaving } else { member.state };
+                self.live = Some((state, joined));
             }
             MemberState::Left => {
                 self.live = None;
@@ -121,7 +132,7 @@
 
     /// Takes over the view of membership; a member that is no longer listed counts as dead.
     pub(crate) fn update<'a>(&mut self, members: impl Iterator<Item = &'a Member>, now: Instant) {
-        let mut old: HashMap<Name, Peer> =
+        let mut old: BTreeMap<Name, Peer> =
             self.list.drain(..).map(|peer| (peer.host.clone(), peer)).collect();
         for member in members {
             if member.host == self.own {
@@ -141,17 +152,23 @@
         self.list.retain(|p| p.live.is_some() || recent(p.dead) || recent(p.left));
     }
 
-    /// The peer completed its hand-over: nothing is lost when it leaves.
-    pub(crate) fn handed_over(&mut self, host: &Name) {
-        if let Some(peer) = self.list.iter_mut().find(|peer| peer.host == *host) {
+    /// The peer completed its hand-over among the daemons of the digest: nothing is lost when it
+    /// leaves, and it takes over nothing from others.
+    pub(crate) fn handed_over(&mut self, host: &Name, heirs: u64) {
+        let agreed = heirs == self.digest(Some(host));
+        let Some(peer) = self.list.iter_mut().find(|peer| peer.host == *host) else { return };
+        peer.leaving = true;
+        if let Some((state, _)) = &mut peer.live {
+            *state = MemberState::Leaving;
+        }
+        if agreed {
             peer.handed = true;
             peer.left = None;
         }
     }
 
-    /// A daemon says how long ago it started, which may be news.
-    pub(crate) fn started(&mut self, host: &Name, age: Duration, now: Instant) {
-        let started = now.checked_sub(age).unwrap_or(now);
+    /// A daemon says when it started, which may be news.
+    pub(crate) fn started(&mut self, host: &Name, started: Instant, now: Instant) {
         if let Some(peer) = self.list.iter_mut().find(|peer| peer.host == *host) {
             peer.check_start(started, self.rules.skew, now);
         }
@@ -167,6 +184,14 @@
         self.list.iter().filter(|peer| is_keeper(peer)).map(|peer| &peer.host)
     }
 
+    /// Digest of the daemons that take over from `from`, or from this one. Both must come to the
+    /// same value to agree on who takes over which key.
+    pub(crate) fn digest(&self, from: Option<&Name>) -> u64 {
+        let others = self.list.iter().filter(|p| is_keeper(p) && Some(&p.host) != from);
+        let own = from.map_or(0, |_| weight(0, self.hash));
+        others.fold(own, |sum, peer| sum.wrapping_add(weight(0, peer.hash)))
+    }
+
     /// The daemon that is the keeper of a key once this one has left.
     pub(crate) fn heir(&self, key: &str) -> Option<&Name> {
         let key = name_hash(key);
@@ -174,6 +199,14 @@
         heirs.max_by_key(|peer| (weight(key, peer.hash), &peer.host)).map(|peer| &peer.host)
     }
 
+    /// The peers whose rank for a key is accepted, the first ranked first.
+    fn ranked(&self, key: u64, accept: impl Fn((u64, &Name)) -> bool) -> Vec<&Peer> {
+        let ranks = self.list.iter().map(|peer| (weight(key, peer.hash), peer));
+        let mut list: Vec<_> = ranks.filter(|(rank, p)| accept((*rank, &p.host))).collect();
+        list.sort_unstable_by(|(a, p), (b, q)| (b, &q.host).cmp(&(a, &p.host)));
+        list.into_iter().map(|(_, peer)| peer).collect()
+    }
+
     /// Whose task a key is that this daemon has no record of, as if `without`, the daemon that
     /// asks, were not there.
     ///
@@ -188,23 +221,22 @@
         let joined = *self.joined.get_or_insert(now);
         let key = name_hash(key);
         let own = (weight(key, self.hash), &self.own);
-        let rank = |peer: &&Peer| Reverse((weight(key, peer.hash), peer.host.clone()));
-        let mut above: Vec<&Peer> =
-            self.list.iter().filter(|p| (weight(key, p.hash), &p.host) > own).collect();
-        above.sort_by_cached_key(rank);
-        let mut lost = false;
+        let above = self.ranked(key, |rank| rank > own);
+        let (mut ask, mut lost) = (None, false);
         for peer in above {
             lost |= peer.may_have_lost(first_sent, self.rules, now);
             match peer.live.filter(|_| without != Some(&peer.host)) {
                 Some((MemberState::Alive | MemberState::Suspect, _)) => {
                     return Duty::Elsewhere(peer.host.clone());
                 }
-                Some(_) if !peer.handed => {
-                    return Duty::Own { ask: Some(peer.host.clone()), lost };
-                }
+                // It leaves: the daemon that ranks next takes over and asks it.
+                Some(_) if !peer.handed => ask = ask.or(Some(peer.host.clone())),
                 _ => {}
             }
         }
+        if ask.is_some() {
+            return Duty::Own { ask, lost };
+        }
         if now.saturating_duration_since(joined) >= self.rules.window {
             return Duty::Own { ask: None, lost };
         }
@@ -212,9 +244,7 @@
         if without.is_some() && first_sent.is_some_and(|sent| sent >= joined + self.rules.hold) {
             return Duty::Own { ask: None, lost };
         }
-        let mut below: Vec<&Peer> =
-            self.list.iter().filter(|p| (weight(key, p.hash), &p.host) < own).collect();
-        below.sort_by_cached_key(rank);
+        let below = self.ranked(key, |rank| rank < own);
         for peer in below {
             lost |= peer.may_have_lost(first_sent, self.rules, now);
             match peer.live.filter(|_| without != Some(&peer.host)) {
