Hand records over in the parts that the keeper asks for

The keeper's interface changed: each part names the daemons among which records are divided, and a part with records that is not taken starts the division again.

--- a/crates/bench/src/publish.rs
+++ b/crates/bench/src/publish.rs
@@ -9,7 +9,8 @@
 
 /// The example tables of one deployment with `extra` further routes, so that tables have a size.
 pub(crate) fn example(extra: usize, edit: u64) -> Result<Tables, Failure> {
-    let mut routes = parse_routes("routes", include_str!("../../../examples/cooperative/routes.jsonc"))?;
+    let mut routes =
+        parse_routes("routes", include_str!("../../../examples/cooperative/routes.jsonc"))?;
     let pools = parse_pools("pools", include_str!("../../../examples/cooperative/pools.jsonc"))?;
     let first = routes.first().cloned().ok_or("the example has no route")?;
     for idx in 0..extra {
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -31,6 +31,8 @@
 pub(crate) const AGE: HeaderName = HeaderName::from_static("damaskwick-from-age-ms");
 /// Whether records that are handed over are the last ones, between daemons.
 pub(crate) const LAST: HeaderName = HeaderName::from_static("damaskwick-last");
+/// Digest of the daemons among which records are divided, between daemons.
+pub(crate) const HEIRS: HeaderName = HeaderName::from_static("damaskwick-heirs");
 /// The load of a target, on responses between daemons.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("damaskwick-load");
 /// Counts the deaths of a target, on responses between daemons.
--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -25,6 +25,12 @@
 /// The wait between two of them; membership events reach a domain in well under a second.
 const KEEPER_PAUSE: Duration = Duration::from_millis(50);
 
+/// Times that records are divided among the members before the daemon leaves without.
+const HAND_OVER_TRIES: u32 = 3;
+
+/// The wait between two of them, in which the members may change.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(200);
+
 /// The longest wait for an earlier keeper or a successor.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -154,34 +160,46 @@
         let (head, body) = request.into_parts();
         let from = headers::read::<String>(&head.headers, &headers::FROM).map(Name::from);
         let list = collect(body).await.and_then(|bytes| records::decode_list(&bytes));
-        let (Some(from), Some(list)) = (from, list) else { return status(StatusCode::BAD_REQUEST) };
-        let now = Instant::now();
-        if headers::read::<u8>(&head.headers, &headers::LAST) == Some(1) {
-            self.keeper().accept(&from, list, now);
-        } else if !self.keeper().accept_part(list, now) {
-            return status(StatusCode::INSUFFICIENT_STORAGE);
+        let heirs = headers::read(&head.headers, &headers::HEIRS);
+        let (Some(from), Some(records), Some(heirs)) = (from, list, heirs) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let last = headers::read::<u8>(&head.headers, &headers::LAST) == Some(1);
+        let part = HandOver { to: self.host.clone(), records, last, heirs };
+        if self.keeper().accept(&from, part, Instant::now()) {
+            return status(StatusCode::NO_CONTENT);
         }
-        status(StatusCode::NO_CONTENT)
+        status(StatusCode::INSUFFICIENT_STORAGE)
     }
 
-    /// Hands the records over to the daemons that keep the keys next.
+    /// Hands the records over to the daemons that keep the keys next. A part that is not taken
+    /// starts the division again, among the members as they are then.
     pub(crate) async fn hand_over(&self) {
-        let parts = self.keeper().hand_over(Instant::now());
-        let mut failed: Vec<Name> = Vec::new();
-        for part in parts {
-            // A daemon that misses a part must not get the last one: it would take the records for
-            // complete.
-            if failed.contains(&part.to) {
-                continue;
+        for _ in 0..HAND_OVER_TRIES {
+            let parts = self.keeper().hand_over(Instant::now());
+            let count: usize = parts.iter().map(|part| part.records.len()).sum();
+            match self.send_parts(parts).await {
+                None => {
+                    spdlog::info!(logger: self.log, "[proxy] {count} records handed over");
+                    return;
+                }
+                Some(host) => {
+                    spdlog::warn!(logger: self.log, "[proxy] {host} takes no records");
+                    sleep(HAND_OVER_PAUSE).await;
+                }
             }
-            let (to, count) = (part.to.clone(), part.records.len());
-            if self.send_part(part).await.is_none() {
-                spdlog::warn!(logger: self.log, "[proxy] {count} records not taken by {to}");
-                failed.push(to);
-            } else if count > 0 {
-                spdlog::info!(logger: self.log, "[proxy] {count} records handed over to {to}");
+        }
+    }
+
+    /// Sends the parts in order; the host that did not take one with records, if any.
+    async fn send_parts(&self, parts: Vec<HandOver>) -> Option<Name> {
+        for part in parts {
+            let (to, empty) = (part.to.clone(), part.records.is_empty());
+            if self.send_part(part).await.is_none() && !empty {
+                return Some(to);
             }
         }
+        None
     }
 
     async fn send_part(&self, part: HandOver) -> Option<Bytes> {
@@ -192,6 +210,7 @@
         headers::set(map, headers::STEP, "hand-over");
         headers::set(map, headers::FROM, &self.host);
         headers::set(map, headers::LAST, u8::from(part.last));
+        headers::set(map, headers::HEIRS, part.heirs);
         self.exchange(addr, request).await
     }
 
