--- a/crates/request/tests/keeper.rs
+++ b/crates/request/tests/keeper.rs
@@ -240,7 +240,7 @@
         k.set_members(&view(MemberState::Leaving, now), t);
     }
     for part in parts {
-        expect_that!(heir.accept(&"a".into(), part, t), eq(true));
+        expect_that!(heir.take_over(&"a".into(), part, t), eq(true));
     }
     let next = keys_of("a", "b").nth(1).unwrap_or_default();
     for (k, wanted) in [(&mut heir, Claim::New), (&mut without, Claim::Lost)] {
@@ -288,7 +288,7 @@
         let (mut b, _, _) = settled("b");
         b.set_members(&[alive("b", start), alive("c", start)], now);
         let last = c.hand_over(now).into_iter().find(|part| part.to.as_str() == "b");
-        expect_that!(last.map(|part| b.accept(&"c".into(), part, now)), some(eq(true)));
+        expect_that!(last.map(|part| b.take_over(&"c".into(), part, now)), some(eq(true)));
         let left = member("c", MemberState::Left, start, now);
         b.set_members(&[alive("b", start), left], now);
         expect_that!(b.claim(&key, Some(now), now), eq(&wanted), "{unknown:?}");
--- a/crates/request/tests/once.rs
+++ b/crates/request/tests/once.rs
@@ -290,7 +290,7 @@
             let last = part.last;
             let arrives = self.rng.random_bool(0.8);
             let keeper = self.hosts[to].keeper.as_mut().filter(|_| arrives);
-            if !keeper.is_some_and(|k| k.accept(&from, part, now)) && !last {
+            if !keeper.is_some_and(|k| k.take_over(&from, part, now)) && !last {
                 break;
             }
         }
