Apply member changes together and let a busy daemon become idle

Each change of the members rebuilt the dispatcher's and the keeper's view, which a join storm repeats thousands of times; changes within 10 ms are now applied together. A leaving daemon no longer counts what it refuses as in flight, because callers that try again would keep it from being idle.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -135,6 +135,7 @@
     tasks.spawn(node.run(node_out));
 
     tasks.spawn(proxy.clone().sweep());
+    tasks.spawn(proxy.clone().follow(view.clone()));
     let server = Server {
         proxy: proxy.clone(),
         tasks: tasks.clone(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -40,7 +40,7 @@
 pub(crate) struct NodeTask {
     /// The decisions.
     pub(crate) node: Node,
-    /// Takes versions, members and poison.
+    /// Takes versions and poison.
     pub(crate) proxy: Arc<Proxy>,
     /// The task of the connections to peers.
     pub(crate) links: mpsc::Sender<ToLinks>,
@@ -95,10 +95,7 @@
                 let _ = self.platform.send(call).await;
             }
             Action::Publish(version) => self.publish(version),
-            Action::Members(members) => {
-                self.proxy.set_members(&members);
-                self.view.send_modify(|view| view.members = members);
-            }
+            Action::Members(members) => self.view.send_modify(|view| view.members = members),
             Action::Poison(print) => self.proxy.refuse_print(print),
             // The status names it, and the node logs it.
             Action::Refused(_) => {}
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -18,12 +18,17 @@
 use hyper::body::Incoming;
 use spdlog::Logger;
 use tokio::{
-    sync::{Semaphore, mpsc},
+    sync::{Semaphore, mpsc, watch},
     time::{Instant, sleep},
 };
 use tokio_util::task::TaskTracker;
 
-use crate::{Settings, counters::Counters, node::ToNode, tasks::Tasks};
+use crate::{
+    Settings,
+    counters::Counters,
+    node::{ToNode, View},
+    tasks::Tasks,
+};
 
 mod answer;
 mod beside;
@@ -52,6 +57,9 @@
 /// Time between two removals of what has expired.
 const SWEEP: Duration = Duration::from_secs(10);
 
+/// The shortest time between two changes of the members that are applied.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(10);
+
 /// The most requests remembered as poisoned by a broadcast.
 const PRINTS: usize = 4096;
 
@@ -68,6 +76,7 @@
     dispatcher: Mutex<Dispatcher>,
     keeper: Mutex<Keeper>,
     fleet: Mutex<Fleet>,
+    applied: watch::Sender<Arc<MemberTable>>,
     prints: Mutex<HashMap<u64, Instant>>,
     targets: Vec<Arc<Beside>>,
     hops: HopPool,
@@ -110,6 +119,7 @@
             dispatcher: Mutex::new(dispatcher),
             keeper: Mutex::new(keeper),
             fleet: Mutex::new(Fleet::new(own)),
+            applied: watch::Sender::default(),
             prints: Mutex::default(),
             targets,
             hops: HopPool::new(tasks.clone()),
@@ -145,15 +155,30 @@
         }
     }
 
+    /// Follows the members of the fleet until the daemon is closed. Changes that come in quick
+    /// succession, as in a join storm, are applied together.
+    pub(crate) async fn follow(self: Arc<Self>, mut view: watch::Receiver<View>) {
+        let mut seen = Arc::default();
+        while view.changed().await.is_ok() {
+            let members = view.borrow_and_update().members.clone();
+            if !Arc::ptr_eq(&members, &seen) {
+                self.set_members(&members);
+                seen = members;
+                sleep(MEMBERS_PAUSE).await;
+            }
+        }
+    }
+
     /// Takes over a new view of the fleet.
-    pub(crate) fn set_members(&self, members: &Arc<MemberTable>) {
+    fn set_members(&self, members: &Arc<MemberTable>) {
         let now = Instant::now();
         let mut fleet = lock(&self.fleet);
         fleet.set(members, now);
-        let (endpoints, keepers) = (fleet.endpoints(), fleet.keepers());
+        let (endpoints, keepers, table) = (fleet.endpoints(), fleet.keepers(), fleet.table());
         drop(fleet);
         self.dispatcher().set_endpoints(endpoints);
         self.keeper().set_members(&keepers, now);
+        self.applied.send_replace(table);
     }
 
     /// Refuses requests with a fingerprint that another daemon broadcast.
@@ -224,7 +249,7 @@
             self.counters.refused(Reason::PoolLimit);
             return answer::refuse(&Refusal::new(Reason::PoolLimit));
         };
-        let flight = self.flight();
+        let flight = self.flight(Call::is_nested(request.headers()));
         let (response, deadline) = self.enter(request, from).await;
         let response = hold(response, (room, flight));
         let counters = self.counters.clone();
@@ -247,8 +272,8 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Response<Payload> {
-        let flight = self.flight();
         let step: Option<String> = headers::read(request.headers(), &headers::STEP);
+        let flight = self.flight(false);
         let version = request.version();
         let checked = |r: Request<Incoming>| r.map(|b| Checked::new(b, version).boxed_unsync());
         let response = match step.as_deref() {
@@ -275,9 +300,15 @@
         }
     }
 
-    fn flight(&self) -> Flight {
+    /// Counts a request as in flight. A leaving daemon does not count what it refuses, because
+    /// callers that try again and again would keep it from ever being idle; `nested` calls are not
+    /// refused.
+    fn flight(&self, nested: bool) -> Option<Flight> {
+        if self.is_draining() && !nested {
+            return None;
+        }
         self.counters.flight(1);
-        Flight { _token: self.flights.token(), counters: self.counters.clone() }
+        Some(Flight { _token: self.flights.token(), counters: self.counters.clone() })
     }
 
     fn is_refused_print(&self, print: Fingerprint) -> bool {
@@ -294,8 +325,14 @@
         }
     }
 
-    fn members(&self) -> Arc<MemberTable> {
-        lock(&self.fleet).table()
+    /// The members that the proxy goes by, this daemon included.
+    pub(crate) fn members(&self) -> Arc<MemberTable> {
+        self.applied.borrow().clone()
+    }
+
+    /// Follows the members that the proxy goes by.
+    pub(crate) fn watch_members(&self) -> watch::Receiver<Arc<MemberTable>> {
+        self.applied.subscribe()
     }
 
     fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
--- a/crates/daemon/src/proxy/call.rs
+++ b/crates/daemon/src/proxy/call.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use dw_request::{Attempt, Fingerprint, RequestInfo};
 use dw_tables::Name;
-use http::{Request, Uri, header, request::Parts, uri::Authority};
+use http::{HeaderMap, Request, Uri, header, request::Parts, uri::Authority};
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -94,8 +94,13 @@
     }
 
     /// Whether a target makes the call for a request of its own.
-    pub(crate) const fn is_nested(&self) -> bool {
-        self.depth > 0
+    pub(crate) fn is_nested(headers: &HeaderMap) -> bool {
+        headers::read::<u8>(headers, &headers::DEPTH).is_some_and(|depth| depth > 0)
+    }
+
+    /// Calls above this one in the chain.
+    pub(crate) const fn depth(&self) -> u8 {
+        self.depth
     }
 
     /// The name under which the keeper records the key. The path is part of it, so that two
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -52,7 +52,7 @@
         from: SocketAddr,
     ) -> Result<Response<Payload>, Refusal> {
         // A target on this host may need calls to complete a request that is in flight there.
-        if self.is_draining() && !call.is_nested() {
+        if self.is_draining() && call.depth() == 0 {
             return Err(Refusal::new(Reason::Draining));
         }
         let router = self.dispatcher().router();
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -71,10 +71,10 @@
         self.view.borrow().version.clone()
     }
 
-    /// The members as the daemon sees them.
+    /// The members that the daemon goes by, itself included.
     #[must_use]
     pub fn members(&self) -> Arc<MemberTable> {
-        self.view.borrow().members.clone()
+        self.proxy.members()
     }
 
     /// Waits until the daemon serves a version of at least this number.
@@ -86,9 +86,9 @@
 
     /// Waits until the members satisfy a condition.
     pub async fn wait_members(&self, mut good: impl FnMut(&MemberTable) -> bool) {
-        let mut view = self.view.clone();
+        let mut members = self.proxy.watch_members();
         // The sender ends only with the daemon.
-        let _ = view.wait_for(|view| good(&view.members)).await;
+        let _ = members.wait_for(|members| good(members)).await;
     }
 
     /// What the daemon knows about the version in force; `None` while it closes.
--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -1,10 +1,21 @@
 //! Several daemons over real sockets.
 
+#![allow(clippy::expect_used, reason = "clippy allows it in test functions only, not in helpers")]
+
 mod support;
 
-use dw_fakes::Standin;
+use bytes::Bytes;
+use dw_daemon::Running;
+use dw_fakes::{RunningStandin, Standin};
 use googletest::prelude::*;
-use support::{Act, RawTarget, get, header, publish, send, send_once, settings, start, target};
+use http::Request;
+use http_body_util::Full;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use support::{
+    Act, RawTarget, connect, get, header, publish, send, send_once, settings, start, target,
+};
+use tokio::net::TcpStream;
 
 /// Guards against a domain that is cut off from the platform and does not get the version from
 /// another domain, and against a request that does not reach a target beside another daemon.
@@ -91,3 +102,66 @@
     second.kill().await;
     Ok(())
 }
+
+/// Guards against a target beside another daemon that keeps working for a caller that went away.
+#[gtest]
+#[tokio::test]
+async fn cancels_the_target_beside_another_daemon() -> Result<()> {
+    let (_standin, near, _far, raw) = pair(Act::Hold).await;
+    let mut caller = connect(near.addrs().callers).await;
+    let pending = tokio::spawn(async move { caller.send_request(get("/lookup")).await });
+    raw.arrived.notified().await;
+    pending.abort();
+    raw.cancelled.notified().await;
+    Ok(())
+}
+
+/// Guards against a large request body that is cut, changed or held back on its way.
+#[gtest]
+#[tokio::test]
+async fn streams_a_body_that_is_too_large_to_keep() -> Result<()> {
+    let (_standin, near, _far, raw) = pair(Act::Echo).await;
+    let body = vec![b'x'; 3_000_000];
+    let request = Request::post("/lookup").header("host", "kiosk.test");
+    let response = send(near.addrs().callers, request.body(Full::from(body))?).await;
+    expect_that!(response.status().as_u16(), eq(200));
+    expect_that!(support::text(response).await?, contains_substring("content-length: 3000000"));
+    expect_that!(raw.count(), eq(1));
+    Ok(())
+}
+
+/// Guards against a caller over HTTP/2 that is answered differently, and against a reset that
+/// reads as the end of a body (P4).
+#[gtest]
+#[tokio::test]
+async fn serves_callers_over_http2() -> Result<()> {
+    for (act, complete) in [(Act::Echo, true), (Act::TruncateChunked, false)] {
+        let (_standin, near, _far, _raw) = pair(act).await;
+        let stream = TcpStream::connect(near.addrs().callers).await?;
+        let (mut sender, conn) =
+            http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await?;
+        tokio::spawn(conn);
+        let request = Request::get("http://kiosk.test/lookup").body(Full::<Bytes>::default())?;
+        let result = async {
+            let response = sender.send_request(request).await?;
+            support::text(response).await
+        };
+        expect_that!(result.await.is_ok(), eq(complete));
+    }
+    Ok(())
+}
+
+/// A daemon without targets and one with a target, in two domains.
+async fn pair(act: Act) -> (RunningStandin, Running, Running, RawTarget) {
+    let standin = Standin::new().start().await.expect("the stand-in must start");
+    publish(standin.addr(), 1, support::tables()).await;
+    let raw = RawTarget::start(act).await;
+    let near = start(settings("p1", "portland").with_platform(vec![standin.addr()])).await;
+    let far = settings("w1", "worcester")
+        .with_join(vec![near.addrs().peers])
+        .with_target(target("tally", raw.addr));
+    let far = start(far).await;
+    far.wait_version(1).await;
+    near.wait_members(|members| members.get("worcester", "w1").is_some()).await;
+    (standin, near, far, raw)
+}
