--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -166,7 +166,7 @@
         };
         let last = headers::read::<u8>(&head.headers, &headers::LAST) == Some(1);
         let part = HandOver { to: self.host.clone(), records, last, heirs };
-        if self.keeper().accept(&from, part, Instant::now()) {
+        if self.keeper().take_over(&from, part, Instant::now()) {
             return status(StatusCode::NO_CONTENT);
         }
         status(StatusCode::INSUFFICIENT_STORAGE)
