--- a/crates/daemon/src/proxy/server.rs
+++ b/crates/daemon/src/proxy/server.rs
@@ -37,6 +37,8 @@
     pub(crate) tasks: Tasks,
     /// Cancelled when the daemon starts to leave.
     pub(crate) drain: CancellationToken,
+    /// Cancelled when no connection of a caller is accepted any more.
+    pub(crate) closed: CancellationToken,
     /// Cancelled when no request is in flight any more.
     pub(crate) end: CancellationToken,
     /// Tokens of the open connections.
@@ -46,7 +48,10 @@
 impl Server {
     /// Accepts callers, HTTP/1.1 or HTTP/2.
     pub(crate) async fn callers(self, listener: TcpListener) {
-        self.accept(listener, |server, stream, from| server.caller(stream, from)).await;
+        // A caller whose connection is refused knows that its request was not run.
+        let closed = self.closed.clone();
+        let accept = self.accept(listener, |server, stream, from| server.caller(stream, from));
+        let _ = closed.run_until_cancelled(accept).await;
     }
 
     /// Accepts other daemons, HTTP/2.
