Add the demo of both deployments

Cause: a new user had no way to see the whole system without setting it up. Change: damaskwick demo runs the platform's stand-in, 13 or 14 daemons with targets, and callers in one process; it edits, drains, stops, kills and cuts off, joins the callers' view with the targets' record of runs, and exits with 1 if a promise was broken. For 30 s after the start of a domain with three or more daemons most requests with a key are answered as record-lost; that fault of the keeper is not fixed here.

--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use dw_platform::Platform;
-use dw_tables::{Head, Name, Version, changes};
+use dw_tables::{Head, Name, Tables, Version, changes};
 use futures_util::future::join_all;
 use serde_json::{Value as Json, json};
 
@@ -41,8 +41,25 @@
     admin: &A,
     console: &mut Console,
 ) -> Result<Json, Failure> {
-    let author = author(args, edit)?;
+    let edit = Edit { author: author(args, edit)?, ..edit.clone() };
     let tables = read_tables(&args.tables)?;
+    let data = accept(args, &edit, tables, platform, admin, console).await?;
+    if data["change"].is_string() {
+        let number = &data["version"];
+        console.say(&format!("`damaskwick watch --version {number}` tells when it is in force"));
+    }
+    Ok(data)
+}
+
+/// Makes checked tables the next version, without reading files.
+pub(crate) async fn accept<P: Platform, A: Admin>(
+    args: &ApplyArgs,
+    edit: &Edit,
+    tables: Tables,
+    platform: &P,
+    admin: &A,
+    console: &mut Console,
+) -> Result<Json, Failure> {
     let held = read_head(platform).await?;
     if held.number() != args.base {
         return Err(stale(platform, args.base, &tables).await);
@@ -63,7 +80,7 @@
         parent: held.hash(),
         change: edit.change.clone(),
         parts,
-        author,
+        author: edit.author.clone(),
         time: edit.time,
     };
     match swap(platform, &held, &head, args.limit.into()).await? {
@@ -74,7 +91,6 @@
     }
     let Head { number, change, .. } = &head;
     console.say(&format!("version {number} is accepted (change {change}, {} rows)", rows.len()));
-    console.say(&format!("`damaskwick watch --version {number}` tells when it is in force"));
     Ok(json!({ "version": number, "hash": head.hash, "change": change, "changes": rows }))
 }
 
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -3,6 +3,8 @@
 use dw_tables::Millis;
 use gumdrop::Options;
 
+use crate::Deployment;
+
 /// damaskwick edits the tables of the mesh and shows where they are in force.
 #[derive(Debug, Options)]
 pub struct Args {
@@ -33,6 +35,8 @@
     Status(StatusArgs),
     /// wait until a version is in force everywhere
     Watch(WatchArgs),
+    /// show a whole mesh in one process
+    Demo(DemoArgs),
 }
 
 /// `check` checks the tables and lists all findings.
@@ -162,6 +166,20 @@
     pub limit: Millis,
 }
 
+/// `demo` runs a platform, daemons, targets and callers in one process, disturbs them, and checks
+/// that every promise is kept.
+#[derive(Debug, Options)]
+pub struct DemoArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// whose mesh to show: cooperative or verband
+    #[options(no_short, meta = "NAME", default = "cooperative")]
+    pub deployment: Deployment,
+}
+
 impl Command {
     /// Whether the result is printed as JSON.
     #[must_use]
@@ -174,6 +192,7 @@
             Self::History(args) => args.json,
             Self::Status(args) => args.json,
             Self::Watch(args) => args.json,
+            Self::Demo(args) => args.json,
         }
     }
 }
--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,379 @@
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use dw_platform::HttpPlatform;
+use dw_tables::{Millis, Name, Tables};
+use serde_json::Value as Json;
+use tokio::time::{Instant, sleep};
+
+mod callers;
+mod checks;
+mod client;
+mod deployment;
+mod fleet;
+mod report;
+mod schedule;
+mod served;
+
+pub use callers::{Reply, Sending};
+pub use checks::{Check, Window, check_calls, check_cuts, check_idle};
+pub use deployment::{Deployment, UnknownDeployment};
+pub use report::{Control, Convergence, Report, Tally};
+pub use schedule::Schedule;
+
+use crate::{Admin, ApplyArgs, Console, DemoArgs, Edit, Exit, Failure, HttpAdmin, apply::accept};
+use callers::Callers;
+use fleet::{Fleet, failed};
+use report::ConvergenceStart;
+use served::Served;
+
+/// Time between two polls of the state of daemons.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Runs the demo and reports what it found.
+///
+/// # Errors
+/// A promise that was broken, or a fleet that does not come into being.
+pub async fn demo(args: &DemoArgs, console: &mut Console) -> Result<Json, Failure> {
+    let report = play(args.deployment, &Schedule::default(), console).await?;
+    report.lines().iter().for_each(|line| console.say(line));
+    let data = serde_json::to_value(&report).map_err(failed)?;
+    match report.broken().len() {
+        0 => {
+            console.say("every promise was kept");
+            Ok(data)
+        }
+        count => {
+            Err(Failure::new(Exit::Failed, format!("{count} promises were broken")).with_data(data))
+        }
+    }
+}
+
+/// Plays the whole demo.
+///
+/// # Errors
+/// A fleet that does not come into being, or a step that cannot be made.
+pub async fn play(
+    deployment: Deployment,
+    schedule: &Schedule,
+    console: &mut Console,
+) -> Result<Report, Failure> {
+    let start = Instant::now();
+    let fleet = Fleet::start(deployment).await?;
+    let served = Served::start(fleet.daemons.clone());
+    let mut play = Play {
+        deployment,
+        schedule,
+        console,
+        start,
+        fleet,
+        served,
+        callers: None,
+        tables: Tables::default(),
+        number: 0,
+        versions: Vec::new(),
+        checks: Vec::new(),
+        stops: Vec::new(),
+    };
+    play.steps().await?;
+    play.report().await
+}
+
+/// A stop in order, judged at the end.
+struct Stop {
+    promise: String,
+    window: Window,
+    target: Option<SocketAddr>,
+    /// When the target had to be idle.
+    idle: Option<Window>,
+}
+
+/// The demo while it runs.
+struct Play<'a> {
+    deployment: Deployment,
+    schedule: &'a Schedule,
+    console: &'a mut Console,
+    start: Instant,
+    fleet: Fleet,
+    served: Served,
+    callers: Option<Callers>,
+    tables: Tables,
+    number: u64,
+    versions: Vec<Convergence>,
+    checks: Vec<Check>,
+    stops: Vec<Stop>,
+}
+
+impl Play<'_> {
+    fn say(&mut self, text: &str) {
+        let line = format!("[{:5.1} s] {text}", self.start.elapsed().as_secs_f64());
+        self.console.say(&line);
+    }
+
+    async fn steps(&mut self) -> Result<(), Failure> {
+        let domains = self.deployment.domains().join(", ");
+        let count = self.fleet.hosts.len();
+        self.say(&format!("{count} hosts with a daemon and a target each run in {domains}"));
+        let tables = self.deployment.tables()?;
+        self.apply(tables, "the example tables").await?;
+        self.until("all daemons know all targets", |play| play.fleet.is_joined()).await?;
+        self.callers = Some(Callers::start(self.deployment, &self.fleet, self.schedule.rate));
+        self.fleet.measure();
+        self.say(&format!("callers send {} requests a second", self.schedule.rate));
+        sleep(self.schedule.pause).await;
+        self.refuse_bad_edits().await?;
+        let edited = self.deployment.edited(self.tables.clone(), Millis::new(800));
+        self.apply(edited, "a pool and a route that refers to it").await?;
+        self.callers.iter().for_each(Callers::use_edit);
+        sleep(self.schedule.pause).await;
+        self.drain_target().await?;
+        self.stop_daemon().await?;
+        self.kill_relay().await
+    }
+
+    /// Edits that must change nothing: tables with a finding, and a stale base.
+    async fn refuse_bad_edits(&mut self) -> Result<(), Failure> {
+        let refused = self.deployment.bad_tables().map_err(Failure::from);
+        self.expect("tables with a finding", refused.map(|_| ()), Exit::Refused);
+        let edited = self.deployment.edited(self.tables.clone(), Millis::new(900));
+        let stale = self.accept(edited, self.number - 1).await;
+        self.expect("an edit of an older version", stale.map(|_| ()), Exit::Stale);
+        Ok(())
+    }
+
+    fn expect(&mut self, what: &str, result: Result<(), Failure>, exit: Exit) {
+        let (code, text) = match result {
+            Ok(()) => (Exit::Ok, "accepted".to_owned()),
+            Err(failure) => (failure.exit, failure.message),
+        };
+        let first = text.lines().next().unwrap_or_default();
+        self.say(&format!("apply with {what}: exit code {}: {first}", code.code()));
+        let cases = match code == exit {
+            true => Vec::new(),
+            false => vec![format!("exit code {} instead of {}", code.code(), exit.code())],
+        };
+        self.checks.push(Check::new(&format!("apply refuses {what}"), cases));
+    }
+
+    /// Makes tables the next version and waits until it is in force.
+    async fn apply(&mut self, tables: Tables, edit: &str) -> Result<(), Failure> {
+        let number = self.accept(tables.clone(), self.number).await?;
+        let accepted = ConvergenceStart::new(number, edit, Instant::now());
+        let version = dw_tables::Version::new(number, tables);
+        self.served.accept(number, version.hash);
+        (self.tables, self.number) = (version.tables, number);
+        self.say(&format!("version {number} is accepted: {edit}"));
+        let times = self.served.in_force(number, self.schedule.patience).await;
+        let reported = self.reported(number).await;
+        let convergence = accepted.end(times, reported);
+        let text = match (convergence.all_ms, convergence.reported_ms) {
+            (Some(ms), Some(_)) => format!("version {number} is in force everywhere after {ms} ms"),
+            (Some(ms), None) => {
+                format!("all daemons serve version {number} after {ms} ms, but do not report it")
+            }
+            (None, _) => format!("version {number} is not in force everywhere"),
+        };
+        self.say(&text);
+        self.check_convergence(&convergence);
+        self.versions.push(convergence);
+        Ok(())
+    }
+
+    fn check_convergence(&mut self, done: &Convergence) {
+        let (number, limit) = (done.version, self.schedule.converge);
+        let never = match (done.all_ms, done.reported_ms) {
+            (None, _) => vec!["a daemon does not serve it".to_owned()],
+            (_, None) => vec!["a domain does not report it".to_owned()],
+            _ => Vec::new(),
+        };
+        let promise = format!("version {number} comes into force everywhere and is reported so");
+        self.checks.push(Check::new(&promise, never));
+        let late = done.all_ms.filter(|ms| Duration::from_millis(*ms) > limit);
+        let late = late.map(|ms| format!("it took {ms} ms")).into_iter().collect();
+        let promise =
+            format!("version {number} is in force everywhere within {} s", limit.as_secs());
+        self.checks.push(Check::new(&promise, late).timed());
+    }
+
+    async fn accept(&mut self, tables: Tables, base: u64) -> Result<u64, Failure> {
+        let edit = Edit {
+            author: Name::new("demo"),
+            change: Name::from(format!("{:032x}", rand::random::<u128>())),
+            time: dw_fakes::unix_ms(Instant::now()),
+        };
+        let args = ApplyArgs {
+            help: false,
+            json: false,
+            tables: Default::default(),
+            platform: vec![self.fleet.standin.addr()],
+            base,
+            daemon: Vec::new(),
+            author: None,
+            limit: Millis::new(10_000),
+        };
+        let platform = HttpPlatform::new(args.platform.clone());
+        let mut quiet = Console::new(true, Box::new(std::io::sink()), Box::new(std::io::sink()));
+        accept(&args, &edit, tables, &platform, &HttpAdmin, &mut quiet).await?;
+        Ok(base + 1)
+    }
+
+    /// Whether a daemon in each domain reports the version as in force everywhere in time.
+    async fn reported(&self, number: u64) -> bool {
+        let end = Instant::now() + self.schedule.patience;
+        while Instant::now() < end {
+            let polls = self.fleet.admins().into_iter().map(|addr| HttpAdmin.status(addr));
+            let polls = futures_util::future::join_all(polls).await;
+            if polls.iter().all(|poll| matches!(poll, Ok(status) if status.in_force(number))) {
+                return true;
+            }
+            sleep(POLL).await;
+        }
+        false
+    }
+
+    async fn until(
+        &mut self,
+        what: &str,
+        mut good: impl FnMut(&Self) -> bool,
+    ) -> Result<(), Failure> {
+        let end = Instant::now() + self.schedule.patience;
+        while !good(self) {
+            if Instant::now() >= end {
+                let seconds = self.schedule.patience.as_secs();
+                return Err(failed(format!("after {seconds} s it is not so that {what}")));
+            }
+            sleep(POLL).await;
+        }
+        self.say(what);
+        Ok(())
+    }
+
+    /// Drains a target of the second service for a while.
+    async fn drain_target(&mut self) -> Result<(), Failure> {
+        let (service, _) = self.deployment.services()[1];
+        let host = self.host_of(service)?;
+        let (name, target) =
+            (self.fleet.hosts[host].name.clone(), self.fleet.hosts[host].target.addr());
+        let from = Instant::now();
+        self.fleet.daemons.get(host)?.drain_target(0, true).await;
+        self.say(&format!("target {service} on {name} is draining"));
+        let runs = self.fleet.hosts[host].target.counts().in_flight;
+        sleep(self.schedule.notice).await;
+        let idle = Instant::now();
+        sleep(self.schedule.drained).await;
+        let to = Instant::now();
+        self.fleet.daemons.get(host)?.drain_target(0, false).await;
+        self.say(&format!(
+            "target {service} on {name} takes work again; {runs} requests were in flight there \
+             when it began to drain"
+        ));
+        self.stops.push(Stop {
+            promise: "draining a target interrupts no request".to_owned(),
+            window: Window { from, to },
+            target: Some(target),
+            idle: Some(Window { from: idle, to }),
+        });
+        sleep(self.schedule.pause).await;
+        Ok(())
+    }
+
+    /// Stops a daemon in order, as for a release, and starts another in its place.
+    async fn stop_daemon(&mut self) -> Result<(), Failure> {
+        let (service, _) = self.deployment.services()[2];
+        let host = self.host_of(service)?;
+        let name = self.fleet.hosts[host].name.clone();
+        let from = Instant::now();
+        self.fleet.stop(host).await?;
+        let to = Instant::now();
+        let took = to.duration_since(from).as_millis();
+        self.say(&format!("daemon {name} has left in order in {took} ms"));
+        self.fleet.start_daemon(host).await?;
+        self.serves_again(host).await?;
+        self.stops.push(Stop {
+            promise: "stopping a daemon in order interrupts no request".to_owned(),
+            window: Window { from, to },
+            target: Some(self.fleet.hosts[host].target.addr()),
+            idle: None,
+        });
+        sleep(self.schedule.pause).await;
+        Ok(())
+    }
+
+    /// A relay's host fails; the platform goes down; another host takes the place of the failed
+    /// one; the platform comes back; the tables are edited.
+    async fn kill_relay(&mut self) -> Result<(), Failure> {
+        let host = self.fleet.relay(&[]).ok_or_else(|| failed("no daemon is a relay"))?;
+        let name = self.fleet.hosts[host].name.clone();
+        self.fleet.kill(host).await?;
+        self.say(&format!("host {name}, a relay, has failed with its target"));
+        sleep(self.schedule.pause).await;
+        self.fleet.standin.down().await;
+        self.say("the platform is down");
+        let edited = self.deployment.edited(self.tables.clone(), Millis::new(700));
+        let down = self.accept(edited.clone(), self.number).await;
+        self.expect("a platform that is down", down.map(|_| ()), Exit::Unreachable);
+        self.fleet.replace(host).await?;
+        self.serves_again(host).await?;
+        sleep(self.schedule.outage).await;
+        self.fleet.standin.up().await;
+        self.say("the platform is up");
+        self.apply(edited, "another deadline of the new route").await?;
+        sleep(self.schedule.pause).await;
+        Ok(())
+    }
+
+    /// Waits until a daemon that replaces another one serves the version in force.
+    async fn serves_again(&mut self, host: usize) -> Result<(), Failure> {
+        let number = self.number;
+        let text = format!("a new daemon on {} serves", self.fleet.hosts[host].name);
+        let version = move |play: &Self| {
+            play.fleet.daemons.get(host).is_ok_and(|daemon| daemon.served().number >= number)
+        };
+        self.until(&text, version).await
+    }
+
+    fn host_of(&self, service: &str) -> Result<usize, Failure> {
+        let host = self.fleet.hosts.iter().position(|host| host.service == service);
+        host.ok_or_else(|| failed(format!("no host has a target of {service}")))
+    }
+
+    async fn report(self) -> Result<Report, Failure> {
+        let sendings = match self.callers {
+            Some(callers) => callers.stop().await,
+            None => Vec::new(),
+        };
+        let runs = self.fleet.ledger.runs();
+        let mut checks = self.served.finish();
+        checks.extend(self.checks);
+        checks.extend(check_calls(&sendings, &runs));
+        for stop in &self.stops {
+            let Stop { promise, window, target, idle } = stop;
+            checks.push(check_cuts(promise, window, *target, &sendings, &runs));
+            if let (Some(idle), Some(target)) = (idle, target) {
+                let seconds = self.schedule.notice.as_secs();
+                let promise = format!("a draining target gets no new work after {seconds} s");
+                checks.push(check_idle(&promise, idle, *target, &runs));
+            }
+        }
+        let seconds = self.start.elapsed().as_secs_f64();
+        let daemons = self.fleet.daemons.lock().clone();
+        let mut in_force = BTreeMap::new();
+        for (host, daemon) in self.fleet.hosts.iter().zip(&daemons) {
+            let number = daemon.as_ref().map(|daemon| daemon.served().number);
+            in_force.insert(host.name.clone(), number);
+        }
+        drop(daemons);
+        let report = Report {
+            deployment: self.deployment,
+            daemons: self.fleet.hosts.len(),
+            seconds,
+            versions: self.versions,
+            in_force,
+            calls: Tally::new(&sendings),
+            runs: runs.len(),
+            control: self.fleet.control(),
+            checks,
+        };
+        self.fleet.close().await;
+        Ok(report)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo/callers.rs
@@ -0,0 +1,297 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dw_fakes::unix_ms;
+use http::Request;
+use http_body_util::Full;
+use rand::Rng;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, MissedTickBehavior, interval_at, sleep},
+};
+
+use super::{Deployment, client::Client, deployment::Work, fleet::Fleet};
+
+/// Callers of each daemon.
+const PER_HOST: usize = 2;
+
+/// Of 100 requests that may run at most once, those without an idempotency key.
+const WITHOUT_KEY: u32 = 20;
+/// Of 100 requests with a key, those sent twice at the same time through different daemons.
+const TWICE_AT_ONCE: u32 = 10;
+/// Of 100 requests with a key, those sent again after their answer, through another daemon.
+const AGAIN: u32 = 10;
+
+/// Times that a caller sends a request with a key again whose outcome it does not know, or any
+/// request that was not run.
+const REPEATS: u32 = 3;
+/// The wait before a repeat whose refusal names no time.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+/// The longest wait before a repeat; a caller that waits sends nothing else.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+
+/// What a caller got for one sending of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The complete answer of a target.
+    Answered,
+    /// A complete response that is not the answer to this request.
+    Wrong {
+        /// What is wrong with it.
+        fault: String,
+    },
+    /// The target ran the request and answered with another status than 200.
+    Failed {
+        /// The status.
+        status: u16,
+    },
+    /// Refused, and the caller was told that the request was not run.
+    NotRun {
+        /// Why.
+        reason: String,
+        /// Seconds after which to send it again, if the response says so.
+        retry: Option<u64>,
+    },
+    /// The caller does not know whether the request was run.
+    Unknown {
+        /// Why.
+        reason: String,
+    },
+}
+
+impl Reply {
+    pub(super) fn unknown(reason: &str) -> Self {
+        Self::Unknown { reason: reason.to_owned() }
+    }
+}
+
+/// One sending of a request, as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct Sending {
+    /// The id of the request, the same if it is sent again.
+    pub request: Arc<str>,
+    /// Whether the request may run at most once.
+    pub once: bool,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When the reply was complete.
+    pub ended: Instant,
+    /// The reply.
+    pub reply: Reply,
+}
+
+/// Everything that callers share.
+#[derive(Clone)]
+pub(super) struct Shared {
+    deployment: Deployment,
+    addrs: Arc<[SocketAddr]>,
+    stop: Arc<AtomicBool>,
+    urgent: Arc<AtomicBool>,
+    sendings: Arc<Mutex<Vec<Sending>>>,
+}
+
+/// The callers that run.
+pub(super) struct Callers {
+    shared: Shared,
+    tasks: JoinSet<()>,
+}
+
+/// One caller beside a host.
+struct Caller {
+    shared: Shared,
+    host: usize,
+    home: &'static str,
+    near: Client,
+    far: Client,
+    name: String,
+}
+
+/// A request as it is sent each time.
+#[derive(Clone)]
+struct Call {
+    id: Arc<str>,
+    work: Work,
+    keyed: bool,
+    first: u64,
+    home: &'static str,
+}
+
+impl Callers {
+    /// Starts callers that together send `rate` requests a second.
+    pub(super) fn start(deployment: Deployment, fleet: &Fleet, rate: u32) -> Self {
+        let shared = Shared {
+            deployment,
+            addrs: fleet.callers().into(),
+            stop: Arc::default(),
+            urgent: Arc::default(),
+            sendings: Arc::default(),
+        };
+        let count = u32::try_from(fleet.hosts.len() * PER_HOST).unwrap_or(u32::MAX);
+        let period = Duration::from_secs(1) * count / rate.max(1);
+        let mut tasks = JoinSet::new();
+        for index in 0..fleet.hosts.len() * PER_HOST {
+            let host = index / PER_HOST;
+            let caller = Caller {
+                shared: shared.clone(),
+                host,
+                home: fleet.hosts[host].domain,
+                near: Client::default(),
+                far: Client::default(),
+                name: format!("caller-{index}"),
+            };
+            tasks.spawn(caller.run(period));
+        }
+        Self { shared, tasks }
+    }
+
+    /// Callers also make the request that only the edited tables have a route for.
+    pub(super) fn use_edit(&self) {
+        self.shared.urgent.store(true, Relaxed);
+    }
+
+    /// Stops the callers, after the requests in flight, and returns all sendings.
+    pub(super) async fn stop(mut self) -> Vec<Sending> {
+        self.shared.stop.store(true, Relaxed);
+        while self.tasks.join_next().await.is_some() {}
+        let mut sendings = self.shared.sendings.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut sendings)
+    }
+}
+
+impl Caller {
+    async fn run(mut self, period: Duration) {
+        let offset = period.mul_f64(rand::random());
+        let mut ticks = interval_at(Instant::now() + offset, period);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut number = 0u64;
+        loop {
+            ticks.tick().await;
+            if self.shared.stop.load(Relaxed) {
+                return;
+            }
+            number += 1;
+            let call = self.call(number);
+            self.make(&call).await;
+        }
+    }
+
+    fn call(&self, number: u64) -> Call {
+        let mut random = rand::rng();
+        let urgent = self.shared.urgent.load(Relaxed) && random.random_range(0..10) == 0;
+        let work = match urgent {
+            true => self.shared.deployment.urgent(),
+            false => choose(self.shared.deployment.works(), random.random_range(0..10)),
+        };
+        Call {
+            id: format!("{}-{number}", self.name).into(),
+            work: *work,
+            keyed: work.once && random.random_range(0..100) >= WITHOUT_KEY,
+            first: unix_ms(Instant::now()),
+            home: self.home,
+        }
+    }
+
+    async fn make(&mut self, call: &Call) {
+        let chance = rand::rng().random_range(0..100);
+        let next = self.next(1);
+        if call.keyed && chance < TWICE_AT_ONCE {
+            let (near, far) = (&mut self.near, &mut self.far);
+            let own = self.shared.addrs[self.host];
+            tokio::join!(send(&self.shared, near, own, call), send(&self.shared, far, next, call),);
+            return;
+        }
+        self.send_until_known(call).await;
+        if call.keyed && chance < TWICE_AT_ONCE + AGAIN {
+            send(&self.shared, &mut self.far, next, call).await;
+        }
+    }
+
+    /// Sends a request, and again while the caller may: through the next daemon if its own one is
+    /// not there or leaves.
+    async fn send_until_known(&mut self, call: &Call) {
+        let mut addr = self.shared.addrs[self.host];
+        for repeat in 0..=REPEATS {
+            let reply = send(&self.shared, &mut self.near, addr, call).await;
+            let pause = match reply {
+                None => {
+                    addr = self.next(repeat as usize + 1);
+                    Duration::ZERO
+                }
+                Some(Reply::NotRun { reason, .. }) if reason == "draining" => {
+                    addr = self.next(repeat as usize + 1);
+                    Duration::ZERO
+                }
+                Some(Reply::NotRun { retry, .. }) => {
+                    retry.map_or(REPEAT_PAUSE, |s| Duration::from_secs(s).min(MAX_PAUSE))
+                }
+                Some(Reply::Unknown { .. }) if call.keyed => REPEAT_PAUSE,
+                Some(_) => return,
+            };
+            if self.shared.stop.load(Relaxed) {
+                return;
+            }
+            sleep(pause).await;
+        }
+    }
+
+    fn next(&self, step: usize) -> SocketAddr {
+        self.shared.addrs[(self.host + step) % self.shared.addrs.len()]
+    }
+}
+
+/// Sends a request once and records the sending; `None` if nothing was sent.
+async fn send(
+    shared: &Shared,
+    client: &mut Client,
+    addr: SocketAddr,
+    call: &Call,
+) -> Option<Reply> {
+    let sent = Instant::now();
+    let reply = client.send(addr, &call.id, call.request()?).await?;
+    let sending = Sending {
+        request: call.id.clone(),
+        once: call.work.once,
+        sent,
+        ended: Instant::now(),
+        reply: reply.clone(),
+    };
+    shared.sendings.lock().unwrap_or_else(PoisonError::into_inner).push(sending);
+    Some(reply)
+}
+
+impl Call {
+    fn request(&self) -> Option<Request<Full<Bytes>>> {
+        let mut request = Request::builder()
+            .method(self.work.method)
+            .uri(self.work.path)
+            .header("host", "demo.example")
+            .header("x-request-id", &*self.id);
+        if self.keyed {
+            // All callers are on one address, so a repeat through a daemon of another domain must
+            // name the domain that keeps the record of the key.
+            request = request
+                .header("idempotency-key", &*self.id)
+                .header("damaskwick-first-sent", self.first.to_string())
+                .header("damaskwick-home", self.home);
+        }
+        let body = if self.work.once { Bytes::from(self.id.to_string()) } else { Bytes::new() };
+        request.body(Full::new(body)).ok()
+    }
+}
+
+fn choose(works: &'static [Work], mut number: u32) -> &'static Work {
+    for work in works {
+        if number < work.share {
+            return work;
+        }
+        number -= work.share;
+    }
+    &works[0]
+}
--- /dev/null
+++ b/crates/cli/src/demo/checks.rs
@@ -0,0 +1,167 @@
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+use dw_fakes::{Run, RunEnd};
+use serde::Serialize;
+use tokio::time::Instant;
+
+use super::{Reply, Sending};
+
+/// Cases that a check names; the rest is counted.
+const MAX_CASES: usize = 5;
+
+/// Reasons by which a caller can tell that its request was interrupted after it was sent.
+const CUTS: [&str; 7] = [
+    "connection broke at the caller",
+    "response was reset",
+    "connection-lost",
+    "connection-unresponsive",
+    "response-truncated",
+    "target-died",
+    "cancelled",
+];
+
+/// One promise and the cases in which it was broken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Check {
+    /// The promise.
+    pub promise: String,
+    /// Whether it holds only up to a time, so that a machine without free cores can break it.
+    pub timed: bool,
+    /// How often it was broken.
+    pub broken: usize,
+    /// The first few cases.
+    pub cases: Vec<String>,
+}
+
+impl Check {
+    pub(super) fn new(promise: &str, cases: Vec<String>) -> Self {
+        let broken = cases.len();
+        let cases = cases.into_iter().take(MAX_CASES).collect();
+        Self { promise: promise.to_owned(), timed: false, broken, cases }
+    }
+
+    pub(super) fn timed(self) -> Self {
+        Self { timed: true, ..self }
+    }
+}
+
+/// A time in which work at a target or a daemon was stopped in order.
+#[derive(Clone, Debug)]
+pub struct Window {
+    /// When the stop began.
+    pub from: Instant,
+    /// When it was over.
+    pub to: Instant,
+}
+
+impl Window {
+    fn overlaps(&self, from: Instant, to: Option<Instant>) -> bool {
+        from <= self.to && to.is_none_or(|to| to >= self.from)
+    }
+}
+
+/// Joins what the callers saw with what the targets ran.
+#[must_use]
+pub fn check_calls(sendings: &[Sending], runs: &[Run]) -> Vec<Check> {
+    let mut by_request: HashMap<&str, (Vec<&Sending>, Vec<&Run>)> = HashMap::new();
+    for sending in sendings {
+        by_request.entry(&sending.request).or_default().0.push(sending);
+    }
+    for run in runs {
+        by_request.entry(&run.request).or_default().1.push(run);
+    }
+    let [mut twice, mut misreported, mut never] = [(); 3].map(|()| Vec::new());
+    for (request, (sendings, runs)) in &by_request {
+        if sendings.iter().any(|s| s.once) && runs.len() > 1 {
+            twice.push(format!("{request} ran {} times", runs.len()));
+        }
+        for run in runs.iter().filter(|run| !is_explained(run, sendings)) {
+            let replies: Vec<_> = sendings.iter().map(|s| &s.reply).collect();
+            misreported.push(format!("{request} ran at {}, callers got {replies:?}", run.target));
+        }
+        let answered = sendings.iter().any(|s| s.reply == Reply::Answered);
+        if answered && !runs.iter().any(|run| run.end == RunEnd::Finished) {
+            never.push(format!("{request} was answered and has no finished run"));
+        }
+    }
+    vec![
+        Check::new("a request that may run once ran at most once", twice),
+        Check::new("a request reported as not run did not run", misreported),
+        Check::new("a request reported as answered ran to its end", never),
+        Check::new("each response is the complete answer to its own request", wrong(sendings)),
+        Check::new("a refusal as not run says when to send again", no_retry(sendings)),
+        Check::new("an accepted route is known to every daemon", no_route(sendings)),
+    ]
+}
+
+/// Whether a sending that may have been run was made before the run started.
+fn is_explained(run: &Run, sendings: &[&Sending]) -> bool {
+    let may = |s: &&Sending| !matches!(s.reply, Reply::NotRun { .. }) && s.sent <= run.started;
+    sendings.iter().any(may)
+}
+
+fn wrong(sendings: &[Sending]) -> Vec<String> {
+    let case = |s: &Sending| match &s.reply {
+        Reply::Wrong { fault } => Some(format!("{}: {fault}", s.request)),
+        _ => None,
+    };
+    sendings.iter().filter_map(case).collect()
+}
+
+fn no_retry(sendings: &[Sending]) -> Vec<String> {
+    let case = |s: &Sending| match &s.reply {
+        Reply::NotRun { reason, retry: None } => Some(format!("{}: {reason}", s.request)),
+        _ => None,
+    };
+    sendings.iter().filter_map(case).collect()
+}
+
+fn no_route(sendings: &[Sending]) -> Vec<String> {
+    let lost =
+        |s: &&Sending| matches!(&s.reply, Reply::NotRun { reason, .. } if reason == "no-route");
+    sendings.iter().filter(lost).map(|s| format!("{} found no route", s.request)).collect()
+}
+
+/// No request was interrupted by a stop in order: of a target with the address `target`, or of a
+/// daemon.
+#[must_use]
+pub fn check_cuts(
+    promise: &str,
+    window: &Window,
+    target: Option<SocketAddr>,
+    sendings: &[Sending],
+    runs: &[Run],
+) -> Check {
+    let cut = |s: &&Sending| {
+        window.overlaps(s.sent, Some(s.ended))
+            && matches!(&s.reply, Reply::Unknown { reason } if CUTS.contains(&reason.as_str()))
+    };
+    let mut cases: Vec<String> =
+        sendings.iter().filter(cut).map(|s| format!("{}: {:?}", s.request, s.reply)).collect();
+    // A run also ends early if its deadline passes; then the caller knows that reason.
+    let late: Vec<&Arc<str>> = sendings
+        .iter()
+        .filter(|s| matches!(&s.reply, Reply::Unknown { reason } if reason == "timed-out"))
+        .map(|s| &s.request)
+        .collect();
+    let ended = |run: &&Run| {
+        Some(run.target) == target
+            && window.overlaps(run.started, run.ended)
+            && run.end != RunEnd::Finished
+            && !late.contains(&&run.request)
+    };
+    cases.extend(runs.iter().filter(ended).map(|run| format!("{}: {:?}", run.request, run.end)));
+    Check::new(promise, cases)
+}
+
+/// A target got no new work in a window.
+#[must_use]
+pub fn check_idle(promise: &str, window: &Window, target: SocketAddr, runs: &[Run]) -> Check {
+    let new =
+        |run: &&Run| run.target == target && run.started >= window.from && run.started <= window.to;
+    let case = |run: &Run| {
+        let late = run.started.duration_since(window.from).as_millis();
+        format!("{} started {late} ms after the target had to be idle", run.request)
+    };
+    Check::new(promise, runs.iter().filter(new).map(case).collect()).timed()
+}
--- /dev/null
+++ b/crates/cli/src/demo/deployment.rs
@@ -0,0 +1,181 @@
+use std::str::FromStr;
+
+use derive_more::Display;
+use dw_daemon::PresetName;
+use dw_tables::{Findings, Match, Millis, Name, Pool, Repeat, Route, Source, Tables, parse_tables};
+use serde::Serialize;
+
+/// Which of the two users' meshes the demo shows.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Deployment {
+    /// Granite Coast Returns Cooperative.
+    #[default]
+    #[display("cooperative")]
+    Cooperative,
+    /// Verband Hochzeitsplanung Schweiz.
+    #[display("verband")]
+    Verband,
+}
+
+/// The text names no deployment.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is not a deployment; accepted: cooperative, verband")]
+pub struct UnknownDeployment(String);
+
+impl FromStr for Deployment {
+    type Err = UnknownDeployment;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "cooperative" => Ok(Self::Cooperative),
+            "verband" => Ok(Self::Verband),
+            _ => Err(UnknownDeployment(text.to_owned())),
+        }
+    }
+}
+
+/// A kind of request that callers make.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Work {
+    /// The method.
+    pub(super) method: &'static str,
+    /// The path.
+    pub(super) path: &'static str,
+    /// Whether it may run at most once.
+    pub(super) once: bool,
+    /// How many of ten requests are of this kind.
+    pub(super) share: u32,
+}
+
+/// Lookups of the route that the demo's edit adds; made only while that edit is in force.
+const COOPERATIVE_URGENT: Work =
+    Work { method: "GET", path: "/urgent-copies", once: false, share: 0 };
+const VERBAND_URGENT: Work =
+    Work { method: "GET", path: "/urgent-enquiries", once: false, share: 0 };
+
+impl Deployment {
+    /// The region of all hosts.
+    pub(super) const fn region(self) -> &'static str {
+        match self {
+            Self::Cooperative => "new-england",
+            Self::Verband => "ch-west",
+        }
+    }
+
+    /// The failure domains.
+    pub(super) const fn domains(self) -> [&'static str; 4] {
+        match self {
+            Self::Cooperative => ["portland", "worcester", "hartford", "providence"],
+            Self::Verband => ["gva-a", "gva-b", "lau-a", "lau-b"],
+        }
+    }
+
+    /// The services with the number of their upstreams.
+    pub(super) const fn services(self) -> [(&'static str, usize); 3] {
+        match self {
+            Self::Cooperative => [("tally", 5), ("ledger", 4), ("clearing", 4)],
+            Self::Verband => [("enquiry-board", 5), ("claim-desk", 5), ("diary", 4)],
+        }
+    }
+
+    /// Slots and connections of an upstream.
+    pub(super) const fn size(self) -> (u32, u32) {
+        match self {
+            Self::Cooperative => (12, 120),
+            Self::Verband => (17, 130),
+        }
+    }
+
+    /// The preset of the control plane.
+    pub(super) const fn preset(self) -> PresetName {
+        match self {
+            Self::Cooperative => PresetName::Cooperative,
+            Self::Verband => PresetName::Verband,
+        }
+    }
+
+    /// What callers do.
+    pub(super) const fn works(self) -> &'static [Work] {
+        match self {
+            Self::Cooperative => &[
+                Work { method: "GET", path: "/copies/1907", once: false, share: 5 },
+                Work { method: "POST", path: "/credits", once: true, share: 3 },
+                Work { method: "POST", path: "/settlements", once: true, share: 2 },
+            ],
+            Self::Verband => &[
+                Work { method: "GET", path: "/enquiries", once: false, share: 4 },
+                Work { method: "POST", path: "/enquiries", once: true, share: 2 },
+                Work { method: "POST", path: "/claims", once: true, share: 2 },
+                Work { method: "POST", path: "/consultations", once: true, share: 2 },
+            ],
+        }
+    }
+
+    /// The request that only the edited tables have a route for.
+    pub(super) const fn urgent(self) -> &'static Work {
+        match self {
+            Self::Cooperative => &COOPERATIVE_URGENT,
+            Self::Verband => &VERBAND_URGENT,
+        }
+    }
+
+    /// The example tables.
+    pub(super) fn tables(self) -> Result<Tables, Findings> {
+        let [routes, pools] = self.texts();
+        parse_tables(Source::new("routes.jsonc", routes), Source::new("pools.jsonc", pools))
+    }
+
+    /// The example tables with a misspelt pool, as the findings that refuse them.
+    pub(super) fn bad_tables(self) -> Result<Tables, Findings> {
+        let [routes, pools] = self.texts();
+        let (service, _) = self.services()[1];
+        let right = format!("\"pool\": \"{service}\"");
+        let wrong = format!("\"pool\": \"{service}s\"");
+        let routes = routes.replace(&right, &wrong);
+        parse_tables(Source::new("routes.jsonc", &routes), Source::new("pools.jsonc", pools))
+    }
+
+    /// The tables with another pool for lookups, and a route that refers to it.
+    pub(super) fn edited(self, mut tables: Tables, deadline: Millis) -> Tables {
+        let (service, _) = self.services()[0];
+        let name = Name::from(format!("{service}-urgent"));
+        tables.pools.retain(|pool| pool.name != name);
+        tables.routes.retain(|route| route.name != name);
+        tables.pools.push(Pool {
+            name: name.clone(),
+            service: service.into(),
+            balance: Default::default(),
+            limits: Default::default(),
+            prefer: Default::default(),
+            drain: Millis::new(30_000),
+            ejection: Default::default(),
+        });
+        tables.routes.push(Route {
+            name: name.clone(),
+            matches: Match {
+                path: self.urgent().path.into(),
+                methods: vec!["GET".into()],
+                ..Match::default()
+            },
+            pool: name,
+            repeat: Repeat::Idempotent,
+            deadline,
+            retries: 2,
+        });
+        tables
+    }
+
+    const fn texts(self) -> [&'static str; 2] {
+        match self {
+            Self::Cooperative => [
+                include_str!("../../../../examples/cooperative/routes.jsonc"),
+                include_str!("../../../../examples/cooperative/pools.jsonc"),
+            ],
+            Self::Verband => [
+                include_str!("../../../../examples/verband/routes.jsonc"),
+                include_str!("../../../../examples/verband/pools.jsonc"),
+            ],
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo/fleet.rs
@@ -0,0 +1,254 @@
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use dw_daemon::{Daemon, LogLevel, Running, Settings, TargetSettings};
+use dw_fakes::{Ledger, RunningStandin, RunningTarget, ServiceTime, Standin, Target};
+use dw_mesh::MemberState;
+use tokio::time::Instant;
+
+use super::{Control, Deployment};
+use crate::{Exit, Failure};
+
+/// The time that a target works on a request.
+const SERVICE_TIME: ServiceTime =
+    ServiceTime::Uniform { from: Duration::from_millis(1), to: Duration::from_millis(8) };
+
+/// The time that a target takes to accept a connection.
+const ACCEPT_DELAY: Duration = Duration::from_millis(1);
+
+/// One host: a target and the daemon beside it.
+pub(super) struct Host {
+    pub(super) name: String,
+    pub(super) domain: &'static str,
+    pub(super) service: &'static str,
+    pub(super) target: RunningTarget,
+    settings: Settings,
+}
+
+/// The daemons that run, by the index of their host; shared with the task that watches them.
+#[derive(Clone, Default)]
+pub(super) struct Daemons(Arc<Mutex<Vec<Option<Arc<Running>>>>>);
+
+/// The platform's stand-in and all hosts.
+pub(super) struct Fleet {
+    pub(super) standin: RunningStandin,
+    pub(super) ledger: Ledger,
+    pub(super) hosts: Vec<Host>,
+    pub(super) daemons: Daemons,
+    /// When control bytes of each host were read first, and how many there were.
+    marks: Vec<Option<(Instant, u64)>>,
+}
+
+impl Daemons {
+    /// The daemons; the lock must not be held across a wait.
+    pub(super) fn lock(&self) -> MutexGuard<'_, Vec<Option<Arc<Running>>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The daemon of a host, if it runs. The caller drops it before the host is stopped.
+    pub(super) fn get(&self, host: usize) -> Result<Arc<Running>, Failure> {
+        let daemon = self.lock().get(host).cloned().flatten();
+        daemon.ok_or_else(|| failed(format!("the daemon of host {host} does not run")))
+    }
+
+    fn take(&self, host: usize) -> Result<Running, Failure> {
+        let daemon = self.lock().get_mut(host).and_then(Option::take);
+        let daemon = daemon.and_then(Arc::into_inner);
+        daemon.ok_or_else(|| failed(format!("the daemon of host {host} is in use")))
+    }
+
+    fn set(&self, host: usize, daemon: Running) {
+        if let Some(slot) = self.lock().get_mut(host) {
+            *slot = Some(Arc::new(daemon));
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts the platform's stand-in, and on each host a target and a daemon.
+    pub(super) async fn start(deployment: Deployment) -> Result<Self, Failure> {
+        let standin = Standin::new().start().await.map_err(failed)?;
+        let ledger = Ledger::default();
+        let mut fleet = Self {
+            standin,
+            ledger,
+            hosts: Vec::new(),
+            daemons: Daemons::default(),
+            marks: Vec::new(),
+        };
+        let services = deployment.services();
+        let upstreams = services.iter().flat_map(|(name, count)| vec![*name; *count]);
+        for (index, service) in upstreams.enumerate() {
+            let domain = deployment.domains()[index % 4];
+            fleet.add(deployment, domain, service, index / 4 + 1).await?;
+        }
+        for index in 0..fleet.hosts.len() {
+            fleet.start_daemon(index).await?;
+        }
+        Ok(fleet)
+    }
+
+    async fn add(
+        &mut self,
+        deployment: Deployment,
+        domain: &'static str,
+        service: &'static str,
+        number: usize,
+    ) -> Result<(), Failure> {
+        let (slots, connections) = deployment.size();
+        let target = Target::new(service)
+            .with_slots(slots as usize)
+            .with_connections(connections as usize)
+            .with_accept_delay(ACCEPT_DELAY)
+            .with_service_time(SERVICE_TIME)
+            .with_ledger(self.ledger.clone());
+        let target = target.start().await.map_err(failed)?;
+        let address = target.addr();
+        let name = format!("{domain}-{number}");
+        let settings =
+            Settings::new(name.as_str().into(), domain.into(), deployment.region().into())
+                .with_target(TargetSettings {
+                    service: service.into(),
+                    address,
+                    slots,
+                    connections,
+                })
+                .with_platform(vec![self.standin.addr()])
+                .with_preset(deployment.preset())
+                .with_log(LogLevel::Error);
+        self.hosts.push(Host { name, domain, service, target, settings });
+        self.daemons.lock().push(None);
+        Ok(())
+    }
+
+    /// Starts the daemon of a host, at the addresses that it had before.
+    pub(super) async fn start_daemon(&mut self, host: usize) -> Result<(), Failure> {
+        let join = self.join(host);
+        let settings = self.hosts[host].settings.clone().with_join(join);
+        let daemon = Daemon::new(settings).start().await.map_err(failed)?;
+        let addrs = daemon.addrs();
+        let settings = &mut self.hosts[host].settings;
+        (settings.callers, settings.peers) = (addrs.callers, addrs.peers);
+        (settings.data, settings.admin) = (addrs.data, addrs.admin);
+        self.daemons.set(host, daemon);
+        // Its counters start anew.
+        if let Some(mark) = self.marks.get_mut(host) {
+            *mark = None;
+        }
+        Ok(())
+    }
+
+    /// The peer address of one running host in each domain.
+    fn join(&self, host: usize) -> Vec<SocketAddr> {
+        let mut domains = Vec::new();
+        let mut join = Vec::new();
+        for (index, daemon) in self.daemons.lock().iter().enumerate() {
+            let domain = self.hosts[index].domain;
+            if let Some(daemon) = daemon.as_ref().filter(|_| index != host)
+                && !domains.contains(&domain)
+            {
+                domains.push(domain);
+                join.push(daemon.addrs().peers);
+            }
+        }
+        join
+    }
+
+    /// Stops a daemon in order, as SIGTERM does.
+    pub(super) async fn stop(&self, host: usize) -> Result<(), Failure> {
+        self.daemons.take(host)?.close().await;
+        Ok(())
+    }
+
+    /// The host fails: its target and its daemon end at once.
+    pub(super) async fn kill(&self, host: usize) -> Result<(), Failure> {
+        let daemon = self.daemons.take(host)?;
+        tokio::join!(daemon.kill(), self.hosts[host].target.crash());
+        Ok(())
+    }
+
+    /// A new host takes the place of one that failed.
+    pub(super) async fn replace(&mut self, host: usize) -> Result<(), Failure> {
+        self.hosts[host].target.restart().await;
+        self.start_daemon(host).await
+    }
+
+    /// The addresses for callers, by host.
+    pub(super) fn callers(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.settings.callers).collect()
+    }
+
+    /// The admin address of one host in each domain.
+    pub(super) fn admins(&self) -> Vec<SocketAddr> {
+        let mut seen = Vec::new();
+        let new = |host: &&Host| {
+            let new = !seen.contains(&host.domain);
+            seen.push(host.domain);
+            new
+        };
+        self.hosts.iter().filter(new).map(|host| host.settings.admin).collect()
+    }
+
+    /// Whether every daemon knows all hosts with their targets.
+    pub(super) fn is_joined(&self) -> bool {
+        let live = |daemon: &Arc<Running>| {
+            daemon.members().iter().filter(|m| m.state == MemberState::Alive).count()
+        };
+        self.daemons.lock().iter().flatten().all(|daemon| live(daemon) == self.hosts.len())
+    }
+
+    /// A running relay, as the daemons see it, other than the hosts in `not`.
+    pub(super) fn relay(&self, not: &[usize]) -> Option<usize> {
+        let daemons = self.daemons.lock();
+        let members = daemons.iter().flatten().next()?.members();
+        self.hosts.iter().enumerate().position(|(index, host)| {
+            let member = members.get(host.domain, &host.name);
+            !not.contains(&index) && member.is_some_and(|m| m.relay && m.state.is_live())
+        })
+    }
+
+    /// Starts to measure control bytes of the daemons that run now.
+    pub(super) fn measure(&mut self) {
+        let bytes = |daemon: &Option<Arc<Running>>| {
+            daemon.as_ref().map(|daemon| (Instant::now(), daemon.counters().control_bytes()))
+        };
+        let marks = self.daemons.lock().iter().map(bytes).collect();
+        self.marks = marks;
+    }
+
+    /// Control bytes since `measure`, of the daemons that ran all the time.
+    pub(super) fn control(&self) -> Control {
+        let mut control = Control::default();
+        let mut sum = 0.0;
+        for (daemon, mark) in self.daemons.lock().iter().zip(&self.marks) {
+            let (Some(daemon), Some((since, before))) = (daemon, mark) else { continue };
+            let bytes = daemon.counters().control_bytes().saturating_sub(*before);
+            control.seconds = since.elapsed().as_secs_f64();
+            let rate = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / control.seconds;
+            control.daemons += 1;
+            control.max = control.max.max(rate);
+            sum += rate;
+        }
+        control.mean = sum / f64::from(u32::try_from(control.daemons.max(1)).unwrap_or(1));
+        control
+    }
+
+    /// Ends everything.
+    pub(super) async fn close(self) {
+        let daemons: Vec<_> = self.daemons.lock().drain(..).flatten().collect();
+        for daemon in daemons.into_iter().filter_map(Arc::into_inner) {
+            daemon.kill().await;
+        }
+        for host in self.hosts {
+            host.target.close().await;
+        }
+        self.standin.close().await;
+    }
+}
+
+pub(super) fn failed(cause: impl std::fmt::Display) -> Failure {
+    Failure::new(Exit::Failed, format!("the demo cannot go on: {cause}"))
+}
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -5,7 +5,7 @@
 pub enum Exit {
     /// What was reported is true.
     Ok,
-    /// The command failed; nothing was accepted.
+    /// The command failed and nothing was accepted, or the demo saw a broken promise.
     Failed,
     /// The command line cannot be used.
     Usage,
@@ -54,7 +54,7 @@
     pub const fn meaning(self) -> &'static str {
         match self {
             Self::Ok => "what the command reported is true",
-            Self::Failed => "failed; no version was accepted",
+            Self::Failed => "failed; no version was accepted, or the demo saw a broken promise",
             Self::Usage => "usage",
             Self::Refused => "tables refused",
             Self::Stale => "stale base",
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod check;
 mod console;
 mod daemon_status;
+mod demo;
 mod diff;
 mod exit;
 mod failure;
@@ -26,11 +27,16 @@
 pub use admin::{Admin, AdminError, HttpAdmin};
 pub use apply::{Edit, apply};
 pub use args::{
-    ApplyArgs, Args, CheckArgs, Command, DiffArgs, GetArgs, HistoryArgs, StatusArgs, WatchArgs,
+    ApplyArgs, Args, CheckArgs, Command, DemoArgs, DiffArgs, GetArgs, HistoryArgs, StatusArgs,
+    WatchArgs,
 };
 pub use check::check;
 pub use console::Console;
 pub use daemon_status::{DaemonStatus, DomainStatus, RefusedHead, ServedVersion, State};
+pub use demo::{
+    Check, Control, Convergence, Deployment, Reply, Report, Schedule, Sending, Tally,
+    UnknownDeployment, Window, check_calls, check_cuts, check_idle, demo, play,
+};
 pub use diff::diff;
 pub use exit::Exit;
 pub use failure::Failure;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -23,7 +23,11 @@
 }
 
 fn start(command: &Command) -> Exit {
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    let mut builder = match command {
+        Command::Demo(_) => tokio::runtime::Builder::new_multi_thread(),
+        _ => tokio::runtime::Builder::new_current_thread(),
+    };
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
             let text = format!("the runtime cannot be started: {e}");
