Let daemons that started together keep at-most-once keys

Cause: a keeper that started within the clock skew of others asks them for earlier records. Each named a daemon that had been asked before, so the chain of questions went in a circle until its limit and the key counted as lost. Every request with a key got `unknown` (record-lost) for 30 s after three or more daemons of a domain started within 500 ms, and cost 16 questions.

Change: the question carries the daemons asked so far (header damaskwick-asked), and the daemon that is asked decides as if they were not there.

The random schedules of the keeper pass with the list of asked daemons in their questions.

A domain of more than 16 daemons that starts within 500 ms still exceeds the limit of the chain (ASK_MAX) for 30 s.

--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use dw_request::{ANSWER_LIMIT, Claim, HandOver, Held, KeyOutcome, Outcome, Reason, Refusal};
 use dw_tables::Name;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use tokio::{
     sync::oneshot,
@@ -133,6 +133,11 @@
         headers::set(map, headers::STEP, "cede");
         headers::set(map, headers::FROM, &self.host);
         headers::set(map, headers::AGE, self.started.elapsed().as_millis());
+        for asked in self.keeper().asked(key) {
+            if let Ok(value) = HeaderValue::try_from(asked.as_str()) {
+                map.append(headers::ASKED, value);
+            }
+        }
         if let Some(first) = first {
             let age = u64::try_from(first.elapsed().as_millis()).unwrap_or(u64::MAX);
             headers::set(map, headers::FIRST_SENT, clock::unix_ms().saturating_sub(age));
@@ -151,7 +156,11 @@
         let first = first.and_then(clock::from_unix_ms);
         let age = headers::read(&head.headers, &headers::AGE).unwrap_or(0);
         let age = Duration::from_millis(age);
-        let held = self.keeper().cede(&Name::from(key), first, &from, age, Instant::now());
+        let asked = head.headers.get_all(headers::ASKED).iter();
+        let asked: Vec<Name> =
+            asked.filter_map(|value| value.to_str().ok()).map(Name::from).collect();
+        let now = Instant::now();
+        let held = self.keeper().cede(&Name::from(key), first, &from, &asked, age, now);
         Response::new(full(records::encode_held(&held)))
     }
 
