--- a/crates/bench/src/requests.rs
+++ b/crates/bench/src/requests.rs
@@ -1,5 +1,6 @@
 mod account;
 mod caller;
+mod chain;
 mod forwarder;
 mod latency;
 mod load;
@@ -58,6 +59,13 @@
             run.accounts.push(account);
         }
     }
+    if wanted("call-chain") {
+        for side in [Side::Forwarder, Side::Damaskwick] {
+            let account = chain::run(side, time).await?;
+            report::account(&account);
+            run.accounts.push(account);
+        }
+    }
     if run.accounts.is_empty() {
         return Err("no scenario has this name".into());
     }
--- a/crates/bench/src/requests/scenario.rs
+++ b/crates/bench/src/requests/scenario.rs
@@ -155,8 +155,6 @@
     let caller = Caller::new(world.entries.clone(), shape);
     let mut sent = 0_usize;
     let mut crashes = 0;
-    let before = |world: &World| world.targets.iter().map(|t| t.counts().crashed).sum::<u64>();
-    let mut seen = before(world);
     while Instant::now() < end {
         caller.call(sent, Instant::now()).await;
         sent += 1;
@@ -168,8 +166,8 @@
             }
         }
     }
-    seen = before(world) - seen;
-    Ok(format!("sent {sent}, target crashes {crashes}, runs lost in them {seen}"))
+    let lost: u64 = world.targets.iter().map(|target| target.counts().crashed).sum();
+    Ok(format!("sent {sent}, target crashes {crashes}, runs lost in them {lost}"))
 }
 
 fn plain(_: usize, target: Target) -> Target {
--- a/crates/bench/src/requests/wire.rs
+++ b/crates/bench/src/requests/wire.rs
@@ -21,9 +21,11 @@
     Lost,
 }
 
+type Kept = HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>;
+
 /// Kept HTTP/1.1 connections by address.
 #[derive(Clone, Default)]
-pub(crate) struct Wire(Arc<Mutex<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>>);
+pub(crate) struct Wire(Arc<Mutex<Kept>>);
 
 impl Wire {
     /// Sends a request on a kept connection or a new one, and reads the whole response.
