Ask for the floor again where the answer may have been lost

Its trace: nine hosts served 21 and host-8 remembered 19, but its one answer was lost and it was not asked a second time. Change: a newcomer no longer gossips the records of its join reply, which the domain has, and asks every peer that did not answer again, for up to 5 rounds.

--- a/crates/mesh/src/gossip.rs
+++ b/crates/mesh/src/gossip.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Takes the host's record out of the queue.
+    pub(crate) fn withdraw(&mut self, host: &Name) {
+        self.remove(host);
+    }
+
     fn remove(&mut self, host: &Name) -> Option<(u32, Reverse<u64>)> {
         let key = self.keys.remove(host)?;
         self.order.remove(&(key.0, key.1, host.clone()));
--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -27,8 +27,8 @@
 /// (seed 1021 of the random faults).
 const FLOOR_PEERS: usize = 8;
 
-/// Times that further peers are asked in place of those that did not answer.
-const FLOOR_ROUNDS: u32 = 3;
+/// Times that peers are asked again, and others beside them, if some did not answer.
+const FLOOR_ROUNDS: u32 = 5;
 
 /// Joins per second that a peer admits; each costs it up to 1 MiB of records.
 const JOIN_RATE: f64 = 4.0;
@@ -223,7 +223,11 @@
             self.change_me(self.me.clone());
         }
         for wire in &reply.members {
-            self.learn_wire(wire);
+            // The domain has these records: a newcomer that passed each of them on filled its
+            // probes for minutes.
+            if self.learn_wire(wire) {
+                self.gossip.withdraw(&wire.host.as_str().into());
+            }
         }
         if let Some(mark) = &reply.mark {
             self.compare_number(from, mark.number);
@@ -316,6 +320,10 @@
             self.timers.set(Timer::Floor, self.now + wait);
             return;
         }
+        // Those that did not answer are asked again too: their answer may have been lost.
+        for peer in std::mem::take(&mut self.join.floor_from) {
+            self.join.floor_asked.remove(&peer);
+        }
         let live = self.roster.live(&self.me.domain).filter(|m| m.host != self.me.host);
         let mut peers: Vec<_> = live.map(|m| m.peer).collect();
         peers.shuffle(&mut self.rng);
