Settle a key whose response stops in the middle

A claimed request runs apart from its caller, and reading its response had no deadline, so a target that stopped in the middle kept the key in progress. The record is now unknown after the deadline. Bodies kept for a retry are at most 16 KiB, which bounds them to 64 MiB for a daemon, and daemons without an open connection are forgotten by the connection pool.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -219,6 +219,7 @@
             self.keeper().expire(now);
             self.dispatcher().poison_mut().expire(now);
             lock(&self.prints).retain(|_, until| now < *until);
+            self.hops.prune();
         }
     }
 
--- a/crates/daemon/src/proxy/hop.rs
+++ b/crates/daemon/src/proxy/hop.rs
@@ -97,6 +97,14 @@
         Err(SendFault::not_sent(&"every connection was closed", request))
     }
 
+    /// Forgets the daemons to which no connection is open.
+    pub(crate) fn prune(&self) {
+        // A request that is being sent holds a second reference.
+        let unused =
+            |peer: &Arc<Peer>| Arc::strong_count(peer) == 1 && lock(&peer.conns).is_empty();
+        lock(&self.0.peers).retain(|_, peer| !unused(peer));
+    }
+
     async fn checkout(&self, peer: &Arc<Peer>, addr: SocketAddr) -> Result<Conn, String> {
         if let Some(conn) = peer.pick() {
             return Ok(conn);
--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -1,7 +1,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use dw_request::{ANSWER_LIMIT, Claim, HandOver, Held, KeyOutcome, Outcome, Reason, Refusal};
+use dw_request::{
+    ANSWER_LIMIT, Claim, HandOver, Held, KEEPER_HOLD, KeyOutcome, Outcome, Reason, Refusal,
+};
 use dw_tables::Name;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -129,7 +131,8 @@
         }
         let claimed = Claimed { proxy: self.clone(), key: key.clone(), open: true };
         let result = self.forward(call).await;
-        claimed.end(result).await
+        let deadline = call.deadline.unwrap_or_else(|| Instant::now() + KEEPER_HOLD);
+        claimed.end(result, deadline).await
     }
 
     /// Asks an earlier keeper for its record.
@@ -254,10 +257,16 @@
         self.proxy.keeper().settle(&self.key, outcome, Instant::now());
     }
 
+    fn unknown(&mut self, reason: Reason) -> Refusal {
+        self.settle(KeyOutcome::Unknown);
+        Refusal::new(reason)
+    }
+
     /// Records the response and returns it with a whole body, or a streamed one above the limit.
     async fn end(
         mut self,
         result: Result<Response<Payload>, Refusal>,
+        deadline: Instant,
     ) -> Result<Response<Payload>, Refusal> {
         let response = match result {
             Ok(response) => response,
@@ -270,10 +279,14 @@
         let (mut head, mut body) = response.into_parts();
         head.headers.remove(headers::LOAD);
         let mut kept = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else {
-                self.settle(KeyOutcome::Unknown);
-                return Err(Refusal::new(Reason::ResponseTruncated));
+        loop {
+            // Without the deadline a target that stops in the middle would keep the key in progress
+            // for as long as its connection lasts.
+            let frame = match timeout_at(deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) => break,
+                Ok(Some(Err(_))) => return Err(self.unknown(Reason::ResponseTruncated)),
+                Err(_) => return Err(self.unknown(Reason::TimedOut)),
             };
             if let Ok(data) = frame.into_data() {
                 kept.extend_from_slice(&data);
@@ -308,7 +321,9 @@
 }
 
 async fn collect(body: Payload) -> Option<Bytes> {
-    Limited::new(body, RECORDS_LIMIT).collect().await.ok().map(http_body_util::Collected::to_bytes)
+    let collect = Limited::new(body, RECORDS_LIMIT).collect();
+    let collected = timeout(RECORD_TIMEOUT, collect).await.ok()?;
+    collected.ok().map(http_body_util::Collected::to_bytes)
 }
 
 fn status(status: StatusCode) -> Response<Payload> {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -194,6 +194,7 @@
 
 impl Default for ProcessLimits {
     fn default() -> Self {
-        Self { requests: 4096, retry_body: 64 * 1024 }
+        // Together at most 64 MiB of kept bodies, a quarter of the memory of a daemon.
+        Self { requests: 4096, retry_body: 16 * 1024 }
     }
 }
--- a/crates/daemon/tests/one_daemon.rs
+++ b/crates/daemon/tests/one_daemon.rs
@@ -139,3 +139,24 @@
     running.kill().await;
     Ok(())
 }
+
+/// Guards against a target that stops in the middle of its response and keeps the key in progress
+/// for ever: after the deadline the record is unknown.
+#[gtest]
+#[tokio::test]
+async fn settles_a_key_whose_response_stalls() -> Result<()> {
+    let (_standin, raw, running) = served(Act::Stall).await;
+    let addr = running.addrs().callers;
+    loop {
+        let mut request = post("/credit", "k1");
+        request.headers_mut().insert("damaskwick-timeout-ms", "100".parse()?);
+        let response = send(addr, request).await;
+        expect_that!(header(&response, "damaskwick-outcome"), eq("unknown"));
+        if header(&response, "damaskwick-reason") == "record-unknown" {
+            break;
+        }
+    }
+    expect_that!(raw.count(), eq(1));
+    running.kill().await;
+    Ok(())
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -182,6 +182,8 @@
     TruncateChunked,
     /// Waits for `release` before it responds.
     Hold,
+    /// Sends half of the body that it announced, and nothing more.
+    Stall,
     /// Stops to exist when the request arrives.
     Die,
 }
@@ -253,7 +255,9 @@
         arrived.notify_one();
         let response = match act {
             Act::Echo => whole(&head),
-            Act::Truncate => "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf".to_owned(),
+            Act::Truncate | Act::Stall => {
+                "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf".to_owned()
+            }
             Act::TruncateChunked => {
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n".to_owned()
             }
