--- a/crates/daemon/tests/one_daemon.rs
+++ b/crates/daemon/tests/one_daemon.rs
@@ -5,6 +5,7 @@
 use dw_tables::Tables;
 use googletest::prelude::*;
 use support::{Act, connect, get, header, post, publish, send, send_once, served};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 /// Guards against a version on the platform that is not served, and against a request that does
 /// not reach its target or loses its headers.
@@ -160,3 +161,16 @@
     running.kill().await;
     Ok(())
 }
+
+/// Guards against a caller that stops reading and holds a slot of the target without end.
+#[gtest]
+#[tokio::test]
+async fn frees_the_slot_of_a_caller_that_stops_reading() -> Result<()> {
+    let (_standin, raw, running) = served(Act::Flood).await;
+    let mut stream = TcpStream::connect(running.addrs().callers).await?;
+    let request = "GET /lookup HTTP/1.1\r\nhost: kiosk.test\r\ndamaskwick-timeout-ms: 300\r\n\r\n";
+    stream.write_all(request.as_bytes()).await?;
+    raw.cancelled.notified().await;
+    running.kill().await;
+    Ok(())
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -184,6 +184,8 @@
     Hold,
     /// Sends half of the body that it announced, and nothing more.
     Stall,
+    /// Sends a body until the connection is closed.
+    Flood,
     /// Stops to exist when the request arrives.
     Die,
 }
@@ -258,6 +260,15 @@
             Act::Truncate | Act::Stall => {
                 "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf".to_owned()
             }
+            Act::Flood => {
+                let head = "HTTP/1.1 200 OK\r\ncontent-length: 1000000000000\r\n\r\n";
+                let mut sent = stream.write_all(head.as_bytes()).await;
+                while sent.is_ok() {
+                    sent = stream.write_all(&[b'x'; 65536]).await;
+                }
+                cancelled.notify_one();
+                return;
+            }
             Act::TruncateChunked => {
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n".to_owned()
             }
