--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -1,7 +1,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use dw_wire::{FrameBody, Join, JoinReply};
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use tokio::time::Instant;
 
 use crate::{
@@ -27,6 +27,9 @@
 /// (seed 1021 of the random faults).
 const FLOOR_PEERS: usize = 8;
 
+/// Times that further peers are asked in place of those that did not answer.
+const FLOOR_ROUNDS: u32 = 3;
+
 /// Joins per second that a peer admits; each costs it up to 1 MiB of records.
 const JOIN_RATE: f64 = 4.0;
 
@@ -47,7 +50,13 @@
     failures: u32,
     asked_relays: bool,
     bucket: TokenBucket,
+    /// Peers that have not told the floor yet.
     floor_from: BTreeSet<SocketAddr>,
+    /// Peers that were asked for the floor.
+    floor_asked: BTreeSet<SocketAddr>,
+    floor_rounds: u32,
+    /// Whether a peer that serves a version has told the floor.
+    floor_heard: bool,
     /// Configured addresses and those of relay records of which nothing is known: a daemon there
     /// may be serving.
     pub(crate) unheard: BTreeSet<SocketAddr>,
@@ -75,6 +84,9 @@
             asked_relays: false,
             bucket: TokenBucket::new(JOIN_RATE, JOIN_BURST, now),
             floor_from: BTreeSet::new(),
+            floor_asked: BTreeSet::new(),
+            floor_rounds: 0,
+            floor_heard: false,
             admitted: false,
             settled: false,
         }
@@ -114,7 +126,7 @@
             self.log(Level::Info, "[mesh] no peer reached, acting alone".to_owned());
             self.join.settled = true;
             self.timers.set(Timer::Claim, self.now);
-            self.know_floor();
+            self.act_alone();
         }
         self.join.asked_relays = false;
         self.join.next = 0;
@@ -165,6 +177,7 @@
             mark: (mark.number > 0).then(|| mark_to_wire(mark)),
             floor_only: join.floor_only,
             incarnation: known.map_or(0, |m| m.incarnation),
+            informed: mark.number > 0,
             ..JoinReply::default()
         };
         let room = &mut RECORDS_BYTES.to_owned();
@@ -200,6 +213,7 @@
 
     pub(crate) fn on_join_reply(&mut self, from: SocketAddr, reply: &JoinReply) {
         self.store.floor = self.store.floor.max(reply.floor);
+        self.join.floor_heard |= reply.informed;
         if reply.incarnation >= self.me.incarnation {
             // The wall clock went back: without this the earlier process's record would win.
             self.me.incarnation = reply.incarnation + 1;
@@ -257,13 +271,21 @@
         let live = self.roster.live(&domain);
         let some = live.choose_multiple(&mut self.rng, FLOOR_PEERS);
         hosts.extend(some.into_iter().map(|m| m.host.clone()));
-        let mut peers: Vec<_> =
+        let peers: Vec<_> =
             hosts.iter().filter_map(|h| self.roster.get(h)).map(|m| m.peer).collect();
-        peers.retain(|peer| *peer != self.me.peer && *peer != from);
+        self.join.floor_asked.insert(from);
+        self.ask_floor(peers);
+    }
+
+    fn ask_floor(&mut self, mut peers: Vec<SocketAddr>) {
+        let asked = &self.join.floor_asked;
+        peers.retain(|peer| *peer != self.me.peer && !asked.contains(peer));
         let mut seen = BTreeSet::new();
         peers.retain(|peer| seen.insert(*peer));
         peers.truncate(FLOOR_PEERS);
+        self.join.floor_from.clear();
         for peer in peers {
+            self.join.floor_asked.insert(peer);
             self.join.floor_from.insert(peer);
             let member = Some(member_to_wire(&self.me));
             self.send(peer, FrameBody::Join(Join { member, floor_only: true }));
@@ -272,12 +294,32 @@
         self.timers.set(Timer::Floor, self.now + wait);
     }
 
-    /// Ends the wait for floors.
+    /// Ends the wait for floors, or asks other peers in place of those that did not answer.
     pub(crate) fn run_floor(&mut self) {
         self.timers.clear(Timer::Floor);
-        if self.join.admitted {
+        if !self.join.admitted || self.store.floor_known {
+            return;
+        }
+        let over = self.join.floor_from.is_empty() || self.join.floor_rounds == FLOOR_ROUNDS;
+        if over && self.join.floor_heard {
             self.know_floor();
+            return;
+        }
+        self.join.floor_rounds += 1;
+        if over && !self.join.floor_asked.is_empty() {
+            // A restarted domain: its peers know no more, until one has read the platform.
+            self.act_alone();
+            self.join.floor_asked.clear();
+            self.join.failures += 1;
+            let wait = backoff(&mut self.rng, self.join.failures) + FLOOR_WAIT / 2;
+            self.join.floor_rounds = 0;
+            self.timers.set(Timer::Floor, self.now + wait);
+            return;
         }
+        let live = self.roster.live(&self.me.domain).filter(|m| m.host != self.me.host);
+        let mut peers: Vec<_> = live.map(|m| m.peer).collect();
+        peers.shuffle(&mut self.rng);
+        self.ask_floor(peers);
     }
 
     /// Reads the relay records.
--- a/crates/mesh/src/store.rs
+++ b/crates/mesh/src/store.rs
@@ -94,11 +94,14 @@
 pub(crate) struct Store {
     /// The version served and those before it, newest first.
     held: VecDeque<Release>,
-    /// A version that is checked but not served while the floor is not known.
-    staged: Option<Release>,
+    /// A version that is checked but not served while the floor is not known, and whether it was
+    /// read from the platform.
+    staged: Option<(Release, bool)>,
     /// The lowest number that the node may serve.
     pub(crate) floor: u64,
-    floor_known: bool,
+    pub(crate) floor_known: bool,
+    /// Whether no peer could be reached, so that the platform's head may be served without floor.
+    pub(crate) alone: bool,
     /// When the version served was published.
     pub(crate) since: Instant,
     snapshot: Option<Bytes>,
@@ -117,6 +120,7 @@
             staged: None,
             floor: 0,
             floor_known: false,
+            alone: false,
             since: now,
             snapshot: None,
             deltas: BTreeMap::new(),
@@ -137,19 +141,20 @@
 
     /// Number and hash of the newest version held, served or staged.
     pub(crate) fn newest(&self) -> VersionMark {
-        let staged = self.staged.as_ref().map(|release| release.version.mark());
+        let staged = self.staged.as_ref().map(|(release, _)| release.version.mark());
         staged.unwrap_or_default().max_by_number(self.mark())
     }
 
     /// A version held that may be the base of a delta.
     pub(crate) fn base(&self, mark: VersionMark) -> Option<&Arc<Version>> {
-        let all = self.staged.iter().chain(&self.held);
+        let all = self.staged.iter().map(|(release, _)| release).chain(&self.held);
         all.map(|release| &release.version).find(|version| version.mark() == mark)
     }
 
-    /// Whether the node may serve a version of the given number.
-    pub(crate) const fn may_serve(&self, number: u64) -> bool {
-        self.floor_known && number >= self.floor
+    /// Whether the node may serve a version of the given number, read from the platform or from a
+    /// peer.
+    const fn may_serve(&self, number: u64, platform: bool) -> bool {
+        (self.floor_known || (self.alone && platform)) && number >= self.floor
     }
 
     /// The version served as rows for a peer: changed rows if the base is known and they are
@@ -271,24 +276,24 @@
     }
 
     /// Takes a checked version: serves it, or stages it while the floor is not known.
-    pub(crate) fn accept(&mut self, release: Release) {
+    pub(crate) fn accept(&mut self, release: Release, platform: bool) {
         let mark = release.version.mark();
         if mark.number <= self.store.newest().number || !self.may_follow(mark, Some(release.parent))
         {
             return;
         }
-        if self.store.may_serve(mark.number) {
+        if self.store.may_serve(mark.number, platform) {
             self.publish(release);
         } else {
-            self.store.staged = Some(release);
+            self.store.staged = Some((release, platform));
         }
     }
 
     /// The floor is known: a staged version at or above it is served.
     pub(crate) fn know_floor(&mut self) {
         self.store.floor_known = true;
-        if let Some(release) = self.store.staged.take() {
-            if self.store.may_serve(release.version.number) {
+        if let Some((release, _)) = self.store.staged.take() {
+            if self.store.may_serve(release.version.number, false) {
                 self.publish(release);
             } else {
                 let (number, floor) = (release.version.number, self.store.floor);
@@ -298,6 +303,18 @@
         }
     }
 
+    /// No peer knows the floor: a staged version is served if it was read from the platform.
+    pub(crate) fn act_alone(&mut self) {
+        self.store.alone = true;
+        if let Some((release, platform)) = self.store.staged.take() {
+            if self.store.may_serve(release.version.number, platform) {
+                self.publish(release);
+            } else {
+                self.store.staged = Some((release, platform));
+            }
+        }
+    }
+
     fn publish(&mut self, release: Release) {
         let mark = release.version.mark();
         let store = &mut self.store;
