Take 503 without retry-after for a failure, not for load shedding

Cause: the daemon beside a target lowered the target's limit at each 503. A service that passes the failure of a call of its own on as 503 thereby lowered the limit of each target along the chain; the calls refused for that reason were passed on as 503 too, until nearly nothing ran.

Change: a target's 503 without retry-after counts as 502 in the decision cores. The caller gets the status unchanged.

--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -49,6 +49,22 @@
     }
 }
 
+/// The status of a target's response for the decision cores, which take 503 for load shedding.
+///
+/// A target that sheds names the time after which to retry. Without it, 503 is a failure, often
+/// one of a call that the target made: taken for shedding, it lowered the limit of each target
+/// along a call chain, until those refused calls of the same chain.
+pub(crate) fn status_of(response: &Response<Payload>) -> u16 {
+    match response.status() {
+        StatusCode::SERVICE_UNAVAILABLE
+            if !response.headers().contains_key(header::RETRY_AFTER) =>
+        {
+            StatusCode::BAD_GATEWAY.as_u16()
+        }
+        status => status.as_u16(),
+    }
+}
+
 /// The reason that another daemon gave.
 pub(crate) fn reason_of(response: &Response<Payload>) -> Reason {
     headers::read(response.headers(), &headers::REASON).unwrap_or(Reason::ProtocolError)
--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -126,7 +126,7 @@
 
 fn pass_on(response: Response<Payload>, target: &Arc<Beside>, slot: Slot) -> Response<Payload> {
     target.responded();
-    let status = response.status().as_u16();
+    let status = answer::status_of(&response);
     let mut response = response.map(|body| {
         let tracked = Tracked::new(body, move |ended| match ended {
             Ended::Complete => slot.answered(status),
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -159,7 +159,7 @@
         let load = headers::read(map, &headers::LOAD);
         match answer::outcome_of(&response) {
             Outcome::Run => {
-                let status = response.status().as_u16();
+                let status = answer::status_of(&response);
                 let outcome = AttemptOutcome::Answered { status, load, latency: sent.elapsed() };
                 (outcome, Some(response))
             }
--- a/crates/daemon/tests/admin.rs
+++ b/crates/daemon/tests/admin.rs
@@ -88,3 +88,24 @@
     running.kill().await;
     Ok(())
 }
+
+/// Guards against errors that a target passes on from a call of its own, which lower the limit of
+/// each target along a call chain as if it shed load, and against shedding that lowers none.
+#[gtest]
+#[tokio::test]
+async fn only_shedding_lowers_the_limit() -> Result<()> {
+    for (act, lowered) in [(Act::Fail, false), (Act::Shed, true)] {
+        let (_standin, _raw, running) = served(act).await;
+        let addrs = running.addrs();
+        for _ in 0..3 {
+            let response = send(addrs.callers, get("/lookup")).await;
+            expect_that!(response.status().as_u16(), eq(503));
+            expect_that!(header(&response, "damaskwick-outcome"), eq("run"));
+        }
+        let limits: Value = serde_json::from_str(&fetch(addrs.admin, get("/limits")).await?)?;
+        let slots = limits["targets"][0]["slots"].as_u64().unwrap_or_default();
+        expect_that!(slots < 4, eq(lowered), "{slots} slots");
+        running.kill().await;
+    }
+    Ok(())
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -180,6 +180,10 @@
     Truncate,
     /// Sends a chunk without the final one, and closes.
     TruncateChunked,
+    /// Responds with 503 and nothing else.
+    Fail,
+    /// Responds with 503 and the time after which to retry.
+    Shed,
     /// Waits for `release` before it responds.
     Hold,
     /// Stops to exist when the request arrives.
@@ -257,6 +261,8 @@
             Act::TruncateChunked => {
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n".to_owned()
             }
+            Act::Fail => "HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n".to_owned(),
+            Act::Shed => "HTTP/1.1 503 x\r\nretry-after: 1\r\ncontent-length: 0\r\n\r\n".to_owned(),
             Act::Die => return,
             Act::Hold => {
                 let mut byte = [0; 1];
