Give each task of a daemon its own cancellation token

Cause: every poll of a task locks the token that would end it, and all tasks of a daemon, several for each request, shared one token.

Change: a task gets a child of the daemon's token. The shared lock is taken when the task starts and ends.

--- a/crates/daemon/src/tasks.rs
+++ b/crates/daemon/src/tasks.rs
@@ -14,7 +14,9 @@
 impl Tasks {
     /// Spawns a task that ends at the latest when `abort` is called.
     pub(crate) fn spawn(&self, work: impl Future<Output: Send> + Send + 'static) {
-        let dead = self.dead.clone();
+        // A token of its own: each poll of a task locks its token, and with one token for all tasks
+        // of a daemon the worker threads waited for each other.
+        let dead = self.dead.child_token();
         self.tracker.spawn(async move {
             dead.run_until_cancelled_owned(work).await;
         });
