Measure the baselines and a one-way partition in the distribution bench

Cause: the choice of relays and trees was compared with nothing. Running::block loses control messages for such tests.

--- a/crates/bench/src/distribution.rs
+++ b/crates/bench/src/distribution.rs
@@ -1,13 +1,14 @@
 mod faults;
 mod measure;
 mod report;
+mod watchers;
 
 use std::{fs, time::Duration};
 
-use dw_daemon::PresetName;
 use gumdrop::Options;
 use serde::Serialize;
 
+use self::measure::Way;
 use crate::fleet::Failure;
 
 /// Options of `distribution`.
@@ -41,6 +42,7 @@
 struct Run {
     scale: Vec<measure::Scale>,
     fits: Vec<report::Fit>,
+    watchers: Vec<watchers::Watchers>,
     faults: Vec<faults::Fault>,
 }
 
@@ -49,14 +51,20 @@
     let sizes: Vec<usize> = args.sizes.split(',').map(str::parse).collect::<Result<_, _>>()?;
     let period = Duration::from_secs(args.seconds);
     let mut scale = Vec::new();
-    for preset in [PresetName::Cooperative, PresetName::Verband] {
+    for way in [Way::Cooperative, Way::Verband, Way::Gossip] {
         for &size in &sizes {
-            let row = measure::scale(size, args.domains, preset, args.rows, period).await?;
+            let row = measure::scale(size, args.domains, way, args.rows, period).await?;
             report::scale_row(&row);
             report::kinds_row(&row);
             scale.push(row);
         }
     }
+    let mut watchers = Vec::new();
+    for &size in &sizes {
+        let row = watchers::run(size, args.rows, period).await?;
+        report::watch_row(&row);
+        watchers.push(row);
+    }
     let mut faults = Vec::new();
     if args.faults > 0 {
         for kind in faults::Kind::ALL {
@@ -69,7 +77,7 @@
     fits.iter().for_each(report::fit_row);
     let good = report::goals(&scale, &fits, &faults);
     if let Some(file) = args.json {
-        fs::write(file, serde_json::to_string_pretty(&Run { scale, fits, faults })?)?;
+        fs::write(file, serde_json::to_string_pretty(&Run { scale, fits, watchers, faults })?)?;
     }
     Ok(good)
 }
--- a/crates/bench/src/distribution/faults.rs
+++ b/crates/bench/src/distribution/faults.rs
@@ -1,11 +1,10 @@
-use std::time::Duration;
+use std::{collections::HashSet, net::SocketAddr, time::Duration};
 
 use derive_more::Display;
-use dw_daemon::PresetName;
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
-use super::measure::{LIMIT, float, quantile_ms};
+use super::measure::{LIMIT, Way, float, quantile_ms};
 use crate::{
     fleet::{Failure, Fleet},
     publish::{example, publish},
@@ -25,10 +24,13 @@
     Relays,
     #[display("platform down 10 s")]
     Outage,
+    #[display("one domain cut off in one direction for 10 s")]
+    OneWay,
 }
 
 impl Kind {
-    pub(crate) const ALL: [Self; 4] = [Self::Fifth, Self::Domain, Self::Relays, Self::Outage];
+    pub(crate) const ALL: [Self; 5] =
+        [Self::Fifth, Self::Domain, Self::Relays, Self::Outage, Self::OneWay];
 }
 
 /// Convergence under one fault.
@@ -49,11 +51,11 @@
     domains: usize,
     rows: usize,
 ) -> Result<Fault, Failure> {
-    let mut fleet = Fleet::start(size, domains, PresetName::Cooperative).await?;
+    let mut fleet = Fleet::start(size, domains, Way::Cooperative.preset()).await?;
     publish(&fleet.platform, 1, example(rows, 0)?).await?;
     fleet.spread(1, LIMIT).await;
     fleet.wait_members(LIMIT).await;
-    let mut accepted = Instant::now();
+    let (mut accepted, mut newest) = (Instant::now(), 2);
     match kind {
         Kind::Fifth => {
             publish(&fleet.platform, 2, example(rows, 2)?).await?;
@@ -80,9 +82,25 @@
             publish(&fleet.platform, 2, example(rows, 2)?).await?;
             accepted = accepted.max(Instant::now());
         }
+        Kind::OneWay => {
+            let inside: HashSet<_> = peers(&fleet, |idx| idx % domains == 0).collect();
+            for (idx, daemon) in fleet.daemons.iter().enumerate() {
+                if idx % domains != 0 {
+                    daemon.block(inside.clone()).await;
+                }
+            }
+            publish(&fleet.platform, 2, example(rows, 2)?).await?;
+            sleep(OUTAGE).await;
+            for daemon in &fleet.daemons {
+                daemon.block(HashSet::new()).await;
+            }
+            publish(&fleet.platform, 3, example(rows, 3)?).await?;
+            accepted = Instant::now();
+            newest = 3;
+        }
     }
     let lead = accepted.elapsed();
-    let spread = fleet.spread(2, LIMIT).await;
+    let spread = fleet.spread(newest, LIMIT).await;
     fleet.close().await;
     let times: Vec<Duration> = spread.times.iter().map(|time| *time + lead).collect();
     Ok(Fault {
@@ -94,6 +112,11 @@
     })
 }
 
+fn peers(fleet: &Fleet, pick: impl Fn(usize) -> bool) -> impl Iterator<Item = SocketAddr> {
+    let daemons = fleet.daemons.iter().enumerate();
+    daemons.filter(move |(idx, _)| pick(*idx)).map(|(_, daemon)| daemon.addrs().peers)
+}
+
 /// Kills the daemons that `pick` names by their index and whether they are relays.
 async fn kill(fleet: &mut Fleet, pick: impl Fn(usize, bool) -> bool) -> usize {
     let relays: Vec<_> = fleet.daemons.iter().map(is_relay).collect();
--- a/crates/bench/src/distribution/measure.rs
+++ b/crates/bench/src/distribution/measure.rs
@@ -1,6 +1,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
-use dw_daemon::PresetName;
+use derive_more::Display;
+use dw_mesh::{Preset, PresetName};
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
@@ -23,6 +24,30 @@
 /// Edits whose convergence is measured one by one.
 const EDITS: u64 = 10;
 
+/// How versions reach the daemons.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// Relays and trees, with the preset that favours control bytes.
+    #[display("cooperative")]
+    Cooperative,
+    /// Relays and trees, with the preset that favours convergence time.
+    #[display("verband")]
+    Verband,
+    /// Baseline: relays and anti-entropy without trees.
+    #[display("gossip only")]
+    Gossip,
+}
+
+impl Way {
+    pub(crate) const fn preset(self) -> Preset {
+        match self {
+            Self::Cooperative => Preset::new(PresetName::Cooperative),
+            Self::Verband => Preset::new(PresetName::Verband),
+            Self::Gossip => Preset { fan_out: 0, ..Preset::new(PresetName::Verband) },
+        }
+    }
+}
+
 /// Figures at one size of the fleet.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Scale {
@@ -70,12 +95,12 @@
 pub(crate) async fn scale(
     size: usize,
     domains: usize,
-    preset: PresetName,
+    way: Way,
     rows: usize,
     period: Duration,
 ) -> Result<Scale, Failure> {
     let before = Usage::now();
-    let fleet = Fleet::start(size, domains, preset).await?;
+    let fleet = Fleet::start(size, domains, way.preset()).await?;
     publish(&fleet.platform, 1, example(rows, 0)?).await?;
     let first = fleet.spread(1, LIMIT).await;
     let joined = fleet.wait_members(LIMIT).await;
@@ -105,7 +130,7 @@
     fleet.close().await;
     let at = |share: f64| quantile_ms(&times, share);
     Ok(Scale {
-        preset: preset.to_string(),
+        preset: way.to_string(),
         size,
         domains,
         joined: joined.map(|d| d.as_secs_f64()),
@@ -185,6 +210,6 @@
 }
 
 #[allow(clippy::cast_precision_loss)]
-const fn float64(count: u64) -> f64 {
+pub(crate) const fn float64(count: u64) -> f64 {
     count as f64
 }
--- a/crates/bench/src/distribution/report.rs
+++ b/crates/bench/src/distribution/report.rs
@@ -7,6 +7,7 @@
 use super::{
     faults::Fault,
     measure::{Scale, float},
+    watchers::Watchers,
 };
 use crate::fit::Line;
 
@@ -55,6 +56,24 @@
     );
 }
 
+pub(crate) fn watch_row(row: &Watchers) {
+    println!(
+        "each watches  n={:<4} edit ms median {:>6.1} p99 {:>6.1} worst {:>7.1} missing {} \
+         | platform B/s idle {:>6.0} a daemon, edit {:>6.0} B a daemon | calls/s idle {:.1}, {:.0} \
+         an edit, watches {}",
+        row.size,
+        row.median_ms,
+        row.p99_ms,
+        row.worst_ms,
+        row.missing,
+        row.idle_bytes,
+        row.edit_bytes,
+        row.idle_calls,
+        row.edit_calls,
+        row.watches,
+    );
+}
+
 /// Prints what the idle traffic consists of.
 pub(crate) fn kinds_row(row: &Scale) {
     let list = |kinds: &BTreeMap<&'static str, f64>| {
@@ -119,7 +138,7 @@
 /// Prints each missed goal; true if none was missed.
 pub(crate) fn goals(rows: &[Scale], fits: &[Fit], faults: &[Fault]) -> bool {
     let mut missed = Vec::new();
-    for row in rows {
+    for row in rows.iter().filter(|row| row.preset != "gossip only") {
         if row.worst_ms > GOAL_MS || row.missing > 0 {
             missed.push(format!("{} n={}: worst {:.0} ms", row.preset, row.size, row.worst_ms));
         }
@@ -129,7 +148,7 @@
             missed.push(format!("{}: worst {:.0} ms", row.fault, row.worst_ms));
         }
     }
-    for fit in fits {
+    for fit in fits.iter().filter(|fit| fit.preset != "gossip only") {
         if fit.goal.is_some_and(|goal| fit.target > goal) {
             missed.push(format!("{} {} at 4200: {:.1}", fit.preset, fit.figure, fit.target));
         }
--- /dev/null
+++ b/crates/bench/src/distribution/watchers.rs
@@ -0,0 +1,166 @@
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use dw_fakes::Standin;
+use dw_platform::{HttpPlatform, Platform, PlatformError, Watch};
+use dw_tables::{HEAD_KEY, Head, Tables, join_parts, part_key, validate};
+use serde::Serialize;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, timeout},
+};
+
+use super::measure::{LIMIT, float, float64, quantile_ms};
+use crate::{
+    fleet::Failure,
+    publish::{example, publish},
+};
+
+/// Edits whose convergence is measured.
+const EDITS: u64 = 5;
+
+/// Wait before a watch is opened again after a failure.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Figures of the baseline in which each daemon watches the platform.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Watchers {
+    pub size: usize,
+    pub median_ms: f64,
+    pub p99_ms: f64,
+    pub worst_ms: f64,
+    pub missing: usize,
+    /// Body bytes at the platform, a second and a daemon.
+    pub idle_bytes: f64,
+    /// Body bytes at the platform for one edit and daemon.
+    pub edit_bytes: f64,
+    pub idle_calls: f64,
+    /// Calls at the platform for one edit.
+    pub edit_calls: f64,
+    pub watches: u64,
+}
+
+/// Measures `size` watchers.
+pub(crate) async fn run(size: usize, rows: usize, period: Duration) -> Result<Watchers, Failure> {
+    let standin = Standin::new().start().await?;
+    let platform = HttpPlatform::new(vec![standin.addr()]);
+    publish(&platform, 1, example(rows, 0)?).await?;
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let wanted = Arc::new(AtomicU64::new(1));
+    let watchers: Vec<_> = (0..size)
+        .map(|_| {
+            let client = HttpPlatform::new(vec![standin.addr()]);
+            tokio::spawn(watch(client, wanted.clone(), tx.clone()))
+        })
+        .collect();
+    let mut missing = wait(&mut rx, 1, size).await.1;
+    let before = standin.counts();
+    sleep(period).await;
+    let idle = standin.counts();
+    let mut times = Vec::new();
+    for number in 2..2 + EDITS {
+        wanted.store(number, Ordering::Relaxed);
+        publish(&platform, number, example(rows, number)?).await?;
+        let (mut spread, late) = wait(&mut rx, number, size).await;
+        missing += late;
+        times.append(&mut spread);
+    }
+    let after = standin.counts();
+    watchers.iter().for_each(tokio::task::JoinHandle::abort);
+    standin.close().await;
+    times.sort_unstable();
+    let (size_f, edits, seconds) = (float(size), float64(EDITS), period.as_secs_f64());
+    let idle_bytes = idle.bytes_in + idle.bytes_out - before.bytes_in - before.bytes_out;
+    let edit_bytes = after.bytes_in + after.bytes_out - idle.bytes_in - idle.bytes_out;
+    Ok(Watchers {
+        size,
+        median_ms: quantile_ms(&times, 0.5),
+        p99_ms: quantile_ms(&times, 0.99),
+        worst_ms: quantile_ms(&times, 1.0),
+        missing,
+        idle_bytes: float64(idle_bytes) / size_f / seconds,
+        edit_bytes: float64(edit_bytes) / size_f / edits,
+        idle_calls: float64(idle.calls() - before.calls()) / seconds,
+        edit_calls: float64(after.calls() - idle.calls()) / edits,
+        watches: idle.waiting,
+    })
+}
+
+/// Waits until all watchers hold `number`; the times, and how many did not within the limit.
+async fn wait(
+    rx: &mut mpsc::UnboundedReceiver<u64>,
+    number: u64,
+    size: usize,
+) -> (Vec<Duration>, usize) {
+    let start = Instant::now();
+    let mut times = Vec::with_capacity(size);
+    let all = async {
+        while times.len() < size {
+            match rx.recv().await {
+                Some(held) if held == number => times.push(start.elapsed()),
+                Some(_) => {}
+                None => return,
+            }
+        }
+    };
+    // What did not arrive within the limit is counted as missing.
+    let _ = timeout(LIMIT, all).await;
+    let missing = size - times.len();
+    (times, missing)
+}
+
+/// One daemon of the baseline: watches the head, reads head and parts, and checks them.
+async fn watch(platform: HttpPlatform, wanted: Arc<AtomicU64>, tx: mpsc::UnboundedSender<u64>) {
+    let mut held = 0;
+    loop {
+        if follow(&platform, &mut held, &wanted, &tx).await.is_err() {
+            sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn follow(
+    platform: &HttpPlatform,
+    held: &mut u64,
+    wanted: &AtomicU64,
+    tx: &mpsc::UnboundedSender<u64>,
+) -> Result<(), PlatformError> {
+    let mut revision = load(platform, held, wanted, tx).await?;
+    let mut watch = platform.watch(HEAD_KEY, revision).await?;
+    loop {
+        watch.next().await?;
+        revision = load(platform, held, wanted, tx).await?.max(revision);
+    }
+}
+
+/// Reads and checks the newest version; returns the revision of the head.
+async fn load(
+    platform: &HttpPlatform,
+    held: &mut u64,
+    wanted: &AtomicU64,
+    tx: &mpsc::UnboundedSender<u64>,
+) -> Result<u64, PlatformError> {
+    let Some(entry) = platform.get(HEAD_KEY).await? else { return Ok(0) };
+    let read = |e: serde_json::Error| PlatformError::Protocol(e.to_string());
+    let head: Head = serde_json::from_slice(&entry.value).map_err(read)?;
+    let mut parts = Vec::new();
+    for hash in &head.parts {
+        let part = platform.get(&part_key(*hash)).await?;
+        parts.extend(part.map(|part| part.value.to_vec()));
+    }
+    let text = join_parts(&parts, head.hash).unwrap_or_default();
+    let tables = Tables::from_canonical(&text).map_err(read)?;
+    if validate(&tables).is_empty() && head.number > *held {
+        *held = head.number;
+        if head.number >= wanted.load(Ordering::Relaxed) {
+            // The bench may have ended.
+            let _ = tx.send(head.number);
+        }
+    }
+    Ok(entry.revision)
+}
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -1,7 +1,8 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use dw_daemon::{Daemon, LogLevel, PresetName, Running, Settings, TargetSettings};
+use dw_daemon::{Daemon, LogLevel, Running, Settings, TargetSettings};
 use dw_fakes::{RunningStandin, Standin};
+use dw_mesh::Preset;
 use dw_platform::HttpPlatform;
 use dw_tables::Name;
 use tokio::time::{Instant, sleep};
@@ -18,7 +19,7 @@
     pub platform: HttpPlatform,
     pub daemons: Vec<Running>,
     pub domains: usize,
-    preset: PresetName,
+    preset: Preset,
     seeds: Vec<SocketAddr>,
     started: usize,
 }
@@ -28,7 +29,7 @@
     pub(crate) async fn start(
         size: usize,
         domains: usize,
-        preset: PresetName,
+        preset: Preset,
     ) -> Result<Self, Failure> {
         let standin = Standin::new().start().await?;
         let platform = HttpPlatform::new(vec![standin.addr()]);
@@ -62,9 +63,9 @@
                 .with_platform(vec![self.standin.addr()])
                 .with_join(self.seeds.clone())
                 .with_target(target)
-                .with_preset(self.preset)
                 .with_log(LogLevel::Off),
         )
+        .with_preset(self.preset.clone())
         .start()
         .await?;
         if self.seeds.len() < self.domains {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,4 +1,4 @@
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{collections::HashSet, io, net::SocketAddr, sync::Arc};
 
 use dw_mesh::{Member, MemberState, Node, NodeConfig, Preset, Target};
 use dw_platform::HttpPlatform;
@@ -33,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub struct Daemon {
     settings: Settings,
+    preset: Preset,
 }
 
 /// Why a daemon did not start.
@@ -67,7 +68,15 @@
     /// A daemon with the given settings.
     #[must_use]
     pub const fn new(settings: Settings) -> Self {
-        Self { settings }
+        let preset = Preset::new(settings.preset.to_mesh());
+        Self { settings, preset }
+    }
+
+    /// Replaces the periods and widths that the preset of the settings names.
+    #[must_use]
+    pub const fn with_preset(mut self, preset: Preset) -> Self {
+        self.preset = preset;
+        self
     }
 
     /// Listens on all addresses and starts the daemon's tasks.
@@ -82,11 +91,11 @@
         let addrs = sockets.addrs;
         (settings.callers, settings.peers) = (addrs.callers, addrs.peers);
         (settings.data, settings.admin) = (addrs.data, addrs.admin);
-        Ok(launch(&settings, sockets, log))
+        Ok(launch(&settings, self.preset, sockets, log))
     }
 }
 
-fn launch(settings: &Settings, sockets: Sockets, log: Arc<Logger>) -> Running {
+fn launch(settings: &Settings, preset: Preset, sockets: Sockets, log: Arc<Logger>) -> Running {
     let (tasks, counters) = (Tasks::default(), Counters::default());
     let (node_in, node_out) = mpsc::channel(QUEUE);
     let (links_in, links_out) = mpsc::channel(QUEUE);
@@ -94,7 +103,7 @@
     let (platform_in, platform_out) = mpsc::channel(QUEUE);
     let (view_in, view) = watch::channel(View::default());
 
-    let config = node_config(settings);
+    let config = node_config(settings, preset);
     let own = own_member(&config);
     let proxy = Proxy::new(settings, own, counters.clone(), log.clone(), &tasks);
     proxy.set_node(node_in.clone());
@@ -124,6 +133,7 @@
     tasks.spawn(platform.run(platform_out));
     let node = NodeTask {
         node: Node::new(config, Instant::now()),
+        blocked: HashSet::new(),
         proxy: proxy.clone(),
         links: links_in,
         datagrams: datagrams_in,
@@ -177,7 +187,7 @@
     );
 }
 
-fn node_config(settings: &Settings) -> NodeConfig {
+fn node_config(settings: &Settings, preset: Preset) -> NodeConfig {
     let target = |(target, index): (&TargetSettings, u32)| Target {
         index,
         service: target.service.clone(),
@@ -190,7 +200,7 @@
         incarnation: crate::clock::unix_ms(),
         region: settings.region.clone(),
         targets: settings.targets.iter().zip(0..).map(target).collect(),
-        preset: Preset::new(settings.preset.into()),
+        preset,
         join: settings.join.clone(),
         seed: rand::random(),
         ..NodeConfig::new(host, domain, settings.peers, settings.data)
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,4 +1,4 @@
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use dw_mesh::{Action, Counter, Input, Level, LocalEvent, MemberTable, Node, PlatformCall, Status};
 use dw_tables::Version;
@@ -25,6 +25,8 @@
     Input(Input),
     /// Somebody asks for the status.
     Status(oneshot::Sender<Status>),
+    /// Control messages to these peers are lost from now on.
+    Block(HashSet<SocketAddr>),
 }
 
 /// What the node publishes to the rest of the daemon.
@@ -40,6 +42,8 @@
 pub(crate) struct NodeTask {
     /// The decisions.
     pub(crate) node: Node,
+    /// Peers to which control messages are lost, for tests of partitions.
+    pub(crate) blocked: HashSet<SocketAddr>,
     /// Takes versions and poison.
     pub(crate) proxy: Arc<Proxy>,
     /// The task of the connections to peers.
@@ -77,6 +81,7 @@
                     // The reader may have gone away.
                     let _ = reply.send(self.node.status());
                 }
+                Some(ToNode::Block(peers)) => self.blocked = peers,
                 None => return,
             }
         }
@@ -85,6 +90,11 @@
     async fn act(&self, action: Action) {
         // The receiving tasks never wait for this one, so that waiting for them cannot deadlock.
         match action {
+            Action::SendPacket { to, .. } | Action::SendFrame { to, .. }
+                if self.blocked.contains(&to) =>
+            {
+                self.counters.dropped();
+            }
             Action::SendPacket { to, packet } => {
                 let _ = self.datagrams.send(ToDatagrams { to, packet }).await;
             }
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use dw_mesh::{Input, LocalEvent, MemberTable, Status};
 use dw_tables::{Version, VersionMark};
@@ -147,6 +147,13 @@
         spdlog::info!(logger: self.log, "[proxy] left");
     }
 
+    /// Loses all control messages to these peers from now on, as a partition in one direction does;
+    /// an empty set ends it. For tests.
+    pub async fn block(&self, peers: HashSet<SocketAddr>) {
+        // The node is gone only when the daemon was killed.
+        let _ = self.node.send(ToNode::Block(peers)).await;
+    }
+
     /// Leaves in order and ends all tasks.
     pub async fn close(self) {
         self.drain().await;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -75,11 +75,12 @@
     Verband,
 }
 
-impl From<PresetName> for dw_mesh::PresetName {
-    fn from(name: PresetName) -> Self {
-        match name {
-            PresetName::Cooperative => Self::Cooperative,
-            PresetName::Verband => Self::Verband,
+impl PresetName {
+    /// The preset as the control plane names it.
+    pub(crate) const fn to_mesh(self) -> dw_mesh::PresetName {
+        match self {
+            Self::Cooperative => dw_mesh::PresetName::Cooperative,
+            Self::Verband => dw_mesh::PresetName::Verband,
         }
     }
 }
--- a/crates/mesh/src/broadcast.rs
+++ b/crates/mesh/src/broadcast.rs
@@ -180,6 +180,9 @@
         hi: u64,
         skip: &BTreeSet<Name>,
     ) -> Vec<Branch> {
+        if self.cfg.preset.fan_out == 0 {
+            return Vec::new();
+        }
         let mut ranked: Vec<(u64, &Member)> = self
             .roster
             .live(&self.me.domain)
@@ -188,7 +191,7 @@
             .filter(|(rank, _)| (lo..=hi).contains(rank))
             .collect();
         ranked.sort_unstable_by_key(|(rank, _)| *rank);
-        let size = ranked.len().div_ceil(self.cfg.preset.fan_out.max(1)).max(1);
+        let size = ranked.len().div_ceil(self.cfg.preset.fan_out).max(1);
         let mut out: Vec<Branch> = Vec::new();
         let mut start = lo;
         for part in ranked.chunks(size) {
--- a/crates/mesh/src/preset.rs
+++ b/crates/mesh/src/preset.rs
@@ -16,7 +16,8 @@
 /// Periods and widths of the control plane.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Preset {
-    /// Children of each node of a distribution tree.
+    /// Children of each node of a distribution tree; with 0 there are no trees, and versions spread
+    /// by anti-entropy only, which the bench uses as a baseline.
     pub fan_out: usize,
     /// Wait for further versions and events before they are sent down a tree.
     pub batch: Duration,
