--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -128,15 +128,21 @@
         slot: u32,
         record: &RelayRecord,
     ) -> Result<PlatformEvent, PlatformError> {
+        let key = slot_key(&self.domain, slot);
+        let holder = |entry: Entry| serde_json::from_slice(&entry.value).ok();
+        // A slot is taken nearly always when a candidate asks: one read in place of a grant, a
+        // refused write and a revocation.
+        if let Some(entry) = self.counted("get", client.get(&key).await)? {
+            return Ok(PlatformEvent::SlotTaken { slot, holder: holder(entry) });
+        }
         let value = serde_json::to_vec(record).unwrap_or_default();
         let lease = self.counted("grant", client.grant(LEASE_TTL).await)?;
-        let key = slot_key(&self.domain, slot);
         let txn = Txn {
             guards: vec![Guard { key: key.clone(), revision: 0 }],
             puts: vec![Put { key: key.clone(), value: value.into(), lease: Some(lease) }],
             deletes: Vec::new(),
         };
-        let holder = match self.counted("commit", client.commit(txn).await) {
+        let present = match self.counted("commit", client.commit(txn).await) {
             Ok(Commit::Done { .. }) => {
                 self.leases().insert(slot, lease);
                 return Ok(PlatformEvent::SlotClaimed { slot });
@@ -146,14 +152,13 @@
             Err(PlatformError::Unanswered) => self.counted("get", client.get(&key).await)?,
             Err(error) => return Err(error),
         };
-        if holder.as_ref().is_some_and(|entry| entry.lease == Some(lease)) {
+        if present.as_ref().is_some_and(|entry| entry.lease == Some(lease)) {
             self.leases().insert(slot, lease);
             return Ok(PlatformEvent::SlotClaimed { slot });
         }
         // Without this the unused lease ends by itself, only later.
         let _ = self.counted("revoke", client.revoke(lease).await);
-        let holder = holder.and_then(|entry| serde_json::from_slice(&entry.value).ok());
-        Ok(PlatformEvent::SlotTaken { slot, holder })
+        Ok(PlatformEvent::SlotTaken { slot, holder: present.and_then(holder) })
     }
 
     async fn renew(&self, client: &P, slot: u32) -> Result<PlatformEvent, PlatformError> {
