Ask other domains for the floor where the own one has no member

Cause: the daemon's fleet tests hung. The first host of a domain joined a peer that served nothing yet, then asked only its own, empty domain again, without a pause and without end; without the platform it never served. Change: without live members of its own domain a newcomer asks those of others.

--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -326,6 +326,11 @@
         }
         let live = self.roster.live(&self.me.domain).filter(|m| m.host != self.me.host);
         let mut peers: Vec<_> = live.map(|m| m.peer).collect();
+        if peers.is_empty() {
+            // The first host of its domain: only other domains can tell.
+            let domains: Vec<_> = self.roster.domains().cloned().collect();
+            peers = domains.iter().flat_map(|d| self.roster.live(d)).map(|m| m.peer).collect();
+        }
         peers.shuffle(&mut self.rng);
         self.ask_floor(peers);
     }
--- a/crates/mesh/tests/faults.rs
+++ b/crates/mesh/tests/faults.rs
@@ -24,6 +24,19 @@
     World::started(1, PresetName::Verband, &[1]);
 }
 
+/// Guards against the first host of a domain that never serves, because the peer in another domain
+/// through which it joined had no version yet and it asked only its own domain again.
+#[test]
+fn first_host_of_a_domain_without_the_platform_serves() {
+    let mut world = World::new(26, PresetName::Verband, &[1, 1]);
+    world.cut_platform(&[1]);
+    (0..2).for_each(|id| world.start(id));
+    world.apply();
+    world.run(secs(10));
+    assert_eq!(world.hosts[1].served.number, world.hosts[0].served.number);
+    assert!(world.hosts[1].served.number > 0);
+}
+
 /// Guards against a fleet that does not converge without any fault, and against a change that takes
 /// longer than the 4 s of the page.
 #[test]
