Measure memory by the whole process and sizes in ascending order

Cause: later fleets in one run reuse memory of earlier ones, so the growth of the process said 0 KiB a daemon for most of them. Change: resident bytes of the process are divided by the daemons, an upper bound that includes the stand-in, and sizes ascend in the outer loop.

--- a/crates/bench/src/distribution.rs
+++ b/crates/bench/src/distribution.rs
@@ -51,8 +51,10 @@
     let sizes: Vec<usize> = args.sizes.split(',').map(str::parse).collect::<Result<_, _>>()?;
     let period = Duration::from_secs(args.seconds);
     let mut scale = Vec::new();
-    for way in [Way::Cooperative, Way::Verband, Way::Gossip] {
-        for &size in &sizes {
+    // Sizes ascend in the outer loop, because the memory of an earlier fleet is not given back to
+    // the system and would count for a later, smaller one.
+    for &size in &sizes {
+        for way in [Way::Cooperative, Way::Verband, Way::Gossip] {
             let row = measure::scale(size, args.domains, way, args.rows, period).await?;
             report::scale_row(&row);
             report::kinds_row(&row);
--- a/crates/bench/src/distribution/measure.rs
+++ b/crates/bench/src/distribution/measure.rs
@@ -74,7 +74,7 @@
     /// Percent of a core used by a daemon, idle and at ten times the daily rate.
     pub idle_cpu: f64,
     pub tenfold_cpu: f64,
-    /// Resident bytes for each daemon.
+    /// Resident bytes of the process for each daemon, with the stand-in and the bench.
     pub memory: f64,
     /// Bytes sent a second by a daemon while idle, by kind of message.
     pub idle_kinds: BTreeMap<&'static str, f64>,
@@ -99,7 +99,6 @@
     rows: usize,
     period: Duration,
 ) -> Result<Scale, Failure> {
-    let before = Usage::now();
     let fleet = Fleet::start(size, domains, way.preset()).await?;
     publish(&fleet.platform, 1, example(rows, 0)?).await?;
     let first = fleet.spread(1, LIMIT).await;
@@ -148,7 +147,7 @@
         tenfold_cpu: tenfold.cpu,
         idle_kinds: idle.kinds,
         call_kinds: idle.call_kinds,
-        memory: float64(after.resident.saturating_sub(before.resident)) / float(size),
+        memory: float64(after.resident) / float(size),
     })
 }
 
--- a/crates/bench/src/distribution/report.rs
+++ b/crates/bench/src/distribution/report.rs
@@ -1,6 +1,6 @@
 #![allow(clippy::print_stdout)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 
@@ -117,8 +117,7 @@
         ("x10 cpu %", Some(GOAL_CPU), |r| r.tenfold_cpu),
         ("memory B", Some(GOAL_MEMORY), |r| r.memory),
     ];
-    let mut presets: Vec<&String> = rows.iter().map(|row| &row.preset).collect();
-    presets.dedup();
+    let presets: BTreeSet<&String> = rows.iter().map(|row| &row.preset).collect();
     let mut fits = Vec::new();
     for preset in presets {
         for (figure, goal, value) in FIGURES {
