--- /dev/null
+++ b/crates/daemon/tests/operations_page.rs
@@ -0,0 +1,66 @@
+//! The page `docs/operations.md` against the reasons and metrics of the code.
+
+#![allow(clippy::expect_used)]
+
+mod support;
+
+use dw_mesh::Force;
+use dw_request::Reason;
+use googletest::prelude::*;
+use support::{fetch, get, settings, start};
+
+const PAGE: &str = include_str!("../../../docs/operations.md");
+
+/// The rows of the table below a heading, each as its cells without backticks.
+fn rows(heading: &str) -> Vec<Vec<String>> {
+    let (_, rest) = PAGE.split_once(&format!("\n## {heading}\n")).expect("a section");
+    let section = rest.split("\n## ").next().expect("a section").split("\n### ").next();
+    let lines = section.expect("a section").lines().filter(|line| line.starts_with("| `"));
+    let cells = |row: &str| {
+        row.trim_matches('|').split('|').map(|cell| cell.trim().replace('`', "")).collect()
+    };
+    lines.map(cells).collect()
+}
+
+/// Guards against a reason that operators meet and the page does not name, or names with another
+/// status or outcome, and against a reason that only the page has.
+#[gtest]
+fn page_lists_every_reason() {
+    let listed: Vec<_> = rows("Reasons").iter().map(|row| row[..3].join(" ")).collect();
+    let known: Vec<_> = Reason::ALL
+        .iter()
+        .map(|reason| format!("{reason} {} {}", reason.status(), reason.outcome()))
+        .collect();
+    expect_that!(listed, eq(&known));
+}
+
+/// Guards against a metric that the page does not name or calls by another name or type.
+#[gtest]
+#[tokio::test]
+async fn page_lists_every_metric() -> Result<()> {
+    let running = start(settings("p1", "portland")).await;
+    let text = fetch(running.addrs().admin, get("/metrics")).await?;
+    let known: Vec<_> = text.lines().filter_map(|line| line.strip_prefix("# TYPE ")).collect();
+    let listed: Vec<_> = rows("Metrics").iter().map(|row| row[..2].join(" ")).collect();
+    expect_that!(listed, eq(&known));
+    running.kill().await;
+    Ok(())
+}
+
+/// Guards against a state of a version that operators meet and the page does not explain.
+#[gtest]
+fn page_lists_every_state() {
+    // A new state must be added here, or the match no longer compiles.
+    let text = |state: Force| match state {
+        Force::InForce => "in force",
+        Force::Spreading => "spreading",
+        Force::Behind => "behind",
+        Force::Unknown => "unknown",
+        Force::Refused => "refused",
+    };
+    let states =
+        [Force::InForce, Force::Spreading, Force::Behind, Force::Unknown, Force::Refused].map(text);
+    let listed: Vec<_> =
+        rows("States in `damaskwick status`").iter().map(|row| row[0].clone()).collect();
+    expect_that!(listed, eq(&states.map(str::to_owned)));
+}
