Show in the requests bench why failures were not retried

Each row of a scenario names the daemons' counts of /reasons, without those of daemons that were killed.

--- a/crates/bench/src/requests/scenario.rs
+++ b/crates/bench/src/requests/scenario.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{fmt::Write as _, time::Duration};
 
 use dw_fakes::{Report, Target};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -82,6 +82,10 @@
             tokio::join!(open_loop(&caller, rate, time), self.fault.cause(&mut world, time));
         let mut account = Account::new(self.name, side, &ran?, &world.ledger);
         account.note = note?;
+        for (reason, count) in world.not_retried().await {
+            // Writing to a string cannot fail.
+            let _ = write!(account.note, " [{reason} {count}]");
+        }
         world.close().await;
         Ok(account)
     }
--- a/crates/bench/src/requests/world.rs
+++ b/crates/bench/src/requests/world.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, PoisonError, RwLock},
     time::Duration,
@@ -13,7 +14,13 @@
     time::{sleep, timeout},
 };
 
-use super::forwarder::Forwarder;
+use http::Request;
+use http_body_util::Full;
+
+use super::{
+    forwarder::Forwarder,
+    wire::{Reply, Wire},
+};
 use crate::{fleet::Failure, publish::publish};
 
 /// Hosts, each with one target and one daemon.
@@ -209,6 +216,26 @@
         Ok(())
     }
 
+    /// Why the daemons that run now did not retry what failed, with counts.
+    pub(crate) async fn not_retried(&self) -> BTreeMap<String, u64> {
+        let mut sums = BTreeMap::new();
+        for daemon in self.daemons.iter().flatten() {
+            let request = Request::get("/reasons").header("host", "admin").body(Full::default());
+            let Ok(request) = request else { continue };
+            let reply = Wire::default().send(daemon.addrs().admin, request).await;
+            let Reply::Whole(response) = reply else { continue };
+            let rows: BTreeMap<String, BTreeMap<String, u64>> =
+                serde_json::from_slice(response.body()).unwrap_or_default();
+            for (reason, row) in rows {
+                let count = row.get("not_retried").copied().unwrap_or(0);
+                if count > 0 {
+                    *sums.entry(reason).or_default() += count;
+                }
+            }
+        }
+        sums
+    }
+
     /// Closes everything; the daemons end without goodbyes.
     pub(crate) async fn close(self) {
         let mut ends = JoinSet::new();
