Keep the idempotency keys of different callers apart

Settings also accepted service names that no pool can name. Change: method and a digest of the credentials are part of the record's name; settings use the name rule of the tables. New test keys_of_two_callers_are_apart; the tests of both crates pass.

--- a/crates/daemon/src/proxy/call.rs
+++ b/crates/daemon/src/proxy/call.rs
@@ -103,10 +103,17 @@
         self.depth
     }
 
-    /// The name under which the keeper records the key. The path is part of it, so that two
-    /// services that get the same key do not share a record.
+    /// The name under which the keeper records the key. Method and path are part of it, so that two
+    /// services that get the same key do not share a record, and so are the credentials, so that
+    /// no caller gets the response to another's request.
     pub(crate) fn record_key(&self) -> Option<Name> {
-        self.key.as_ref().map(|key| Name::from(format!("{key} {}", self.path())))
+        let key = self.key.as_ref()?;
+        let caller = self.head.headers.get(header::AUTHORIZATION).map(|credentials| {
+            let digest: [u8; 32] = Sha256::digest(credentials).into();
+            u64::from_be_bytes(digest[..8].try_into().unwrap_or_default())
+        });
+        let caller = caller.unwrap_or_default();
+        Some(Name::from(format!("{key} {caller:x} {} {}", self.method(), self.path())))
     }
 
     /// Reads a body of at most `limit` bytes whole, so that it can be sent again and identified. A
--- a/crates/daemon/src/settings/fields.rs
+++ b/crates/daemon/src/settings/fields.rs
@@ -1,6 +1,6 @@
 use std::{fmt::Display, net::SocketAddr, str::FromStr};
 
-use dw_tables::{Finding, Findings, Millis, Name, Place};
+use dw_tables::{Finding, Findings, Kind, Millis, Name, Place, name_fault};
 use jsonc_parser::{
     ast::{Array, Object, Value},
     common::Ranged,
@@ -76,11 +76,11 @@
     }
 
     pub(super) fn name(&mut self, name: &str, value: &Value<'_>) -> Option<Name> {
-        let accepted = "1 to 128 letters, digits, '-', '_' or '.'";
-        let text = self.text_of(name, value, accepted)?;
-        let good = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-        if text.is_empty() || text.len() > 128 || !text.chars().all(good) {
-            self.find(value.start(), name, "the value is not a name", accepted);
+        // The rule of the tables, so that every service can be named by a pool.
+        let accepted = Kind::Name.accepted();
+        let text = self.text_of(name, value, &accepted)?;
+        if let Some(fault) = name_fault(text) {
+            self.find(value.start(), name, &fault, &accepted);
             return None;
         }
         Some(Name::new(text))
--- a/crates/daemon/tests/one_daemon.rs
+++ b/crates/daemon/tests/one_daemon.rs
@@ -94,6 +94,24 @@
     Ok(())
 }
 
+/// Guards against a response that reaches another caller because both chose the same key (P4).
+#[gtest]
+#[tokio::test]
+async fn keys_of_two_callers_are_apart() -> Result<()> {
+    let (_standin, raw, running) = served(Act::Echo).await;
+    let addr = running.addrs().callers;
+    for credentials in ["Bearer kiosk-1", "Bearer kiosk-2", "Bearer kiosk-1"] {
+        let mut request = post("/credit", "k1");
+        request.headers_mut().insert("authorization", credentials.parse()?);
+        let response = send(addr, request).await;
+        expect_that!(response.status().as_u16(), eq(200));
+        expect_that!(support::text(response).await?, contains_substring(credentials));
+    }
+    expect_that!(raw.count(), eq(2));
+    running.kill().await;
+    Ok(())
+}
+
 /// Guards against a stop that interrupts a request in flight (P8), or runs new work while it
 /// leaves (P5).
 #[gtest]
--- a/crates/tables/src/kind.rs
+++ b/crates/tables/src/kind.rs
@@ -89,7 +89,8 @@
     }
 }
 
-fn name_fault(text: &str) -> Option<String> {
+/// Why `text` is not a name of a row, service, host, failure domain or region; `None` if it is one.
+pub fn name_fault(text: &str) -> Option<String> {
     if text.is_empty() {
         return Some("the name is empty".to_owned());
     }
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -29,7 +29,7 @@
 pub use field::{Bounds, Field, MAX_DEADLINE, POOL_FIELDS, ROUTE_FIELDS};
 pub use finding::{Finding, Findings, Place};
 pub use head::{HEAD_KEY, Head, PART_LIMIT, history_key, join_parts, part_key, split_parts};
-pub use kind::{Kind, MAX_HOST, MAX_NAME, MAX_PATH, METHODS};
+pub use kind::{Kind, MAX_HOST, MAX_NAME, MAX_PATH, METHODS, name_fault};
 pub use matches::Match;
 pub use name::Name;
 pub use pool::{Balance, Ejection, Limits, Pool, Prefer};
