Say in messages of the tools what the user can do next

Change: these messages name the accepted form, the whole command and the addresses. One test expects '1 row' in place of '1 rows'. Conclusion: the messages are covered by the tests of the commands; dw-standin's one was tried by hand.

--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -8,7 +8,7 @@
 use crate::{
     Admin, ApplyArgs, Console, DaemonStatus, Exit, Failure,
     files::read_tables,
-    show::row_lines,
+    show::{counted, row_lines},
     stale::stale,
     store::{Held, read_head, read_number, write_parts},
     swap::{Swap, swap},
@@ -46,7 +46,10 @@
     let data = accept(args, &edit, tables, platform, admin, console).await?;
     if data["change"].is_string() {
         let number = &data["version"];
-        console.say(&format!("`damaskwick watch --version {number}` tells when it is in force"));
+        let daemon = args.daemon.first().map_or("IP:PORT".to_owned(), ToString::to_string);
+        console.say(&format!(
+            "`damaskwick watch --version {number} --daemon {daemon}` tells when it is in force"
+        ));
     }
     Ok(data)
 }
@@ -90,7 +93,10 @@
         Swap::Failed(e) => return Err(Failure::from(e)),
     }
     let Head { number, change, .. } = &head;
-    console.say(&format!("version {number} is accepted (change {change}, {} rows)", rows.len()));
+    console.say(&format!(
+        "version {number} is accepted (change {change}, {})",
+        counted(rows.len(), "row")
+    ));
     Ok(json!({ "version": number, "hash": head.hash, "change": change, "changes": rows }))
 }
 
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -64,7 +64,7 @@
     #[options(no_short, meta = "DIR", default = ".")]
     pub tables: PathBuf,
     /// address of the platform (required); may be repeated
-    #[options(no_short, meta = "IP:PORT")]
+    #[options(no_short, meta = "IP:PORT", parse(try_from_str = "read_addr"))]
     pub platform: Vec<SocketAddr>,
     /// version to compare with instead of the newest
     #[options(no_short, meta = "VERSION")]
@@ -83,13 +83,13 @@
     #[options(no_short, meta = "DIR", default = ".")]
     pub tables: PathBuf,
     /// address of the platform (required); may be repeated
-    #[options(no_short, meta = "IP:PORT")]
+    #[options(no_short, meta = "IP:PORT", parse(try_from_str = "read_addr"))]
     pub platform: Vec<SocketAddr>,
     /// version that was edited, 0 for the first (required)
     #[options(no_short, required, meta = "VERSION")]
     pub base: u64,
     /// admin address of a daemon that must not be ahead of the platform; may be repeated
-    #[options(no_short, meta = "IP:PORT")]
+    #[options(no_short, meta = "IP:PORT", parse(try_from_str = "read_addr"))]
     pub daemon: Vec<SocketAddr>,
     /// who makes the edit (default: the user)
     #[options(no_short, meta = "NAME")]
@@ -108,7 +108,7 @@
     #[options(no_short)]
     pub json: bool,
     /// address of the platform (required); may be repeated
-    #[options(no_short, meta = "IP:PORT")]
+    #[options(no_short, meta = "IP:PORT", parse(try_from_str = "read_addr"))]
     pub platform: Vec<SocketAddr>,
     /// version to show instead of the newest
     #[options(no_short, meta = "VERSION")]
@@ -127,7 +127,7 @@
     #[options(no_short)]
     pub json: bool,
     /// address of the platform (required); may be repeated
-    #[options(no_short, meta = "IP:PORT")]
+    #[options(no_short, meta = "IP:PORT", parse(try_from_str = "read_addr"))]
     pub platform: Vec<SocketAddr>,
     /// how many versions to list
     #[options(no_short, meta = "COUNT", default = "20")]
@@ -143,7 +143,7 @@
     #[options(no_short)]
     pub json: bool,
     /// admin address of a daemon (required); may be repeated
-    #[options(no_short, meta = "IP:PORT")]
+    #[options(no_short, meta = "IP:PORT", parse(try_from_str = "read_addr"))]
     pub daemon: Vec<SocketAddr>,
 }
 
@@ -156,7 +156,7 @@
     #[options(no_short)]
     pub json: bool,
     /// admin address of a daemon (required); if repeated, all must report it
-    #[options(no_short, meta = "IP:PORT")]
+    #[options(no_short, meta = "IP:PORT", parse(try_from_str = "read_addr"))]
     pub daemon: Vec<SocketAddr>,
     /// version that, or a later one, must be in force everywhere (required)
     #[options(no_short, required, meta = "VERSION")]
@@ -196,3 +196,8 @@
         }
     }
 }
+
+fn read_addr(text: &str) -> Result<SocketAddr, String> {
+    let refuse = |_| format!("{text:?} is not an IP address and a port, such as 127.0.0.1:2379");
+    text.parse().map_err(refuse)
+}
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -1,6 +1,6 @@
 use serde_json::{Value as Json, json};
 
-use crate::{CheckArgs, Console, Failure, files::read_tables};
+use crate::{CheckArgs, Console, Failure, files::read_tables, show::counted};
 
 /// Checks the tables.
 ///
@@ -9,6 +9,10 @@
 pub fn check(args: &CheckArgs, console: &mut Console) -> Result<Json, Failure> {
     let tables = read_tables(&args.tables)?;
     let (routes, pools) = (tables.routes.len(), tables.pools.len());
-    console.say(&format!("no findings in {routes} routes and {pools} pools"));
+    console.say(&format!(
+        "no findings in {} and {}",
+        counted(routes, "route"),
+        counted(pools, "pool")
+    ));
     Ok(json!({ "routes": routes, "pools": pools, "findings": [] }))
 }
--- a/crates/cli/src/diff.rs
+++ b/crates/cli/src/diff.rs
@@ -5,7 +5,7 @@
 use crate::{
     Console, DiffArgs, Failure,
     files::read_tables,
-    show::row_lines,
+    show::{counted, row_lines},
     store::{read_head, read_number},
 };
 
@@ -24,6 +24,7 @@
     let old = read_number(platform, &held, base).await?;
     let rows = changes(&old, &tables);
     rows.iter().flat_map(row_lines).for_each(|line| console.say(&line));
-    console.say(&format!("{} rows differ from version {base}", rows.len()));
+    let verb = if rows.len() == 1 { "differs" } else { "differ" };
+    console.say(&format!("{} {verb} from version {base}", counted(rows.len(), "row")));
     Ok(json!({ "base": base, "head": held.number(), "changes": rows }))
 }
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value as Json, json};
 use thiserror::Error;
 
-use crate::Exit;
+use crate::{Exit, show::counted};
 
 /// Why a command did not succeed.
 #[derive(Clone, Debug, PartialEq, Error)]
@@ -51,7 +51,8 @@
 
 impl From<Findings> for Failure {
     fn from(findings: Findings) -> Self {
-        let message = format!("{findings}\ntables refused: {} findings", findings.list.len());
+        let message =
+            format!("{findings}\ntables refused: {}", counted(findings.list.len(), "finding"));
         Self::new(Exit::Refused, message).with_data(json!({ "findings": findings.list }))
     }
 }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -60,7 +60,10 @@
 
 fn given(option: &str, addrs: &[SocketAddr]) -> Result<Vec<SocketAddr>, Failure> {
     if addrs.is_empty() {
-        return Err(Failure::new(Exit::Usage, format!("{option} IP:PORT is missing")));
+        return Err(Failure::new(
+            Exit::Usage,
+            format!("damaskwick: {option} IP:PORT is missing; see damaskwick --help"),
+        ));
     }
     Ok(addrs.to_vec())
 }
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -5,6 +5,11 @@
 
 use crate::DaemonStatus;
 
+/// A count with its noun, such as `1 row` or `2 rows`.
+pub(crate) fn counted(count: usize, noun: &str) -> String {
+    if count == 1 { format!("{count} {noun}") } else { format!("{count} {noun}s") }
+}
+
 /// The lines that show a change of a row: what happens to it, then each field that differs.
 pub(crate) fn row_lines(row: &RowChange) -> Vec<String> {
     let title = format!("{} {:?} {}", row.table, row.name.as_str(), row.change);
--- a/crates/fakes/src/bin/dw-standin.rs
+++ b/crates/fakes/src/bin/dw-standin.rs
@@ -2,8 +2,9 @@
 
 use std::{
     error::Error,
-    io::{Write, stdout},
+    io::{Write, stderr, stdout},
     net::SocketAddr,
+    process::ExitCode,
     time::Duration,
 };
 
@@ -60,7 +61,18 @@
 }
 
 #[tokio::main]
-async fn main() -> Result<(), Box<dyn Error>> {
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            // Nothing is left to do if standard error is closed.
+            let _ = writeln!(stderr(), "dw-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<(), Box<dyn Error>> {
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.command {
         Some(Command::Platform(options)) => platform(options).await,
@@ -83,7 +95,7 @@
         standin = standin.with_control(control);
     }
     standin = standin.with_rates(options.reads, options.writes);
-    let running = standin.start().await?;
+    let running = standin.start().await.map_err(|e| refused(options.addr, options.control, &e))?;
     announce("platform", running.addr(), running.control_addr())?;
     stopped().await?;
     running.close().await;
@@ -101,13 +113,23 @@
     if let Some(control) = options.control {
         target = target.with_control(control);
     }
-    let running = target.start().await?;
+    let running = target.start().await.map_err(|e| refused(options.addr, options.control, &e))?;
     announce(&options.service, running.addr(), running.control_addr())?;
     stopped().await?;
     running.close().await;
     Ok(())
 }
 
+/// Says which addresses were asked for; the error alone does not.
+fn refused(
+    addr: Option<SocketAddr>,
+    control: Option<SocketAddr>,
+    error: &std::io::Error,
+) -> String {
+    let name = |addr: Option<SocketAddr>| addr.map_or("a free port".to_owned(), |a| a.to_string());
+    format!("cannot listen on {} with control {}: {error}", name(addr), name(control))
+}
+
 /// Prints one line, which scripts read to learn the ports.
 fn announce(name: &str, addr: SocketAddr, control: SocketAddr) -> std::io::Result<()> {
     let mut out = stdout();
