--- a/crates/bench/src/distribution.rs
+++ b/crates/bench/src/distribution.rs
@@ -53,6 +53,7 @@
         for &size in &sizes {
             let row = measure::scale(size, args.domains, preset, args.rows, period).await?;
             report::scale_row(&row);
+            report::kinds_row(&row);
             scale.push(row);
         }
     }
--- a/crates/bench/src/distribution/measure.rs
+++ b/crates/bench/src/distribution/measure.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use dw_daemon::PresetName;
 use serde::Serialize;
@@ -17,6 +17,9 @@
 /// Time between two edits at 11,000 changes a day.
 const DAILY: Duration = Duration::from_millis(86_400_000 / 11_000);
 
+/// Wait after the fleet is complete, so that the traffic of joining is not counted as idle.
+const SETTLE: Duration = Duration::from_secs(10);
+
 /// Edits whose convergence is measured one by one.
 const EDITS: u64 = 10;
 
@@ -48,6 +51,10 @@
     pub tenfold_cpu: f64,
     /// Resident bytes for each daemon.
     pub memory: f64,
+    /// Bytes sent a second by a daemon while idle, by kind of message.
+    pub idle_kinds: BTreeMap<&'static str, f64>,
+    /// Calls a second at the platform while idle, by kind.
+    pub call_kinds: BTreeMap<&'static str, f64>,
 }
 
 /// Cost of a fleet over one period.
@@ -55,6 +62,8 @@
     bytes: f64,
     cpu: f64,
     calls: f64,
+    kinds: BTreeMap<&'static str, f64>,
+    call_kinds: BTreeMap<&'static str, f64>,
 }
 
 /// Measures a fleet of `size` daemons.
@@ -70,6 +79,7 @@
     publish(&fleet.platform, 1, example(rows, 0)?).await?;
     let first = fleet.spread(1, LIMIT).await;
     let joined = fleet.wait_members(LIMIT).await;
+    sleep(SETTLE).await;
     let mut number = 1;
     let idle = cost(&fleet, period, None, &mut number, rows).await?;
     let watches = fleet.standin.counts().waiting;
@@ -111,6 +121,8 @@
         watches,
         idle_cpu: idle.cpu,
         tenfold_cpu: tenfold.cpu,
+        idle_kinds: idle.kinds,
+        call_kinds: idle.call_kinds,
         memory: float64(after.resident.saturating_sub(before.resident)) / float(size),
     })
 }
@@ -124,7 +136,8 @@
     rows: usize,
 ) -> Result<Period, Failure> {
     let size = float(fleet.daemons.len());
-    let (sent, usage, calls) = (fleet.sent(), Usage::now(), fleet.standin.counts().calls());
+    let (sent, usage, calls) = (fleet.sent(), Usage::now(), fleet.standin.counts());
+    let before = fleet.sent_by_kind();
     let start = Instant::now();
     while start.elapsed() < period {
         let Some(every) = every else {
@@ -137,10 +150,24 @@
     }
     let seconds = start.elapsed().as_secs_f64();
     let cpu = (Usage::now().cpu - usage.cpu).as_secs_f64();
+    let after = fleet.standin.counts();
+    let kinds = fleet.sent_by_kind().into_iter().filter_map(|(kind, bytes)| {
+        let rate = float64(bytes - before.get(kind).copied().unwrap_or(0)) / size / seconds;
+        (rate > 0.0).then_some((kind, rate))
+    });
+    let call_kinds = [
+        ("range", after.ranges - calls.ranges),
+        ("txn", after.txns + after.conflicts - calls.txns - calls.conflicts),
+        ("grant", after.grants - calls.grants),
+        ("keepalive", after.keepalives - calls.keepalives),
+        ("watch", after.watches - calls.watches),
+    ];
     Ok(Period {
         bytes: float64(fleet.sent() - sent) / size / seconds,
         cpu: cpu / size / seconds * 100.0,
-        calls: float64(fleet.standin.counts().calls() - calls) / seconds,
+        calls: float64(after.calls() - calls.calls()) / seconds,
+        kinds: kinds.collect(),
+        call_kinds: call_kinds.map(|(kind, count)| (kind, float64(count) / seconds)).into(),
     })
 }
 
--- a/crates/bench/src/distribution/report.rs
+++ b/crates/bench/src/distribution/report.rs
@@ -1,5 +1,7 @@
 #![allow(clippy::print_stdout)]
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
 use super::{
@@ -53,6 +55,15 @@
     );
 }
 
+/// Prints what the idle traffic consists of.
+pub(crate) fn kinds_row(row: &Scale) {
+    let list = |kinds: &BTreeMap<&'static str, f64>| {
+        let parts: Vec<String> = kinds.iter().map(|(k, v)| format!("{k} {v:.1}")).collect();
+        parts.join(", ")
+    };
+    println!("    idle B/s: {} | calls/s: {}", list(&row.idle_kinds), list(&row.call_kinds));
+}
+
 pub(crate) fn fault_row(row: &Fault) {
     println!(
         "fault: {:<30} n={} median {:.0} ms worst {:.0} ms missing {}",
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use dw_daemon::{Daemon, LogLevel, PresetName, Running, Settings, TargetSettings};
 use dw_fakes::{RunningStandin, Standin};
@@ -113,6 +113,17 @@
         self.daemons.iter().map(|d| d.counters().sent.values().sum::<u64>()).sum()
     }
 
+    /// Bytes of control traffic sent by all daemons, by kind of message.
+    pub(crate) fn sent_by_kind(&self) -> BTreeMap<&'static str, u64> {
+        let mut sum = BTreeMap::new();
+        for daemon in &self.daemons {
+            for (kind, bytes) in daemon.counters().sent {
+                *sum.entry(kind).or_default() += bytes;
+            }
+        }
+        sum
+    }
+
     /// Ends all daemons without goodbyes, then the stand-in.
     pub(crate) async fn close(self) {
         for daemon in self.daemons {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,10 +1,12 @@
-//! The benches: `distribution` measures how a version reaches a fleet and what that costs.
-//! Each run prints a table and, with `--json FILE`, writes the same figures as JSON.
+//! The benches: `distribution` measures how a version reaches a fleet and what that costs, and
+//! `requests` what the request path costs and what becomes of requests under load and faults. Each
+//! run prints a table and, with `--json FILE`, writes the same figures as JSON.
 
 mod distribution;
 mod fit;
 mod fleet;
 mod publish;
+mod requests;
 mod usage;
 
 use gumdrop::Options;
@@ -24,6 +26,9 @@
     /// Convergence and control cost by the size of the fleet, with baselines and faults.
     #[options(help = "convergence and control cost by fleet size")]
     Distribution(distribution::Args),
+    /// Cost of the request path, and the fate of requests, with a baseline.
+    #[options(help = "cost of the request path, and the fate of requests under faults")]
+    Requests(requests::Args),
 }
 
 #[allow(clippy::print_stderr)]
@@ -32,7 +37,8 @@
     let args = Args::parse_args_default_or_exit();
     let done = match args.command {
         Some(Command::Distribution(args)) => distribution::run(args).await,
-        None => Err("name a bench: distribution".into()),
+        Some(Command::Requests(args)) => requests::run(args).await,
+        None => Err("name a bench: distribution or requests".into()),
     };
     match done {
         Ok(true) => std::process::ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/bench/src/requests.rs
@@ -0,0 +1,77 @@
+mod account;
+mod caller;
+mod chain;
+mod forwarder;
+mod latency;
+mod load;
+mod report;
+mod scenario;
+mod wire;
+mod world;
+
+use std::{fs, time::Duration};
+
+use gumdrop::Options;
+use serde::Serialize;
+
+use self::{account::Account, latency::Cost, scenario::Scenario, world::Side};
+use crate::fleet::Failure;
+
+/// Options of `requests`.
+#[derive(Debug, Options)]
+pub(crate) struct Args {
+    /// Prints this help.
+    #[options(help_flag)]
+    help: bool,
+    /// The only scenario to run.
+    #[options(help = "run only this scenario", meta = "NAME")]
+    only: Option<String>,
+    /// Seconds of each scenario.
+    #[options(default = "5", help = "seconds of each scenario")]
+    seconds: u64,
+    /// Where to write JSON.
+    #[options(help = "file for the figures as JSON", meta = "FILE")]
+    json: Option<String>,
+}
+
+/// All figures of one run.
+#[derive(Debug, Default, Serialize)]
+struct Run {
+    costs: Vec<Cost>,
+    accounts: Vec<Account>,
+}
+
+/// Runs the bench; false if a figure that must be 0 is not.
+pub(crate) async fn run(args: Args) -> Result<bool, Failure> {
+    let time = Duration::from_secs(args.seconds);
+    let wanted = |name: &str| args.only.as_deref().is_none_or(|only| only == name);
+    let mut run = Run::default();
+    report::header();
+    if wanted("latency") {
+        (run.costs, run.accounts) = latency::measure(time).await?;
+        run.accounts.iter().for_each(report::account);
+        report::costs(&run.costs);
+    }
+    for scenario in Scenario::ALL.into_iter().filter(|scenario| wanted(scenario.name)) {
+        for side in [Side::Forwarder, Side::Damaskwick] {
+            let account = scenario.run(side, time).await?;
+            report::account(&account);
+            run.accounts.push(account);
+        }
+    }
+    if wanted("call-chain") {
+        for side in [Side::Forwarder, Side::Damaskwick] {
+            let account = chain::run(side, time).await?;
+            report::account(&account);
+            run.accounts.push(account);
+        }
+    }
+    if run.accounts.is_empty() {
+        return Err("no scenario has this name".into());
+    }
+    let good = report::goals(&run.accounts, &run.costs);
+    if let Some(file) = args.json {
+        fs::write(file, serde_json::to_string_pretty(&run)?)?;
+    }
+    Ok(good)
+}
--- /dev/null
+++ b/crates/bench/src/requests/chain.rs
@@ -0,0 +1,181 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, RwLock,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dw_fakes::answer_body;
+use dw_tables::{Tables, parse_pools, parse_routes};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use rand::Rng;
+use tokio::{net::TcpListener, task::JoinSet, time::sleep};
+
+use super::{
+    account::Account,
+    caller::{Caller, Shape},
+    forwarder::Forwarder,
+    load::open_loop,
+    wire::{Reply, Wire},
+    world::{Entries, HOSTS, Side, World},
+};
+use crate::fleet::Failure;
+
+/// Calls of one request, each made by the target of the one before.
+const DEPTH: usize = 8;
+/// Share of the calls that fail at their target.
+const FAILING: f64 = 0.01;
+/// Work of each call.
+const WORK: Duration = Duration::from_millis(2);
+/// Requests of callers a second.
+const RATE: f64 = 150.0;
+/// Headers that a service passes on to the calls that it makes.
+const PASSED: [&str; 5] = [
+    "x-request-id",
+    "damaskwick-depth",
+    "damaskwick-timeout-ms",
+    "damaskwick-retried",
+    "damaskwick-home",
+];
+
+const ROUTES: &str = r#"{"routes": [
+  {"name": "chain", "match": {"path": "/chain"}, "pool": "chain", "repeat": "idempotent",
+   "deadline": "1s", "retries": 2}
+]}"#;
+
+const POOLS: &str = r#"{"pools": [{"name": "chain", "service": "chain"}]}"#;
+
+/// Targets that call the next level through the proxy on their host.
+struct Chain {
+    calls: AtomicUsize,
+    failed: AtomicUsize,
+    entries: RwLock<Entries>,
+    wire: Wire,
+}
+
+/// Calls of depth 8 of which 1% fail at each level.
+pub(crate) async fn run(side: Side, time: Duration) -> Result<Account, Failure> {
+    let chain = Arc::new(Chain {
+        calls: AtomicUsize::new(0),
+        failed: AtomicUsize::new(0),
+        entries: RwLock::default(),
+        wire: Wire::default(),
+    });
+    let mut tasks = JoinSet::new();
+    let mut addrs = Vec::new();
+    for index in 0..HOSTS {
+        addrs.push(serve(&chain, index, &mut tasks).await?);
+    }
+    let (world, forwarder, entries) = match side {
+        Side::Damaskwick => {
+            let tables = Tables {
+                routes: parse_routes("routes", ROUTES)?,
+                pools: parse_pools("pools", POOLS)?,
+            };
+            let world = World::with_targets(tables, "chain", &addrs).await?;
+            let entries = world.entries.clone();
+            (Some(world), None, entries)
+        }
+        Side::Forwarder | Side::Direct => {
+            let forwarder = Forwarder::start(addrs).await?;
+            let entries = Entries::new(vec![forwarder.addr()]);
+            (None, Some(forwarder), entries)
+        }
+    };
+    *chain.entries.write().map_err(|_| "a task of the bench panicked")? = entries.clone();
+    let shape = Shape { path: Some("/chain/8"), ..Shape::default() };
+    let ran = open_loop(&Caller::new(entries, shape), RATE, time).await?;
+    let mut account = Account::new("call-chain", side, &ran, &dw_fakes::Ledger::default());
+    account.runs = chain.calls.load(Ordering::Relaxed);
+    let wanted = ran.records.len() * DEPTH;
+    account.note = format!(
+        "calls {} for {wanted} wanted, amplification {:.3}, failed {}",
+        account.runs,
+        account.runs as f64 / wanted.max(1) as f64,
+        chain.failed.load(Ordering::Relaxed),
+    );
+    if let Some(world) = world {
+        world.close().await;
+    }
+    if let Some(forwarder) = forwarder {
+        forwarder.close().await;
+    }
+    tasks.shutdown().await;
+    Ok(account)
+}
+
+async fn serve(
+    chain: &Arc<Chain>,
+    index: usize,
+    tasks: &mut JoinSet<()>,
+) -> Result<SocketAddr, Failure> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    let chain = chain.clone();
+    tasks.spawn(async move {
+        let mut conns = JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            // Without the option small responses wait for the acknowledgement of earlier ones.
+            let _ = stream.set_nodelay(true);
+            let chain = chain.clone();
+            let service = service_fn(move |request| {
+                let chain = chain.clone();
+                async move { Ok::<_, std::convert::Infallible>(chain.answer(index, request).await) }
+            });
+            conns.spawn(async move {
+                // The client sees a broken connection too.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+    Ok(addr)
+}
+
+impl Chain {
+    async fn answer(&self, index: usize, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        sleep(WORK).await;
+        if rand::rng().random_bool(FAILING) {
+            self.failed.fetch_add(1, Ordering::Relaxed);
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let level = request.uri().path().rsplit('/').next().and_then(|text| text.parse().ok());
+        if let Some(level @ 2..) = level
+            && let Err(code) = self.next(index, level - 1, request.headers()).await
+        {
+            return status(code);
+        }
+        let id = request.headers().get("x-request-id").and_then(|value| value.to_str().ok());
+        Response::new(Full::new(answer_body(id.unwrap_or_default(), 256)))
+    }
+
+    /// Calls the next level; the status of the response if it failed.
+    async fn next(&self, index: usize, level: usize, map: &HeaderMap) -> Result<(), StatusCode> {
+        let entry = self.entries.read().ok().and_then(|entries| entries.at(index));
+        let mut builder = Request::get(format!("/chain/{level}")).header("host", "kiosk.test");
+        for name in PASSED {
+            if let Some(value) = map.get(name) {
+                builder = builder.header(name, value);
+            }
+        }
+        let request = builder.body(Full::default()).map_err(|_| StatusCode::BAD_REQUEST)?;
+        let entry = entry.ok_or(StatusCode::BAD_GATEWAY)?;
+        match self.wire.send(entry, request).await {
+            Reply::Whole(response) if response.status().is_success() => Ok(()),
+            Reply::Whole(response) => Err(response.status()),
+            Reply::NotSent | Reply::Lost => Err(StatusCode::BAD_GATEWAY),
+        }
+    }
+}
+
+fn status(code: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = code;
+    response
+}
--- /dev/null
+++ b/crates/bench/src/requests/forwarder.rs
@@ -0,0 +1,111 @@
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpListener,
+    task::{JoinHandle, JoinSet},
+    time::timeout,
+};
+
+use super::wire::{Reply, Wire};
+use crate::fleet::Failure;
+
+/// Times that a request is sent at most.
+const TRIES: usize = 3;
+/// The longest wait for each.
+const TRY_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// The baseline: one hop that sends each request to the next target and, after any error, to the
+/// one after it.
+pub(crate) struct Forwarder {
+    addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Forwarder {
+    pub(crate) async fn start(targets: Vec<SocketAddr>) -> Result<Self, Failure> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let state = Arc::new(State { targets, next: AtomicUsize::new(0), wire: Wire::default() });
+        let task = tokio::spawn(async move {
+            let mut conns = JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                while conns.try_join_next().is_some() {}
+                // Without the option small responses wait for the acknowledgement of earlier ones.
+                let _ = stream.set_nodelay(true);
+                let state = state.clone();
+                let service = service_fn(move |request| {
+                    let state = state.clone();
+                    async move { Ok::<_, Infallible>(state.serve(request).await) }
+                });
+                conns.spawn(async move {
+                    // The caller sees a broken connection too.
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+        Ok(Self { addr, task })
+    }
+
+    pub(crate) const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    pub(crate) async fn close(self) {
+        self.task.abort();
+        // The task was cancelled.
+        let _ = self.task.await;
+    }
+}
+
+struct State {
+    targets: Vec<SocketAddr>,
+    next: AtomicUsize,
+    wire: Wire,
+}
+
+impl State {
+    async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (mut head, body) = request.into_parts();
+        let Ok(body) = body.collect().await else { return failed(StatusCode::BAD_REQUEST) };
+        let body = body.to_bytes();
+        head.headers.remove(header::CONNECTION);
+        let mut last = failed(StatusCode::BAD_GATEWAY);
+        for _ in 0..TRIES {
+            let index = self.next.fetch_add(1, Ordering::Relaxed) % self.targets.len();
+            let request = Request::from_parts(head.clone(), Full::new(body.clone()));
+            let sent = timeout(TRY_TIMEOUT, self.wire.send(self.targets[index], request)).await;
+            match sent {
+                Ok(Reply::Whole(response)) => {
+                    let good = !response.status().is_server_error();
+                    last = response.map(Full::new);
+                    if good {
+                        break;
+                    }
+                }
+                Ok(Reply::NotSent | Reply::Lost) => last = failed(StatusCode::BAD_GATEWAY),
+                Err(_) => last = failed(StatusCode::GATEWAY_TIMEOUT),
+            }
+        }
+        last
+    }
+}
+
+fn failed(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/bench/src/requests/load.rs
@@ -0,0 +1,81 @@
+use std::{thread, time::Duration};
+
+use hdrhistogram::Histogram;
+use rand::Rng;
+use tokio::{runtime::Handle, sync::mpsc, time::Instant};
+
+use super::caller::{Caller, Record, Said};
+use crate::fleet::Failure;
+
+/// What a run of the load generator gave.
+pub(crate) struct Ran {
+    pub records: Vec<Record>,
+    /// Latency of whole responses in us, counted from when the request was due.
+    pub latency: Histogram<u64>,
+    /// Length of the run.
+    pub time: Duration,
+}
+
+/// Sends requests at `rate` a second for `time` whether or not earlier ones were answered, and
+/// waits for all responses.
+pub(crate) async fn open_loop(caller: &Caller, rate: f64, time: Duration) -> Result<Ran, Failure> {
+    let (send, mut receive) = mpsc::unbounded_channel();
+    let (caller, handle) = (caller.clone(), Handle::current());
+    // A thread, because the timers of the runtime have a granularity of 1 ms.
+    let pacer = thread::spawn(move || {
+        let mut random = rand::rng();
+        let start = Instant::now();
+        let mut due = Duration::ZERO;
+        let mut number = 0;
+        loop {
+            due += Duration::from_secs_f64(-(1.0 - random.random::<f64>()).ln() / rate);
+            if due >= time {
+                break;
+            }
+            thread::sleep(due.saturating_sub(start.elapsed()));
+            number += 1;
+            let (caller, send) = (caller.clone(), send.clone());
+            handle.spawn(async move {
+                // The receiver outlives all senders.
+                let _ = send.send(caller.call(number, start + due).await);
+            });
+        }
+    });
+    let mut records = Vec::new();
+    while let Some(record) = receive.recv().await {
+        records.push(record);
+    }
+    // All senders are gone, so the thread has ended.
+    let _ = pacer.join();
+    Ok(Ran { latency: histogram(&records)?, records, time })
+}
+
+/// Keeps `clients` requests in flight for `time`, and returns the whole responses a second.
+pub(crate) async fn closed_loop(caller: &Caller, clients: usize, time: Duration) -> (f64, usize) {
+    let start = Instant::now();
+    let mut tasks = tokio::task::JoinSet::new();
+    for client in 0..clients {
+        let caller = caller.clone();
+        tasks.spawn(async move {
+            let mut whole = 0_usize;
+            let mut number = client;
+            while start.elapsed() < time {
+                let record = caller.call(number, Instant::now()).await;
+                whole += usize::from(record.said() == Said::Whole);
+                number += clients;
+            }
+            whole
+        });
+    }
+    let whole: usize = tasks.join_all().await.into_iter().sum();
+    (whole as f64 / start.elapsed().as_secs_f64(), whole)
+}
+
+/// The latency of the whole responses.
+fn histogram(records: &[Record]) -> Result<Histogram<u64>, Failure> {
+    let mut latency = Histogram::new(3)?;
+    for record in records.iter().filter(|record| record.said() == Said::Whole) {
+        latency.record(u64::try_from(record.latency.as_micros())?)?;
+    }
+    Ok(latency)
+}
--- /dev/null
+++ b/crates/bench/src/requests/wire.rs
@@ -0,0 +1,87 @@
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// What came of a request.
+pub(crate) enum Reply {
+    /// A response with its whole body.
+    Whole(Response<Bytes>),
+    /// No connection was made.
+    NotSent,
+    /// The connection or the body ended early.
+    Lost,
+}
+
+type Kept = HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>;
+
+/// Kept HTTP/1.1 connections by address.
+#[derive(Clone, Default)]
+pub(crate) struct Wire(Arc<Mutex<Kept>>);
+
+impl Wire {
+    /// Sends a request on a kept connection or a new one, and reads the whole response.
+    pub(crate) async fn send(&self, addr: SocketAddr, mut request: Request<Full<Bytes>>) -> Reply {
+        loop {
+            let (mut sender, fresh) = match self.kept(addr) {
+                Some(sender) => (sender, false),
+                None => match connect(addr).await {
+                    Some(sender) => (sender, true),
+                    None => return Reply::NotSent,
+                },
+            };
+            if sender.ready().await.is_err() {
+                if fresh {
+                    return Reply::NotSent;
+                }
+                continue;
+            }
+            match sender.try_send_request(request).await {
+                Ok(response) => {
+                    let (head, body) = response.into_parts();
+                    let Ok(body) = body.collect().await else { return Reply::Lost };
+                    self.keep(addr, sender);
+                    return Reply::Whole(Response::from_parts(head, body.to_bytes()));
+                }
+                Err(mut fault) => match fault.take_message() {
+                    // Nothing was sent on the connection, so the request may use another one.
+                    Some(message) if !fresh => request = message,
+                    Some(_) => return Reply::NotSent,
+                    None => return Reply::Lost,
+                },
+            }
+        }
+    }
+
+    /// Connections that are kept now.
+    pub(crate) fn count(&self) -> usize {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).values().map(Vec::len).sum()
+    }
+
+    fn kept(&self, addr: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = kept.get_mut(&addr)?;
+        std::iter::from_fn(|| list.pop()).find(|sender| !sender.is_closed())
+    }
+
+    fn keep(&self, addr: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+        let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.entry(addr).or_default().push(sender);
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(addr).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, conn) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(conn);
+    Some(sender)
+}
--- /dev/null
+++ b/crates/bench/src/requests/world.rs
@@ -0,0 +1,233 @@
+use std::{
+    net::SocketAddr,
+    sync::{Arc, PoisonError, RwLock},
+    time::Duration,
+};
+
+use dw_daemon::{Daemon, LogLevel, PresetName, Running, Settings, TargetSettings};
+use dw_fakes::{Ledger, RunningStandin, RunningTarget, Standin, Target};
+use dw_platform::HttpPlatform;
+use dw_tables::{Name, Tables, parse_pools, parse_routes};
+use tokio::{
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use super::forwarder::Forwarder;
+use crate::{fleet::Failure, publish::publish};
+
+/// Hosts, each with one target and one daemon.
+pub(crate) const HOSTS: usize = 5;
+/// Slots of each target.
+pub(crate) const SLOTS: u32 = 12;
+/// Connections that each target accepts.
+pub(crate) const CONNECTIONS: u32 = 120;
+/// Service time of each target.
+pub(crate) const WORK: Duration = Duration::from_millis(20);
+
+/// A keeper answers `unknown` for half a second after its start, see section 5.4 of the design.
+const WARM: Duration = Duration::from_millis(1000);
+
+/// The longest wait for the daemons to serve version 1 and to see each other.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+const ROUTES: &str = r#"{"routes": [
+  {"name": "lookup", "match": {"path": "/lookup"}, "pool": "shop", "repeat": "idempotent",
+   "deadline": "1s", "retries": 2},
+  {"name": "credit", "match": {"path": "/credit"}, "pool": "shop", "repeat": "once",
+   "deadline": "1s", "retries": 1}
+]}"#;
+
+const POOLS: &str = r#"{"pools": [
+  {"name": "shop", "service": "shop", "limits": {"queue": 24, "queue_wait": "50ms"}}
+]}"#;
+
+/// How calls reach the targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "lowercase")]
+pub(crate) enum Side {
+    /// Without anything between.
+    Direct,
+    /// Through the baseline.
+    Forwarder,
+    /// Through two daemons.
+    Damaskwick,
+}
+
+/// The addresses that callers use, which change when a daemon is replaced.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Entries(Arc<RwLock<Vec<SocketAddr>>>);
+
+impl Entries {
+    pub(crate) fn new(addrs: Vec<SocketAddr>) -> Self {
+        Self(Arc::new(RwLock::new(addrs)))
+    }
+
+    /// The address for the given number, round robin.
+    pub(crate) fn at(&self, number: usize) -> Option<SocketAddr> {
+        let addrs = self.0.read().unwrap_or_else(PoisonError::into_inner);
+        addrs.get(number.checked_rem(addrs.len())?).copied()
+    }
+
+    fn replace(&self, index: usize, addr: SocketAddr) {
+        let mut addrs = self.0.write().unwrap_or_else(PoisonError::into_inner);
+        if let Some(slot) = addrs.get_mut(index) {
+            *slot = addr;
+        }
+    }
+}
+
+/// What differs between the targets of the scenarios.
+pub(crate) type Build = fn(usize, Target) -> Target;
+
+/// Targets and what is in front of them.
+pub(crate) struct World {
+    pub ledger: Ledger,
+    pub targets: Vec<RunningTarget>,
+    pub entries: Entries,
+    pub daemons: Vec<Option<Running>>,
+    standin: Option<RunningStandin>,
+    forwarder: Option<Forwarder>,
+}
+
+impl World {
+    /// Starts targets, and daemons or the baseline in front of them.
+    pub(crate) async fn start(side: Side, build: Build) -> Result<Self, Failure> {
+        let ledger = Ledger::default();
+        let mut targets = Vec::new();
+        for index in 0..HOSTS {
+            let target = Target::new("shop")
+                .with_slots(SLOTS as usize)
+                .with_connections(CONNECTIONS as usize)
+                .with_service_time(WORK)
+                .with_ledger(ledger.clone());
+            targets.push(build(index, target).start().await?);
+        }
+        let addrs: Vec<SocketAddr> = targets.iter().map(RunningTarget::addr).collect();
+        let mut world = Self {
+            ledger,
+            targets,
+            entries: Entries::new(addrs.clone()),
+            daemons: Vec::new(),
+            standin: None,
+            forwarder: None,
+        };
+        match side {
+            Side::Direct => {}
+            Side::Forwarder => {
+                let forwarder = Forwarder::start(addrs).await?;
+                world.entries = Entries::new(vec![forwarder.addr()]);
+                world.forwarder = Some(forwarder);
+            }
+            Side::Damaskwick => world.start_daemons(tables()?, "shop", &addrs).await?,
+        }
+        Ok(world)
+    }
+
+    /// Daemons in front of targets that the bench itself serves.
+    pub(crate) async fn with_targets(
+        tables: Tables,
+        service: &str,
+        addrs: &[SocketAddr],
+    ) -> Result<Self, Failure> {
+        let mut world = Self {
+            ledger: Ledger::default(),
+            targets: Vec::new(),
+            entries: Entries::default(),
+            daemons: Vec::new(),
+            standin: None,
+            forwarder: None,
+        };
+        world.start_daemons(tables, service, addrs).await?;
+        Ok(world)
+    }
+
+    async fn start_daemons(
+        &mut self,
+        tables: Tables,
+        service: &str,
+        addrs: &[SocketAddr],
+    ) -> Result<(), Failure> {
+        let standin = Standin::new().start().await?;
+        publish(&HttpPlatform::new(vec![standin.addr()]), 1, tables).await?;
+        self.standin = Some(standin);
+        for (index, addr) in addrs.iter().enumerate() {
+            let daemon = self.daemon(index, service, *addr).await?;
+            self.daemons.push(Some(daemon));
+        }
+        let ready = async {
+            for daemon in self.daemons.iter().flatten() {
+                daemon.wait_version(1).await;
+                daemon.wait_members(|members| members.len() == addrs.len()).await;
+            }
+        };
+        timeout(START_LIMIT, ready).await.map_err(|_| "the daemons did not start in time")?;
+        let callers = self.daemons.iter().flatten().map(|daemon| daemon.addrs().callers).collect();
+        self.entries = Entries::new(callers);
+        sleep(WARM).await;
+        Ok(())
+    }
+
+    async fn daemon(
+        &self,
+        index: usize,
+        service: &str,
+        target: SocketAddr,
+    ) -> Result<Running, Failure> {
+        let platform = self.standin.iter().map(RunningStandin::addr).collect();
+        let join = self.daemons.iter().flatten().map(|daemon| daemon.addrs().peers).collect();
+        let host = Name::from(format!("host-{index}"));
+        let settings = Settings::new(host, "domain".into(), "region".into())
+            .with_platform(platform)
+            .with_join(join)
+            .with_preset(PresetName::Verband)
+            .with_log(LogLevel::Off)
+            .with_target(TargetSettings {
+                service: service.into(),
+                address: target,
+                slots: SLOTS,
+                connections: CONNECTIONS,
+            });
+        Ok(Daemon::new(settings).start().await?)
+    }
+
+    /// Ends one daemon as a failed host does.
+    pub(crate) async fn kill_daemon(&mut self, index: usize) {
+        if let Some(daemon) = self.daemons.get_mut(index).and_then(Option::take) {
+            daemon.kill().await;
+        }
+    }
+
+    /// Starts a new daemon in place of one that was killed.
+    pub(crate) async fn revive_daemon(&mut self, index: usize) -> Result<(), Failure> {
+        let Some(target) = self.targets.get(index).map(RunningTarget::addr) else { return Ok(()) };
+        let daemon = self.daemon(index, "shop", target).await?;
+        self.entries.replace(index, daemon.addrs().callers);
+        if let Some(slot) = self.daemons.get_mut(index) {
+            *slot = Some(daemon);
+        }
+        Ok(())
+    }
+
+    /// Closes everything; the daemons end without goodbyes.
+    pub(crate) async fn close(self) {
+        let mut ends = JoinSet::new();
+        for daemon in self.daemons.into_iter().flatten() {
+            ends.spawn(daemon.kill());
+        }
+        if let Some(forwarder) = self.forwarder {
+            forwarder.close().await;
+        }
+        for target in self.targets {
+            ends.spawn(target.close());
+        }
+        if let Some(standin) = self.standin {
+            ends.spawn(standin.close());
+        }
+        ends.join_all().await;
+    }
+}
+
+fn tables() -> Result<Tables, Failure> {
+    Ok(Tables { routes: parse_routes("routes", ROUTES)?, pools: parse_pools("pools", POOLS)? })
+}
--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -43,7 +43,16 @@
 ) -> Result<Json, Failure> {
     let edit = Edit { author: author(args, edit)?, ..edit.clone() };
     let tables = read_tables(&args.tables)?;
-    let data = accept(args, &edit, tables, platform, admin, console).await?;
+    let data =
+        accept(args, &edit, tables, platform, admin, console).await.map_err(
+            |failure| match failure.exit {
+                Exit::Unreachable => Failure {
+                    message: format!("{}; no version was accepted", failure.message),
+                    ..failure
+                },
+                _ => failure,
+            },
+        )?;
     if data["change"].is_string() {
         let number = &data["version"];
         let daemon = args.daemon.first().map_or("IP:PORT".to_owned(), ToString::to_string);
--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/apply.rs
@@ -170,6 +170,7 @@
     platform.store().down = true;
     let (exit, text) = apply(&platform, "mine", 1, &tables("down", "4s", "1s")).await;
     expect_that!(exit, eq(Exit::Unreachable), "{text}");
+    expect_that!(text, contains_substring("; no version was accepted"));
     expect_that!(platform.changes(), elements_are![eq("first")]);
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -140,7 +140,7 @@
         proxy: proxy.clone(),
         tasks: tasks.clone(),
         drain: Default::default(),
-        closed: Default::default(),
+        stop: Default::default(),
         end: Default::default(),
         open: Default::default(),
     };
--- a/crates/daemon/src/link/tcp.rs
+++ b/crates/daemon/src/link/tcp.rs
@@ -33,6 +33,7 @@
 
 /// A message for the task that owns the connections to peers.
 #[derive(Debug)]
+#[allow(clippy::large_enum_variant, reason = "nearly all messages are frames")]
 pub(crate) enum ToLinks {
     /// Send a frame, connecting where needed.
     Send {
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -29,6 +29,8 @@
 pub(crate) const FROM: HeaderName = HeaderName::from_static("damaskwick-from");
 /// Time since the process of that host started in ms, between daemons.
 pub(crate) const AGE: HeaderName = HeaderName::from_static("damaskwick-from-age-ms");
+/// A daemon that was asked about the key before, between daemons; one header for each.
+pub(crate) const ASKED: HeaderName = HeaderName::from_static("damaskwick-asked");
 /// Whether records that are handed over are the last ones, between daemons.
 pub(crate) const LAST: HeaderName = HeaderName::from_static("damaskwick-last");
 /// Digest of the daemons among which records are divided, between daemons.
--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use dw_request::{ANSWER_LIMIT, Claim, HandOver, Held, KeyOutcome, Outcome, Reason, Refusal};
 use dw_tables::Name;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use tokio::{
     sync::oneshot,
@@ -46,7 +46,7 @@
         from: SocketAddr,
         deadline: Instant,
     ) -> Result<Response<Payload>, Refusal> {
-        let mut moved = Refusal::new(Reason::KeeperMoved);
+        let mut last = Refusal::new(Reason::KeeperMoved);
         for attempt in 0..KEEPER_TRIES {
             if attempt > 0 {
                 sleep(KEEPER_PAUSE).await;
@@ -58,7 +58,7 @@
             };
             if keeper.host == self.host {
                 match self.keep(call, key).await {
-                    Err(refusal) if refusal.reason == Reason::KeeperMoved => moved = refusal,
+                    Err(refusal) if refusal.reason == Reason::KeeperMoved => last = refusal,
                     result => return result,
                 }
                 continue;
@@ -71,10 +71,18 @@
                     if !again || !call.sendable() {
                         return Ok(response);
                     }
+                    last = Refusal::new(Reason::KeeperMoved);
                 }
-                // An earlier request with this key may have been run, so this is not `not-run`.
-                Ok(Err(SendFault::NotSent { .. })) => {
-                    return Err(Refusal::new(Reason::KeeperUnreachable));
+                // The keeper may just have left. An earlier request with this key may have been
+                // run, so this does not end as `not-run`.
+                Ok(Err(SendFault::NotSent { request, .. })) => {
+                    last = Refusal::new(Reason::KeeperUnreachable);
+                    if let Some(request) = request {
+                        call.restore(*request);
+                    }
+                    if !call.sendable() {
+                        return Err(last);
+                    }
                 }
                 Ok(Err(SendFault::Unknown { .. })) => {
                     return Err(Refusal::new(Reason::ConnectionLost));
@@ -82,7 +90,7 @@
                 Err(_) => return Err(Refusal::new(Reason::TimedOut)),
             }
         }
-        Err(moved)
+        Err(last)
     }
 
     /// Runs a request whose key this daemon keeps, unless it was run before.
@@ -133,6 +141,11 @@
         headers::set(map, headers::STEP, "cede");
         headers::set(map, headers::FROM, &self.host);
         headers::set(map, headers::AGE, self.started.elapsed().as_millis());
+        for asked in self.keeper().asked(key) {
+            if let Ok(value) = HeaderValue::try_from(asked.as_str()) {
+                map.append(headers::ASKED, value);
+            }
+        }
         if let Some(first) = first {
             let age = u64::try_from(first.elapsed().as_millis()).unwrap_or(u64::MAX);
             headers::set(map, headers::FIRST_SENT, clock::unix_ms().saturating_sub(age));
@@ -151,7 +164,11 @@
         let first = first.and_then(clock::from_unix_ms);
         let age = headers::read(&head.headers, &headers::AGE).unwrap_or(0);
         let age = Duration::from_millis(age);
-        let held = self.keeper().cede(&Name::from(key), first, &from, age, Instant::now());
+        let asked = head.headers.get_all(headers::ASKED).iter();
+        let asked: Vec<Name> =
+            asked.filter_map(|value| value.to_str().ok()).map(Name::from).collect();
+        let now = Instant::now();
+        let held = self.keeper().cede(&Name::from(key), first, &from, &asked, age, now);
         Response::new(full(records::encode_held(&held)))
     }
 
--- a/crates/daemon/src/proxy/server.rs
+++ b/crates/daemon/src/proxy/server.rs
@@ -1,4 +1,4 @@
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
@@ -37,9 +37,9 @@
     pub(crate) tasks: Tasks,
     /// Cancelled when the daemon starts to leave.
     pub(crate) drain: CancellationToken,
-    /// Cancelled when no connection of a caller is accepted any more.
-    pub(crate) closed: CancellationToken,
-    /// Cancelled when no request is in flight any more.
+    /// Cancelled when no more connections are accepted.
+    pub(crate) stop: CancellationToken,
+    /// Cancelled when idle connections are closed.
     pub(crate) end: CancellationToken,
     /// Tokens of the open connections.
     pub(crate) open: TaskTracker,
@@ -48,10 +48,7 @@
 impl Server {
     /// Accepts callers, HTTP/1.1 or HTTP/2.
     pub(crate) async fn callers(self, listener: TcpListener) {
-        // A caller whose connection is refused knows that its request was not run.
-        let closed = self.closed.clone();
-        let accept = self.accept(listener, |server, stream, from| server.caller(stream, from));
-        let _ = closed.run_until_cancelled(accept).await;
+        self.accept(listener, |server, stream, from| server.caller(stream, from)).await;
     }
 
     /// Accepts other daemons, HTTP/2.
@@ -66,16 +63,25 @@
     ) where
         F: Future<Output = ()> + Send + 'static,
     {
-        loop {
-            match listener.accept().await {
-                Ok((stream, from)) => {
-                    // Without the option small responses are only slower.
-                    let _ = stream.set_nodelay(true);
-                    self.tasks.spawn(serve(self.clone(), stream, from));
-                }
-                Err(_) => sleep(ACCEPT_PAUSE).await,
+        let take = |accepted: io::Result<(TcpStream, SocketAddr)>| {
+            let (stream, from) = accepted.ok()?;
+            // Without the option small responses are only slower.
+            let _ = stream.set_nodelay(true);
+            self.tasks.spawn(serve(self.clone(), stream, from));
+            Some(())
+        };
+        while let Some(accepted) = self.stop.run_until_cancelled(listener.accept()).await {
+            if take(accepted).is_none() {
+                sleep(ACCEPT_PAUSE).await;
             }
         }
+        // What has connected by now is still answered; closing the listener would reset it. The
+        // standard library's listener asks the system and not tokio's notion of readiness.
+        let Ok(listener) = listener.into_std() else { return };
+        while let Ok((stream, from)) = listener.accept() {
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            let _ = take(stream.map(|stream| (stream, from)));
+        }
     }
 
     async fn caller(self, stream: TcpStream, from: SocketAddr) {
--- a/crates/daemon/src/proxy/slot.rs
+++ b/crates/daemon/src/proxy/slot.rs
@@ -20,7 +20,7 @@
 };
 
 use super::target::TargetPool;
-use crate::{TargetSettings, tasks::Tasks};
+use crate::{TargetSettings, clock, tasks::Tasks};
 
 /// The longest wait for a connection that shows whether a target still runs.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -64,7 +64,8 @@
             changed: Notify::new(),
             draining: AtomicBool::new(false),
             down: AtomicBool::new(false),
-            deaths: AtomicU64::new(0),
+            // Distinct from the deaths that an earlier process of this host counted.
+            deaths: AtomicU64::new(clock::unix_ms()),
         }
     }
 
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -20,9 +20,9 @@
 /// a request sent on one at that moment is still refused by a response.
 const NOTICE: Duration = Duration::from_millis(300);
 
-/// Time for requests on connections that were accepted last to be refused by a response. A
-/// connection that is closed at once leaves its caller without knowing whether the request was run.
-const LAST_REPLIES: Duration = Duration::from_millis(100);
+/// Time between the end of accepting and the end of idle connections, in which requests on those
+/// that were accepted last arrive and are refused by a response.
+const LINGER: Duration = Duration::from_millis(200);
 
 /// The longest wait for connections to close once nothing is in flight.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
@@ -135,8 +135,8 @@
             spdlog::warn!(logger: self.log, "[proxy] the grace ended with {left} requests in flight");
         }
         self.proxy.hand_over().await;
-        self.server.closed.cancel();
-        sleep(LAST_REPLIES).await;
+        self.server.stop.cancel();
+        sleep(LINGER).await;
         self.server.end.cancel();
         self.proxy.close_idle();
         self.server.open.close();
--- a/crates/mesh/src/broadcast.rs
+++ b/crates/mesh/src/broadcast.rs
@@ -9,8 +9,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    Action, Fingerprint, Member, MemberState, Node, bucket::TokenBucket, hash, learn::push_records,
-    timer::Timer,
+    Action, Fingerprint, Member, MemberState, Node, bucket::TokenBucket, hash, timer::Timer,
 };
 
 /// Broadcasts per second that a node starts. Events beyond that travel by gossip.
@@ -106,7 +105,7 @@
         let hosts = std::mem::take(&mut self.urgent.hosts);
         let rows = hosts.iter().filter_map(|host| self.roster.get(host));
         let (mut members, mut room) = (Vec::new(), CAST_BYTES);
-        push_records(&mut members, &mut room, rows);
+        self.roster.collect(&mut members, &mut room, rows, self.now);
         let cast = Broadcast {
             id: self.rng.random(),
             root: self.me.host.to_string(),
--- a/crates/mesh/src/counter.rs
+++ b/crates/mesh/src/counter.rs
@@ -54,6 +54,9 @@
     /// The process was paused for longer than a probe period.
     #[display("paused")]
     Paused,
+    /// A standby read a version that no relay had distributed.
+    #[display("covered")]
+    Covered,
     /// A message could not be used.
     #[display("bad-message")]
     BadMessage,
--- a/crates/mesh/src/fleet.rs
+++ b/crates/mesh/src/fleet.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
@@ -9,10 +10,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    DomainStatus, Force, MemberState, Node, RELAY_SLOTS, Refused, Status,
+    DomainStatus, Force, Member, MemberState, Node, RELAY_SLOTS, Refused, Status,
     convert::{mark_from_wire, mark_to_wire, names},
-    learn::push_records,
-    roster::Gone,
     timer::Timer,
 };
 
@@ -51,6 +50,9 @@
 const STATUS_EVERY: Duration = Duration::from_secs(1);
 const STATUS_WANTED: Duration = Duration::from_secs(30);
 
+/// Probe periods after its start in which a node learns who is there.
+const CONFIRM_PERIODS: u32 = 2;
+
 /// The most domains whose totals are kept.
 const DOMAINS_LIMIT: usize = 64;
 
@@ -146,7 +148,7 @@
             return;
         }
         let summary = self.summary();
-        if summary.line.as_ref().is_none_or(|line| line.applied < line.members) {
+        if summary.line.as_ref().is_none_or(|line| line.partial || line.applied < line.members) {
             return;
         }
         self.fleet.complete = mark;
@@ -168,7 +170,7 @@
         let hosts: BTreeSet<&Name> = self.recent.iter().map(|(_, host)| host).collect();
         let rows = hosts.into_iter().filter_map(|host| self.roster.get(host));
         let (mut members, mut room) = (Vec::new(), RECENT_BYTES);
-        push_records(&mut members, &mut room, rows);
+        self.roster.collect(&mut members, &mut room, rows, self.now);
         Summary {
             host: self.me.host.to_string(),
             line: Some(self.own_line()),
@@ -214,14 +216,25 @@
 
     /// Members of the own domain that may be serving: the live ones, and those that were declared
     /// dead a short time ago without proof, because a cut looks like a death.
-    fn maybe_serving(&self) -> impl Iterator<Item = &std::sync::Arc<crate::Member>> {
-        self.roster.members(&self.me.domain).filter(|m| {
-            m.state.is_live() || self.roster.gone.get(&m.host).is_some_and(|g| self.in_doubt(g))
-        })
+    fn maybe_serving(&self) -> impl Iterator<Item = &Arc<Member>> {
+        self.roster.members(&self.me.domain).filter(|m| m.state.is_live() || self.in_doubt(m))
+    }
+
+    fn in_doubt(&self, member: &Member) -> bool {
+        let gone = self.roster.gone.get(&member.host);
+        member.state == MemberState::Dead
+            && gone.is_some_and(|at| *at + self.cfg.preset.doubt > self.now)
     }
 
-    fn in_doubt(&self, gone: &Gone) -> bool {
-        !gone.proven && gone.at + self.cfg.preset.doubt > self.now
+    /// Whether the node can know all members of its domain: it has run for some time, was told
+    /// who is there by a peer or by the platform's relay records, knows who
+    /// is at each address that it was to join through, and no peer's table differs from its own.
+    fn confirmed(&self) -> bool {
+        let age = self.now.saturating_duration_since(self.join.since);
+        age >= self.cfg.preset.probe * CONFIRM_PERIODS
+            && self.join.informed
+            && (self.join.unheard.is_empty() || age >= self.cfg.preset.doubt)
+            && self.probe.differs.is_none()
     }
 
     /// The state of the own domain, as a relay sees it.
@@ -231,6 +244,8 @@
             domain: self.me.domain.to_string(),
             mark: Some(mark_to_wire(mark)),
             spread_ms: millis(self.now.saturating_duration_since(self.store.since)),
+            processes: self.roster.processes(&self.me.domain),
+            partial: !self.confirmed(),
             ..Line::default()
         };
         for member in self.maybe_serving() {
@@ -379,9 +394,7 @@
             .domains()
             .filter(|domain| {
                 self.roster.live_count(domain) > 0
-                    || self.roster.members(domain).any(|m| {
-                        self.roster.gone.get(&m.host).is_some_and(|gone| self.in_doubt(gone))
-                    })
+                    || self.roster.members(domain).any(|m| self.in_doubt(m))
             })
             .cloned()
             .collect()
@@ -398,6 +411,9 @@
         let holds = mark.number >= version.number && mark.number > 0;
         let state = if mark.number == version.number && mark.hash != version.hash {
             Force::Refused
+        } else if line.partial || line.processes != self.roster.processes(domain) {
+            // Who is in the domain is not agreed: a member that is not counted may be serving.
+            Force::Unknown
         } else if mark == version && line.applied == line.members {
             Force::InForce
         } else {
--- a/crates/mesh/src/gossip.rs
+++ b/crates/mesh/src/gossip.rs
@@ -5,7 +5,9 @@
 
 use dw_tables::Name;
 
-use crate::{convert::member_to_wire, roster::Roster};
+use tokio::time::Instant;
+
+use crate::roster::Roster;
 
 /// Bytes of member updates in one datagram. A daemon exchanges about four datagrams per probe
 /// period, so a burst of updates stays below 5 KB/s at a period of 1 s.
@@ -35,6 +37,7 @@
         roster: &Roster,
         room: usize,
         members: usize,
+        now: Instant,
     ) -> Vec<dw_wire::Member> {
         let limit = send_limit(members);
         let (mut left, mut out, mut sent) = (room, Vec::new(), Vec::new());
@@ -43,7 +46,7 @@
                 sent.push((host.clone(), true));
                 continue;
             };
-            let wire = member_to_wire(member);
+            let wire = roster.record(member, now);
             let size = wire.size();
             if size > PIGGYBACK_BYTES {
                 // Too large for datagrams; broadcasts and table syncs carry it.
--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -5,10 +5,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    Counter, Level, Node, NodeConfig, PlatformCall, RelayRecord,
+    Counter, Level, MemberState, Node, NodeConfig, PlatformCall, RelayRecord,
     bucket::{TokenBucket, backoff},
     convert::{mark_to_wire, member_from_wire, member_to_wire},
-    learn::{RECORDS_BYTES, push_records},
+    learn::RECORDS_BYTES,
     timer::Timer,
 };
 
@@ -22,8 +22,10 @@
 /// Wait for the floors of further peers after the first.
 const FLOOR_WAIT: Duration = Duration::from_secs(1);
 
-/// Peers that are asked for the floor beside the one that admitted the node.
-const FLOOR_PEERS: usize = 2;
+/// Peers that are asked for the floor beside the one that admitted the node. Two were too few: a
+/// host that had acknowledged a version just before it crashed found nobody who remembered it
+/// (seed 1021 of the random faults).
+const FLOOR_PEERS: usize = 8;
 
 /// Joins per second that a peer admits; each costs it up to 1 MiB of records.
 const JOIN_RATE: f64 = 4.0;
@@ -46,6 +48,13 @@
     asked_relays: bool,
     bucket: TokenBucket,
     floor_from: BTreeSet<SocketAddr>,
+    /// Configured addresses and those of relay records of which nothing is known: a daemon there
+    /// may be serving.
+    pub(crate) unheard: BTreeSet<SocketAddr>,
+    /// Whether a peer or the platform has told who is there.
+    pub(crate) informed: bool,
+    /// When the node started.
+    pub(crate) since: Instant,
     /// Whether a peer has admitted the node.
     pub(crate) admitted: bool,
     /// Whether the node may act on its view: it was admitted, or nobody could be reached.
@@ -55,8 +64,11 @@
 impl Joining {
     /// A node that joins through the configured addresses.
     pub(crate) fn new(cfg: &NodeConfig, now: Instant) -> Self {
-        let contacts = cfg.join.iter().copied().filter(|addr| *addr != cfg.peer).collect();
+        let contacts: Vec<_> = cfg.join.iter().copied().filter(|addr| *addr != cfg.peer).collect();
         Self {
+            unheard: contacts.iter().copied().collect(),
+            informed: false,
+            since: now,
             contacts,
             next: 0,
             failures: 0,
@@ -121,6 +133,10 @@
     pub(crate) fn on_relay_records(&mut self, records: Vec<RelayRecord>) {
         let me = self.me.peer;
         for record in records.into_iter().filter(|r| r.peer != me) {
+            let known = self.roster.at(record.peer).is_some();
+            if !known && self.join.unheard.len() < CONTACTS_LIMIT {
+                self.join.unheard.insert(record.peer);
+            }
             if !self.join.admitted {
                 self.join.add(record.peer);
             } else if self.roster.live_count(&record.domain) == 0 {
@@ -163,19 +179,21 @@
             reply.retry_ms = u32::try_from((wait + jitter).as_millis()).unwrap_or(u32::MAX);
             let live = self.roster.live(&member.domain);
             let hints: Vec<_> = live.cloned().choose_multiple(&mut self.rng, HINTS);
-            push_records(&mut reply.members, room, hints.iter());
+            self.roster.collect(&mut reply.members, room, hints.iter(), self.now);
             self.send(from, FrameBody::JoinReply(reply));
             return;
         }
         self.count(Counter::JoinAdmitted);
         let host = member.host.clone();
-        if self.learn(member) {
+        if self.learn(member, Duration::ZERO) {
             self.urge(&host);
         }
         let own = std::iter::once(&self.me.domain);
         let others = self.roster.domains().filter(|domain| **domain != self.me.domain);
         for domain in own.chain(others) {
-            push_records(&mut reply.members, room, self.roster.live(domain));
+            // Those that are dead may be serving still, which a new relay has to know.
+            let rows = self.roster.members(domain).filter(|m| m.state != MemberState::Left);
+            self.roster.collect(&mut reply.members, room, rows, self.now);
         }
         self.send(from, FrameBody::JoinReply(reply));
     }
@@ -227,6 +245,7 @@
             return;
         }
         self.join.admitted = true;
+        self.join.informed = true;
         self.join.settled = true;
         self.timers.clear(Timer::Join);
         self.timers.sooner(Timer::Claim, self.now + Duration::from_millis(200));
@@ -235,10 +254,14 @@
         let mut hosts: Vec<_> = self.roster.relays(&self.me.domain).cloned().collect();
         let domain = self.me.domain.clone();
         hosts.extend(self.roster.candidates(&domain).iter().cloned());
+        let live = self.roster.live(&domain);
+        let some = live.choose_multiple(&mut self.rng, FLOOR_PEERS);
+        hosts.extend(some.into_iter().map(|m| m.host.clone()));
         let mut peers: Vec<_> =
             hosts.iter().filter_map(|h| self.roster.get(h)).map(|m| m.peer).collect();
         peers.retain(|peer| *peer != self.me.peer && *peer != from);
-        peers.dedup();
+        let mut seen = BTreeSet::new();
+        peers.retain(|peer| seen.insert(*peer));
         peers.truncate(FLOOR_PEERS);
         for peer in peers {
             self.join.floor_from.insert(peer);
--- a/crates/mesh/src/learn.rs
+++ b/crates/mesh/src/learn.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use dw_tables::Name;
 use dw_wire::{FrameBody, Hello, SyncMembers, SyncReply};
@@ -6,7 +6,7 @@
 
 use crate::{
     Counter, Level, Member, MemberState, Node,
-    convert::{member_from_wire, member_to_wire},
+    convert::member_from_wire,
     roster::{BUCKETS, bucket_of},
     timer::Timer,
 };
@@ -18,7 +18,7 @@
     /// Takes a record from a peer. Returns whether it is news.
     pub(crate) fn learn_wire(&mut self, wire: &dw_wire::Member) -> bool {
         match member_from_wire(wire) {
-            Some(member) => self.learn(member),
+            Some(member) => self.learn(member, Duration::from_millis(wire.gone_ms)),
             None => {
                 self.count(Counter::BadMessage);
                 false
@@ -26,8 +26,8 @@
         }
     }
 
-    /// Takes a record. Returns whether it is news.
-    pub(crate) fn learn(&mut self, member: Member) -> bool {
+    /// Takes a record; `age` is the time since a dead member is gone. Returns whether it is news.
+    pub(crate) fn learn(&mut self, member: Member, age: Duration) -> bool {
         if member.host == self.me.host {
             self.refute(&member);
             return false;
@@ -35,8 +35,11 @@
         let old = self.roster.get(&member.host).cloned();
         let news = match &old {
             Some(old) => member.supersedes(old),
-            // The end of a member that was never known changes nothing.
-            None => member.state.is_live(),
+            // A member that was never known matters if it may be serving still.
+            None => {
+                let doubt = member.state == MemberState::Dead && age < self.cfg.preset.doubt;
+                member.state.is_live() || doubt
+            }
         };
         if !news {
             return false;
@@ -46,6 +49,9 @@
         let gone = !member.state.is_live();
         self.acks.restart(&host, member.started);
         self.store_member(member);
+        if gone && let Some(at) = self.now.checked_sub(age) {
+            self.roster.gone.insert(host.clone(), at);
+        }
         if suspect {
             self.start_suspicion(&host, incarnation, false);
         }
@@ -80,6 +86,7 @@
         if !refused {
             return;
         }
+        self.join.unheard.remove(&to);
         if let Some(member) = self.roster.at(to).cloned() {
             self.suspect(&member.host);
             self.hasten_suspicion(&member.host);
@@ -87,9 +94,12 @@
         }
         let dead: Vec<Name> = self.roster.gone.keys().cloned().collect();
         for host in dead {
-            let here = self.roster.get(&host).is_some_and(|m| m.peer == to);
-            if here && let Some(gone) = self.roster.gone.get_mut(&host) {
-                gone.proven = true;
+            if let Some(member) = self.roster.get(&host).cloned()
+                && member.peer == to
+                && member.state == MemberState::Dead
+            {
+                self.store_member(Member { state: MemberState::Left, ..(*member).clone() });
+                self.urge(&host);
             }
         }
     }
@@ -111,28 +121,37 @@
     pub(crate) fn on_sync(&mut self, from: SocketAddr, sync: &SyncMembers) {
         let mut members = Vec::new();
         let mut room = RECORDS_BYTES;
+        let mut differ = false;
         for theirs in &sync.domains {
             let ours = self.roster.buckets(&theirs.domain);
             let mut differs = [false; BUCKETS];
             for (idx, differ) in differs.iter_mut().enumerate() {
                 *differ = theirs.buckets.get(idx).copied().unwrap_or(0) != ours[idx];
             }
+            differ |= differs.contains(&true);
             if differs.contains(&true) {
                 let rows = self.roster.members(&theirs.domain);
                 let rows = rows.filter(|m| differs[bucket_of(&m.host)]);
-                push_records(&mut members, &mut room, rows);
+                self.roster.collect(&mut members, &mut room, rows, self.now);
             }
         }
         if sync.full {
             // The sender does not know these domains.
             let named = |d: &Name| sync.domains.iter().any(|theirs| *theirs.domain == ***d);
             for domain in self.roster.domains().filter(|d| !named(d)) {
-                push_records(&mut members, &mut room, self.roster.live(domain));
+                let rows = self.roster.members(domain);
+                self.roster.collect(&mut members, &mut room, rows, self.now);
             }
         }
         if !members.is_empty() {
             self.send(from, FrameBody::SyncReply(SyncReply { members }));
         }
+        if differ && !sync.answer {
+            // The sender may know records that this node lacks.
+            let only = (!sync.full).then(|| sync.domains.first()).flatten();
+            let only = only.map(|digest| Name::new(&digest.domain));
+            self.ask_sync(from, only.as_ref(), true);
+        }
     }
 
     pub(crate) fn on_sync_reply(&mut self, reply: &SyncReply) {
@@ -142,20 +161,3 @@
         self.log(Level::Debug, format!("[mesh] compared {} member records", reply.members.len()));
     }
 }
-
-/// Appends records as long as there is room for them.
-pub(crate) fn push_records<'a>(
-    out: &mut Vec<dw_wire::Member>,
-    room: &mut usize,
-    members: impl Iterator<Item = &'a Arc<Member>>,
-) {
-    for member in members {
-        let wire = member_to_wire(member);
-        let size = wire.size();
-        if size > *room {
-            return;
-        }
-        *room -= size;
-        out.push(wire);
-    }
-}
--- a/crates/mesh/src/member.rs
+++ b/crates/mesh/src/member.rs
@@ -34,7 +34,7 @@
     /// Did not refute a suspicion in time.
     #[display("dead")]
     Dead,
-    /// Left after it announced so.
+    /// Left, or known to have ended.
     #[display("left")]
     Left,
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -155,6 +155,7 @@
             Timer::Renew => self.run_renew(),
             Timer::Head => self.run_head(),
             Timer::Parts => self.run_parts(),
+            Timer::Cover => self.run_cover(),
             Timer::Relays => self.run_relays(),
             Timer::Republish => self.run_republish(),
             Timer::Summary => self.run_summary(),
@@ -166,6 +167,7 @@
     }
 
     fn on_packet(&mut self, from: SocketAddr, packet: Packet) {
+        self.join.unheard.remove(&from);
         let Some(body) = packet.body else {
             self.count(Counter::BadMessage);
             return;
@@ -180,6 +182,7 @@
     }
 
     fn on_frame(&mut self, from: SocketAddr, frame: Frame) {
+        self.join.unheard.remove(&from);
         let Some(body) = frame.body else {
             self.count(Counter::BadMessage);
             return;
@@ -260,6 +263,7 @@
                 self.recent.pop_front();
             }
         }
+        self.join.unheard.remove(&member.peer);
         self.roster.put(member, self.now);
         self.gossip.push(&host);
         self.timers.sooner(Timer::Members, self.now + MEMBERS_EVERY);
@@ -286,7 +290,7 @@
             .roster
             .gone
             .iter()
-            .filter(|(host, gone)| gone.at + FORGET <= self.now && **host != self.me.host)
+            .filter(|(host, at)| **at + FORGET <= self.now && **host != self.me.host)
             .map(|(host, _)| host.clone())
             .collect();
         for host in old {
@@ -308,7 +312,7 @@
         }
         let room = PIGGYBACK_BYTES.saturating_sub(used);
         let live = self.roster.live_count(&self.me.domain);
-        members.extend(self.gossip.take(&self.roster, room, live));
+        members.extend(self.gossip.take(&self.roster, room, live, self.now));
         Packet {
             host: self.me.host.to_string(),
             started: self.me.started,
--- a/crates/mesh/src/probe.rs
+++ b/crates/mesh/src/probe.rs
@@ -56,7 +56,7 @@
     seq: u64,
     periods: u64,
     /// Since when the peers' table digests differ from the own one.
-    differs: Option<Instant>,
+    pub(crate) differs: Option<Instant>,
 }
 
 impl Probe {
@@ -278,6 +278,12 @@
 
     /// Asks a peer for the records in which its table differs, of one domain or of all.
     pub(crate) fn sync_with(&mut self, to: SocketAddr, only: Option<&Name>) {
+        self.count(Counter::MembersSynced);
+        self.ask_sync(to, only, false);
+    }
+
+    /// Sends the own table digests; `answer` ends the exchange.
+    pub(crate) fn ask_sync(&mut self, to: SocketAddr, only: Option<&Name>, answer: bool) {
         let domains = self
             .roster
             .domains()
@@ -287,8 +293,8 @@
                 buckets: self.roster.buckets(domain).to_vec(),
             })
             .collect();
-        self.count(Counter::MembersSynced);
-        self.send(to, FrameBody::SyncMembers(SyncMembers { domains, full: only.is_none() }));
+        let full = only.is_none();
+        self.send(to, FrameBody::SyncMembers(SyncMembers { domains, full, answer }));
     }
 
     pub(crate) fn on_ping(&mut self, from: SocketAddr, host: &str, ping: &Ping) {
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -21,9 +21,17 @@
 /// Wait before the head is read after a version came from a peer first.
 const RECHECK: Duration = Duration::from_secs(1);
 
+/// How long a standby leaves a new head to the relays, before jitter. Above the time of a tree with
+/// its batching delay, so that a standby reads no parts while a relay works.
+const STANDBY_WAIT: Duration = Duration::from_millis(600);
+
 /// Time between two reads of the relay records by a relay, to find domains it does not know.
 const RELAYS_EVERY: Duration = Duration::from_secs(30);
 
+/// Time after which the relay records name the relays of all domains again that the platform serves:
+/// their leases may have ended while it was down, and candidates wait up to 5 s between attempts.
+const RELAYS_SETTLE: Duration = Duration::from_secs(10);
+
 /// Consecutive failures after which the platform counts as down.
 const DOWN: u32 = 3;
 
@@ -32,6 +40,12 @@
 pub(crate) struct Relay {
     /// The slot held.
     pub(crate) held: Option<u32>,
+    /// When it was claimed.
+    claimed: Option<Instant>,
+    /// Whether the node is a candidate without a slot, which watches the head too.
+    standby: bool,
+    /// The version that the node distributes without a slot because no relay did.
+    cover: Option<u64>,
     attempts: u32,
     /// Consecutive failed calls.
     failures: u32,
@@ -52,6 +66,17 @@
         self.me.state == MemberState::Alive && self.me.relay
     }
 
+    /// Whether the node offers the version served to its domain: as a relay, or as the standby that
+    /// read it because no relay distributed it.
+    pub(crate) fn offering(&self) -> bool {
+        self.acting() || self.relay.cover == Some(self.store.mark().number)
+    }
+
+    /// Whether the node reads and watches the platform's head.
+    const fn watches(&self) -> bool {
+        self.relay.held.is_some() || self.relay.standby
+    }
+
     fn rank(&mut self) -> Option<usize> {
         let domain = self.me.domain.clone();
         self.roster.candidates(&domain).iter().position(|host| *host == self.me.host)
@@ -92,7 +117,10 @@
         if !self.join.settled || self.relay.held.is_some() || self.me.state != MemberState::Alive {
             return;
         }
-        let Some(rank) = rank else { return };
+        let Some(rank) = rank else {
+            self.stop_watch();
+            return;
+        };
         let turn = u32::try_from(rank).unwrap_or(0) + self.relay.attempts;
         let record = RelayRecord {
             domain: self.me.domain.clone(),
@@ -114,7 +142,7 @@
 
     /// Reads the head; the answer starts the watch if there is none.
     pub(crate) fn run_head(&mut self) {
-        if self.relay.held.is_some() {
+        if self.watches() {
             let jitter = self.jitter(REREAD);
             self.timers.set(Timer::Head, self.now + REREAD / 2 + jitter);
             self.call(PlatformCall::ReadHead);
@@ -143,7 +171,9 @@
         }
         self.relay.head = None;
         self.relay.reading = None;
-        for timer in [Timer::Head, Timer::Parts, Timer::Republish, Timer::Renew] {
+        self.relay.standby = false;
+        self.relay.cover = None;
+        for timer in [Timer::Cover, Timer::Head, Timer::Parts, Timer::Republish, Timer::Renew] {
             self.timers.clear(timer);
         }
     }
@@ -169,7 +199,11 @@
             PlatformEvent::RelaysRead { records } => {
                 if self.relay.held.is_some() {
                     let jitter = self.jitter(RELAYS_EVERY);
-                    self.timers.set(Timer::Relays, self.now + RELAYS_EVERY / 2 + jitter);
+                    let next = self.now + RELAYS_EVERY / 2 + jitter;
+                    let settled = self.relay.claimed.map_or(next, |at| at + RELAYS_SETTLE);
+                    self.join.informed |= self.now >= settled;
+                    let next = if self.join.informed { next } else { next.min(settled) };
+                    self.timers.set(Timer::Relays, next);
                 }
                 self.on_relay_records(records);
             }
@@ -197,6 +231,9 @@
             return;
         }
         self.relay.held = Some(slot);
+        self.relay.standby = false;
+        self.timers.clear(Timer::Cover);
+        self.relay.claimed = Some(self.now);
         self.timers.clear(Timer::Claim);
         self.timers.set(Timer::Renew, self.now + LEASE_RENEWAL);
         self.timers.set(Timer::Head, self.now);
@@ -206,6 +243,10 @@
     /// Another host holds the slot: it is a peer, and the other slot is tried next.
     fn on_taken(&mut self, holder: Option<RelayRecord>) {
         self.relay.attempts += 1;
+        if !self.watches() && self.me.state == MemberState::Alive {
+            self.relay.standby = true;
+            self.timers.sooner(Timer::Head, self.now);
+        }
         let wait = CLAIM_RETRY + self.jitter(CLAIM_RETRY);
         self.timers.set(Timer::Claim, self.now + wait);
         if let Some(holder) = holder.filter(|holder| holder.host != self.me.host)
@@ -259,7 +300,7 @@
     }
 
     fn start_watch(&mut self, revision: u64) {
-        if self.relay.held.is_some() && !self.relay.watching {
+        if self.watches() && !self.relay.watching {
             self.relay.watching = true;
             self.call(PlatformCall::WatchHead { revision });
         }
@@ -268,7 +309,28 @@
     fn on_head(&mut self, head: Option<Head>, revision: u64) {
         self.start_watch(revision);
         self.relay.head = Some((head, revision));
-        self.judge_head();
+        if self.relay.held.is_some() || !self.relay.standby {
+            self.judge_head();
+        } else if self.is_uncovered() && !self.timers.is_set(Timer::Cover) {
+            let jitter = self.jitter(STANDBY_WAIT);
+            self.timers.set(Timer::Cover, self.now + STANDBY_WAIT + jitter);
+        }
+    }
+
+    /// Whether the platform's head is newer than any version the node holds.
+    fn is_uncovered(&self) -> bool {
+        let head = self.relay.head.as_ref().and_then(|(head, _)| head.as_ref());
+        head.is_some_and(|head| head.number > self.store.newest().number)
+    }
+
+    /// As a standby, reads and distributes a version that no relay has distributed in time: both
+    /// may have died, and their leases end only seconds later.
+    pub(crate) fn run_cover(&mut self) {
+        if self.relay.standby && self.is_uncovered() {
+            self.relay.cover = self.relay.head.as_ref().and_then(|(h, _)| Some(h.as_ref()?.number));
+            self.count(Counter::Covered);
+            self.judge_head();
+        }
     }
 
     /// A version was published: a head that was seen before is compared again once it is read
--- a/crates/mesh/src/roster.rs
+++ b/crates/mesh/src/roster.rs
@@ -7,7 +7,7 @@
 use dw_tables::Name;
 use tokio::time::Instant;
 
-use crate::{CANDIDATES, Member, MemberState, MemberTable, hash};
+use crate::{CANDIDATES, Member, MemberState, MemberTable, convert::member_to_wire, hash};
 
 /// Buckets of hosts in a domain's digests; a sync moves only the buckets that differ.
 pub(crate) const BUCKETS: usize = 16;
@@ -17,20 +17,12 @@
 struct DomainInfo {
     buckets: [u64; BUCKETS],
     digest: u64,
+    processes: u64,
     live: usize,
     relays: BTreeSet<Name>,
     ranked: Vec<Name>,
 }
 
-/// A member that is gone.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Gone {
-    /// When it was noticed.
-    pub(crate) at: Instant,
-    /// Whether the process is known to have ended.
-    pub(crate) proven: bool,
-}
-
 /// The member table with its indices and incremental digests.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
@@ -39,8 +31,8 @@
     homes: BTreeMap<Name, Name>,
     hosts: BTreeMap<SocketAddr, Name>,
     digest: u64,
-    /// Members that are dead or left.
-    pub(crate) gone: BTreeMap<Name, Gone>,
+    /// Members that are dead or left, and since when.
+    pub(crate) gone: BTreeMap<Name, Instant>,
 }
 
 impl Roster {
@@ -69,6 +61,37 @@
         self.infos.get(domain).map_or(0, |info| info.digest)
     }
 
+    /// Digest of the processes that are live members of a domain.
+    pub(crate) fn processes(&self, domain: &str) -> u64 {
+        self.infos.get(domain).map_or(0, |info| info.processes)
+    }
+
+    /// The wire form of a member, with the time since it is gone.
+    pub(crate) fn record(&self, member: &Member, now: Instant) -> dw_wire::Member {
+        let gone = self.gone.get(&member.host).map(|at| now.saturating_duration_since(*at));
+        let gone_ms = gone.map_or(0, |gone| u64::try_from(gone.as_millis()).unwrap_or(u64::MAX));
+        dw_wire::Member { gone_ms, ..member_to_wire(member) }
+    }
+
+    /// Appends records as long as there is room for them.
+    pub(crate) fn collect<'a>(
+        &self,
+        out: &mut Vec<dw_wire::Member>,
+        room: &mut usize,
+        members: impl Iterator<Item = &'a Arc<Member>>,
+        now: Instant,
+    ) {
+        for member in members {
+            let wire = self.record(member, now);
+            let size = wire.size();
+            if size > *room {
+                return;
+            }
+            *room -= size;
+            out.push(wire);
+        }
+    }
+
     /// Bucket digests of a domain.
     pub(crate) fn buckets(&self, domain: &str) -> [u64; BUCKETS] {
         self.infos.get(domain).map_or([0; BUCKETS], |info| info.buckets)
@@ -129,10 +152,7 @@
         if member.state.is_live() {
             self.gone.remove(&host);
         } else {
-            self.gone
-                .entry(host.clone())
-                .and_modify(|gone| gone.proven |= member.state == MemberState::Left)
-                .or_insert(Gone { at: now, proven: member.state == MemberState::Left });
+            self.gone.entry(host.clone()).or_insert(now);
         }
         self.homes.insert(host.clone(), member.domain.clone());
         let member = Arc::new(member);
@@ -170,6 +190,7 @@
         info.buckets[bucket_of(&member.host)] ^= digest;
         info.digest ^= digest;
         self.digest ^= digest;
+        info.processes ^= hash::process(&member.host, member.started);
         info.ranked.clear();
         if add {
             info.live += 1;
--- a/crates/mesh/src/store.rs
+++ b/crates/mesh/src/store.rs
@@ -319,8 +319,10 @@
 
     /// Spreads the version served, and has the platform's head read again if it differs.
     fn after_publish(&mut self) {
-        if self.acting() {
+        if self.offering() {
             self.timers.sooner(Timer::Spread, self.now + self.cfg.preset.batch);
+        }
+        if self.acting() {
             self.timers.sooner(Timer::Audit, self.now);
         }
         self.pull_done();
--- a/crates/mesh/src/timer.rs
+++ b/crates/mesh/src/timer.rs
@@ -31,6 +31,8 @@
     Head,
     /// The parts are read again.
     Parts,
+    /// A standby distributes a version that no relay has distributed.
+    Cover,
     /// The relay records are read.
     Relays,
     /// The head is republished.
--- a/crates/mesh/src/tree.rs
+++ b/crates/mesh/src/tree.rs
@@ -90,10 +90,10 @@
 }
 
 impl Node {
-    /// As a relay, offers the version served to the domain.
+    /// As a relay or a standby in its place, offers the version served to the domain.
     pub(crate) fn start_tree(&mut self) {
         let mark = self.store.mark();
-        if !self.acting() || mark.number == 0 {
+        if !self.offering() || mark.number == 0 {
             return;
         }
         let root = self.me.host.clone();
--- a/crates/mesh/tests/faults.rs
+++ b/crates/mesh/tests/faults.rs
@@ -69,6 +69,20 @@
     world.expect_settled();
 }
 
+/// Guards against a change that waits for the leases of two dead relays to end.
+#[test]
+fn standby_distributes_when_both_relays_die() {
+    let mut world = world(25);
+    let lost = world.relays();
+    assert_eq!(lost.len(), 6);
+    lost.iter().for_each(|id| world.crash(*id));
+    world.apply();
+    world.run(secs(4));
+    let held = world.hosts.iter().filter(|host| host.served.number == 2).count();
+    assert_eq!(held, 7, "all but the dead relays hold the change");
+    assert!(world.total(Counter::Covered) > 0);
+}
+
 /// Guards against a change that waits for the replacement of one dead relay.
 #[test]
 fn other_relay_distributes_when_one_dies() {
--- a/crates/mesh/tests/random.rs
+++ b/crates/mesh/tests/random.rs
@@ -83,3 +83,16 @@
     let first = first.unwrap_or(100);
     (first..first + count.unwrap_or(6)).for_each(run);
 }
+
+/// Relays that had just started reported a version in force over the few members they knew.
+#[test]
+fn new_relay_does_not_know_all_members() {
+    [1021, 1100, 1215, 1303].into_iter().for_each(run);
+}
+
+/// A daemon whose join addresses were all down reported a version in force over itself, although
+/// the platform's relay records named daemons that it could not reach.
+#[test]
+fn relay_records_name_members_that_are_cut_off() {
+    run(2115);
+}
--- a/crates/request/src/keeper.rs
+++ b/crates/request/src/keeper.rs
@@ -11,7 +11,7 @@
 
 /// Earlier keepers that are asked about one key at most. A chain of them arises only if many
 /// daemons of a domain joined within the window.
-const ASK_MAX: u32 = 16;
+const ASK_MAX: usize = 16;
 
 /// Time in which earlier keepers must have replied. A later reply may rest on a hold that ended
 /// after the claim was made.
@@ -68,10 +68,10 @@
         if self.leaving {
             return self.peers.heir(key).map_or(Claim::Full, |heir| Claim::Elsewhere(heir.clone()));
         }
-        let (slot, claim) = match self.peers.duty(key, first_sent, None, now) {
+        let (slot, claim) = match self.peers.duty(key, first_sent, &[], now) {
             Duty::Elsewhere(host) => return Claim::Elsewhere(host),
             Duty::Own { ask: Some(host), lost } => {
-                (Slot::Asking { asked: 1, lost }, Claim::Ask(host))
+                (Slot::Asking { asked: vec![host.clone()], lost }, Claim::Ask(host))
             }
             Duty::Own { ask: None, lost: true } => return Claim::Lost,
             Duty::Own { ask: None, lost: false } => {
@@ -98,13 +98,24 @@
         self.records.replace(key, Slot::Kept(state));
     }
 
+    /// The daemons that were asked about a key after [`Claim::Ask`], the current one included.
+    #[must_use]
+    pub fn asked(&self, key: &Name) -> &[Name] {
+        match self.records.get(key) {
+            Some(Slot::Asking { asked, .. }) => asked,
+            _ => &[],
+        }
+    }
+
     /// Answers a newer keeper that asks before it forwards a request with this key; `age` is the
-    /// time since its process started.
+    /// time since its process started. Daemons in `asked` were asked before and are not named
+    /// again: daemons that started together would otherwise refer to each other for ever.
     pub fn cede(
         &mut self,
         key: &Name,
         first_sent: Option<Instant>,
         to: &Name,
+        asked: &[Name],
         age: Duration,
         now: Instant,
     ) -> Held {
@@ -127,7 +138,8 @@
             None if self.is_outdated(first_sent, now) => return Held::Lost,
             None => {}
         }
-        match self.peers.duty(key, first_sent, Some(to), now) {
+        let without: Vec<&Name> = asked.iter().chain([to]).collect();
+        match self.peers.duty(key, first_sent, &without, now) {
             Duty::Elsewhere(host) | Duty::Own { ask: Some(host), lost: false } => Held::Ask(host),
             Duty::Own { lost: true, .. } => Held::Lost,
             // Without room to remember that the key was ceded, it must not be.
@@ -145,7 +157,7 @@
     /// called for every such claim, within 2 s, or the key counts as lost.
     pub fn resume(&mut self, key: &Name, reply: Option<Held>, now: Instant) -> Claim {
         let (asked, lost) = match self.records.get(key) {
-            Some(Slot::Asking { asked, lost }) => (*asked, *lost),
+            Some(Slot::Asking { asked, lost }) => (asked.clone(), *lost),
             Some(Slot::Kept(state)) => return claim_of(state),
             Some(Slot::Ceded { .. }) | None => return Claim::Lost,
         };
@@ -155,8 +167,9 @@
                 self.records.replace(key, Slot::Kept(RecordState::InProgress));
                 Claim::New
             }
-            Some(Held::Ask(host)) if asked < ASK_MAX && host != self.config.host => {
-                self.records.replace(key, Slot::Asking { asked: asked + 1, lost });
+            Some(Held::Ask(host)) if asked.len() < ASK_MAX && host != self.config.host => {
+                let asked = asked.into_iter().chain([host.clone()]).collect();
+                self.records.replace(key, Slot::Asking { asked, lost });
                 Claim::Ask(host)
             }
             Some(Held::Record(Record { state: RecordState::InProgress, .. })) => {
--- a/crates/request/src/peers.rs
+++ b/crates/request/src/peers.rs
@@ -208,14 +208,14 @@
     }
 
     /// Whose task a key is that this daemon has no record of, as if `without`, the daemon that
-    /// asks, were not there.
+    /// asks and those that it asked before, were not there.
     ///
     /// The cost is a few ns for each daemon of the domain, and for a newcomer a sort of them.
     pub(crate) fn duty(
         &mut self,
         key: &str,
         first_sent: Option<Instant>,
-        without: Option<&Name>,
+        without: &[&Name],
         now: Instant,
     ) -> Duty {
         let joined = *self.joined.get_or_insert(now);
@@ -225,7 +225,7 @@
         let (mut ask, mut lost) = (None, false);
         for peer in above {
             lost |= peer.may_have_lost(first_sent, self.rules, now);
-            match peer.live.filter(|_| without != Some(&peer.host)) {
+            match peer.live.filter(|_| !without.contains(&&peer.host)) {
                 Some((MemberState::Alive | MemberState::Suspect, _)) => {
                     return Duty::Elsewhere(peer.host.clone());
                 }
@@ -241,13 +241,13 @@
             return Duty::Own { ask: None, lost };
         }
         // When an earlier keeper is asked, keys sent after all daemons knew of it are its own.
-        if without.is_some() && first_sent.is_some_and(|sent| sent >= joined + self.rules.hold) {
+        if !without.is_empty() && first_sent.is_some_and(|sent| sent >= joined + self.rules.hold) {
             return Duty::Own { ask: None, lost };
         }
         let below = self.ranked(key, |rank| rank < own);
         for peer in below {
             lost |= peer.may_have_lost(first_sent, self.rules, now);
-            match peer.live.filter(|_| without != Some(&peer.host)) {
+            match peer.live.filter(|_| !without.contains(&&peer.host)) {
                 // One that started at about the same time may have been there before.
                 Some((_, since)) if since < joined + self.rules.skew => {
                     return Duty::Own { ask: Some(peer.host.clone()), lost };
--- a/crates/request/src/records.rs
+++ b/crates/request/src/records.rs
@@ -16,7 +16,7 @@
     /// An earlier keeper is being asked.
     Asking {
         /// Daemons asked so far.
-        asked: u32,
+        asked: Vec<Name>,
         /// Whether the record may have been lost with another keeper.
         lost: bool,
     },
--- a/crates/request/tests/keeper.rs
+++ b/crates/request/tests/keeper.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::collections::HashMap;
+
 use bytes::Bytes;
 use dw_request::{
     Claim, Held, Keeper, KeeperConfig, KeyOutcome, Member, MemberState, Outcome, RECORD_WINDOW,
@@ -163,11 +165,11 @@
 
     expect_that!(new.claim(&seen, sent, t), eq(&Claim::Ask("b".into())));
     expect_that!(new.claim(&seen, sent, t), eq(&Claim::InProgress));
-    let held = old.cede(&seen, sent, &"a".into(), ms(1000), t);
+    let held = old.cede(&seen, sent, &"a".into(), &[], ms(1000), t);
     expect_that!(new.resume(&seen, Some(held), t), eq(&Claim::Answered(answer(3).into())));
 
     expect_that!(new.claim(&one, sent, t), eq(&Claim::Ask("b".into())));
-    let held = old.cede(&one, sent, &"a".into(), ms(1000), t);
+    let held = old.cede(&one, sent, &"a".into(), &[], ms(1000), t);
     expect_that!(held, eq(&Held::Free));
     expect_that!(new.resume(&one, Some(held), t), eq(&Claim::New));
     // The old keeper has not heard of the newcomer, and cannot tell whether it is still there.
@@ -192,7 +194,7 @@
     again.set_members(&[alive("b", start), alive("a", now)], now);
     let sent = Some(now - ms(3000));
     expect_that!(again.claim(&key, sent, now + ms(10)), eq(&Claim::Ask("b".into())));
-    let held = other.cede(&key, sent, &"a".into(), ms(10), now + ms(10));
+    let held = other.cede(&key, sent, &"a".into(), &[], ms(10), now + ms(10));
     expect_that!(held, eq(&Held::Lost));
     expect_that!(again.resume(&key, Some(held), now + ms(10)), eq(&Claim::Lost));
 
@@ -211,6 +213,38 @@
     }
 }
 
+/// Guards against daemons that started together, each of which may have kept a key before the
+/// others were known, and which refer to each other until the key counts as lost.
+#[gtest]
+fn keepers_that_started_together_run_new_keys() {
+    let start = Instant::now();
+    let hosts = ["a", "b", "c", "d", "e"];
+    let view: Vec<Member> = (0..).zip(hosts).map(|(i, h)| alive(h, start + ms(i * 50))).collect();
+    let now = start + ms(2000);
+    let mut keepers: HashMap<Name, Keeper> =
+        hosts.iter().map(|host| (Name::new(host), keeper(host))).collect();
+    keepers.values_mut().for_each(|keeper| keeper.set_members(&view, now));
+    let ranking = Ranking::new(hosts.map(Name::new));
+    for i in 0..50 {
+        let key = Name::from(format!("key-{i}"));
+        let owner = ranking.first(&key).cloned().unwrap_or_default();
+        let Some(mut own) = keepers.remove(&owner) else { continue };
+        let mut claim = own.claim(&key, Some(now), now);
+        while let Claim::Ask(host) = claim {
+            let asked = own.asked(&key).to_vec();
+            let other = keepers.get_mut(&host);
+            let held = other.map(|k| k.cede(&key, Some(now), &owner, &asked, ms(2000), now));
+            claim = own.resume(&key, held, now);
+        }
+        expect_that!(claim, eq(&Claim::New), "{key}");
+        // The others no longer run it, even one that does not see the owner.
+        for (host, other) in &mut keepers {
+            expect_that!(other.claim(&key, Some(now), now), not(eq(&Claim::New)), "{key} {host}");
+        }
+        keepers.insert(owner, own);
+    }
+}
+
 /// Guards against records that are lost by a planned stop.
 #[gtest]
 fn a_leaving_keeper_hands_over() {
@@ -229,7 +263,7 @@
     let other = Name::new("k-other");
     expect_that!(old.claim(&other, sent, t), eq(&Claim::Elsewhere("b".into())));
     expect_that!(heir.claim(&key, sent, t), eq(&Claim::Ask("a".into())));
-    let held = old.cede(&key, sent, &"b".into(), ms(86_000_000), t);
+    let held = old.cede(&key, sent, &"b".into(), &[], ms(86_000_000), t);
     expect_that!(heir.resume(&key, Some(held), t), eq(&Claim::Answered(answer(3).into())));
 
     let parts = old.hand_over(t);
@@ -259,9 +293,9 @@
     let key = key_of("a", "b");
     b.set_members(&[alive("b", start), alive("a", now)], now);
     let (first, again) = (ms(1000), ms(10));
-    expect_that!(b.cede(&key, None, &"a".into(), first, now + first), eq(&Held::Free));
-    expect_that!(b.cede(&key, None, &"a".into(), first * 2, now + first * 2), eq(&Held::Free));
-    expect_that!(b.cede(&key, None, &"a".into(), again, now + ms(3000)), eq(&Held::Lost));
+    expect_that!(b.cede(&key, None, &"a".into(), &[], first, now + first), eq(&Held::Free));
+    expect_that!(b.cede(&key, None, &"a".into(), &[], first * 2, now + first * 2), eq(&Held::Free));
+    expect_that!(b.cede(&key, None, &"a".into(), &[], again, now + ms(3000)), eq(&Held::Lost));
 
     // "b" knows of "c" and "d"; the key ranks them "c", "d", "b".
     let rank = |names: [&str; 2]| Ranking::new(names.map(Name::new));
--- a/crates/request/tests/once.rs
+++ b/crates/request/tests/once.rs
@@ -42,6 +42,7 @@
     life: Instant,
     key: usize,
     to: Name,
+    asked: Vec<Name>,
     reply: Option<Option<Held>>,
 }
 
@@ -209,7 +210,10 @@
             }
             Claim::Ask(to) => {
                 let life = self.hosts[at].member.joined;
-                self.letters.push(Letter { from: at, life, key, to, reply: None });
+                let keeper = self.hosts[at].keeper.as_ref();
+                let name = &self.keys[key].name;
+                let asked = keeper.map(|k| k.asked(name).to_vec()).unwrap_or_default();
+                self.letters.push(Letter { from: at, life, key, to, asked, reply: None });
             }
             _ => {}
         }
@@ -237,7 +241,7 @@
         let at = self.find(&letter.to);
         let age = now.duration_since(letter.life);
         let keeper = self.hosts[at].keeper.as_mut();
-        let held = keeper.map(|k| k.cede(&name, sent, &asker, age, now));
+        let held = keeper.map(|k| k.cede(&name, sent, &asker, &letter.asked, age, now));
         letter.reply = Some(held);
         self.letters.push(letter);
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -288,6 +288,12 @@
     /// Refused versions.
     #[prost(message, repeated, tag = "9")]
     pub refused: Vec<Refusal>,
+    /// Digest of the processes that are live members of the domain.
+    #[prost(fixed64, tag = "10")]
+    pub processes: u64,
+    /// Whether the relay may not know all members yet.
+    #[prost(bool, tag = "11")]
+    pub partial: bool,
 }
 
 /// State of the sender's domain, between relays.
@@ -327,6 +333,9 @@
     /// Whether these are all domains that the sender knows.
     #[prost(bool, tag = "2")]
     pub full: bool,
+    /// Whether this answers another `SyncMembers`, and is not to be answered by a further one.
+    #[prost(bool, tag = "3")]
+    pub answer: bool,
 }
 
 /// Records of the buckets in which two tables differ.
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -23,7 +23,7 @@
     Suspect = 2,
     /// Did not refute a suspicion in time.
     Dead = 3,
-    /// Left after it announced so.
+    /// Left, or known to have ended.
     Left = 4,
 }
 
@@ -60,6 +60,9 @@
     /// The targets beside the member.
     #[prost(message, repeated, tag = "10")]
     pub targets: Vec<Target>,
+    /// Time since the member was declared dead, in ms.
+    #[prost(uint64, tag = "11")]
+    pub gone_ms: u64,
 }
 
 /// One target beside a member.
