--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -180,8 +180,16 @@
     Truncate,
     /// Sends a chunk without the final one, and closes.
     TruncateChunked,
+    /// Responds with 503 and nothing else.
+    Fail,
+    /// Responds with 503 and the time after which to retry.
+    Shed,
     /// Waits for `release` before it responds.
     Hold,
+    /// Sends half of the body that it announced, and nothing more.
+    Stall,
+    /// Sends a body until the connection is closed.
+    Flood,
     /// Stops to exist when the request arrives.
     Die,
 }
@@ -253,10 +261,23 @@
         arrived.notify_one();
         let response = match act {
             Act::Echo => whole(&head),
-            Act::Truncate => "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf".to_owned(),
+            Act::Truncate | Act::Stall => {
+                "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf".to_owned()
+            }
+            Act::Flood => {
+                let head = "HTTP/1.1 200 OK\r\ncontent-length: 1000000000000\r\n\r\n";
+                let mut sent = stream.write_all(head.as_bytes()).await;
+                while sent.is_ok() {
+                    sent = stream.write_all(&[b'x'; 65536]).await;
+                }
+                cancelled.notify_one();
+                return;
+            }
             Act::TruncateChunked => {
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n".to_owned()
             }
+            Act::Fail => "HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n".to_owned(),
+            Act::Shed => "HTTP/1.1 503 x\r\nretry-after: 1\r\ncontent-length: 0\r\n\r\n".to_owned(),
             Act::Die => return,
             Act::Hold => {
                 let mut byte = [0; 1];
