End a response's timer with its body and not by a token

Cause: each response spawned a timer task with a cancellation token below the daemon's common one, whose lock all requests take. Change: the timer is a plain task that is aborted when the body is dropped.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -256,7 +256,7 @@
         let counters = self.counters.clone();
         response.map(|body| {
             let body = match deadline {
-                Some(at) => Bounded::wrap(body, at, &self.tasks),
+                Some(at) => Bounded::wrap(body, at),
                 None => body,
             };
             let counted = Tracked::new(body, move |ended| {
--- a/crates/daemon/src/proxy/bounded.rs
+++ b/crates/daemon/src/proxy/bounded.rs
@@ -8,10 +8,9 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use tokio::time::{Instant, sleep_until};
-use tokio_util::sync::{CancellationToken, DropGuard};
+use tokio_util::task::AbortOnDropHandle;
 
 use super::body::{BodyFault, Payload};
-use crate::tasks::Tasks;
 
 /// A body that is dropped at a deadline even if its receiver has stopped reading.
 ///
@@ -19,7 +18,7 @@
 /// not fire, and a caller that stops reading would hold a slot of the target without end.
 pub(crate) struct Bounded {
     shared: Arc<Shared>,
-    _timer: DropGuard,
+    _timer: AbortOnDropHandle<()>,
 }
 
 #[derive(Default)]
@@ -35,21 +34,20 @@
 
 impl Bounded {
     /// Bounds `body`, unless it has ended already.
-    pub(crate) fn wrap(body: Payload, deadline: Instant, tasks: &Tasks) -> Payload {
+    pub(crate) fn wrap(body: Payload, deadline: Instant) -> Payload {
         if body.is_end_stream() {
             return body;
         }
         let shared = Arc::new(Shared::default());
         shared.lock().body = Some(body);
-        let (stop, timed) = (CancellationToken::new(), shared.clone());
-        let ended = stop.clone();
-        tasks.spawn(async move {
-            let expired = ended.run_until_cancelled_owned(sleep_until(deadline)).await.is_some();
-            if expired {
-                timed.expire();
-            }
+        let timed = shared.clone();
+        // Not among the daemon's tasks: the timer ends with the body, and the lock of their common
+        // cancellation token is taken for every response otherwise.
+        let timer = tokio::spawn(async move {
+            sleep_until(deadline).await;
+            timed.expire();
         });
-        Self { shared, _timer: stop.drop_guard() }.boxed_unsync()
+        Self { shared, _timer: AbortOnDropHandle::new(timer) }.boxed_unsync()
     }
 }
 
