--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -130,10 +130,13 @@
             Ok(Ok(response)) => self.read_answer(attempt, call, response, sent),
             Ok(Err(SendFault::NotSent { reason, request })) => {
                 spdlog::debug!(logger: self.log, "[proxy] {}: {reason}", endpoint.host);
-                if let Some(request) = request {
-                    call.restore(*request);
-                }
-                let reason = Reason::ConnectFailed;
+                let reason = match request {
+                    Some(request) => {
+                        call.restore(*request);
+                        Reason::ConnectFailed
+                    }
+                    None => Reason::StreamRefused,
+                };
                 (AttemptOutcome::NotRun { reason, retry_after: None, load: None }, None)
             }
             Ok(Err(SendFault::Unknown { reason, unresponsive })) => {
