Wait in the test of two callers until the keeper knows its past

Cause: keys_of_two_callers_are_apart sent its first request within half a second of the daemon's start, when a keeper rightly answers record-lost; it passed once and then failed in every repeat. Change: it sends new requests as the other tests of keys do; what it asserts is unchanged.

--- a/crates/daemon/tests/one_daemon.rs
+++ b/crates/daemon/tests/one_daemon.rs
@@ -101,9 +101,13 @@
     let (_standin, raw, running) = served(Act::Echo).await;
     let addr = running.addrs().callers;
     for credentials in ["Bearer kiosk-1", "Bearer kiosk-2", "Bearer kiosk-1"] {
-        let mut request = post("/credit", "k1");
-        request.headers_mut().insert("authorization", credentials.parse()?);
-        let response = send(addr, request).await;
+        let value: http::HeaderValue = credentials.parse()?;
+        let request = || {
+            let mut request = post("/credit", "k1");
+            request.headers_mut().insert("authorization", value.clone());
+            request
+        };
+        let response = support::send_new(addr, request).await;
         expect_that!(response.status().as_u16(), eq(200));
         expect_that!(support::text(response).await?, contains_substring(credentials));
     }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -152,8 +152,16 @@
 /// Sends a request with a key, and again while the keeper, which has just started, cannot rule out
 /// that an earlier one ran the key: until half a second after its start.
 pub(crate) async fn send_once(addr: SocketAddr, key: &str) -> Response<Incoming> {
+    send_new(addr, || post("/credit", key)).await
+}
+
+/// As `send_once`, with a request of the test's own.
+pub(crate) async fn send_new(
+    addr: SocketAddr,
+    request: impl Fn() -> Request<Full<Bytes>>,
+) -> Response<Incoming> {
     loop {
-        let response = send(addr, post("/credit", key)).await;
+        let response = send(addr, request()).await;
         if header(&response, "damaskwick-reason") != "record-lost" {
             return response;
         }
