Give the standby its own file and drop an unused entry of the keeper

Change: the standby's decisions are in standby.rs; accept is gone and the digest of heirs is no longer optional. No behaviour changes; the tests of both crates pass.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod report;
 mod roster;
+mod standby;
 mod status;
 mod store;
 mod table;
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -21,10 +21,6 @@
 /// Wait before the head is read after a version came from a peer first.
 const RECHECK: Duration = Duration::from_secs(1);
 
-/// How long a standby leaves a new head to the relays, before jitter. Above the time of a tree with
-/// its batching delay, so that a standby reads no parts while a relay works.
-const STANDBY_WAIT: Duration = Duration::from_millis(600);
-
 /// Time between two reads of the relay records by a relay, to find domains it does not know.
 const RELAYS_EVERY: Duration = Duration::from_secs(30);
 
@@ -43,15 +39,15 @@
     /// When it was claimed.
     claimed: Option<Instant>,
     /// Whether the node is a candidate without a slot, which watches the head too.
-    standby: bool,
+    pub(crate) standby: bool,
     /// The version that the node distributes without a slot because no relay did.
-    cover: Option<u64>,
+    pub(crate) cover: Option<u64>,
     attempts: u32,
     /// Consecutive failed calls.
     failures: u32,
     watching: bool,
     /// The platform's head as last seen; `None` inside for no head.
-    head: Option<(Option<Head>, u64)>,
+    pub(crate) head: Option<(Option<Head>, u64)>,
     /// The head whose parts are being read.
     reading: Option<Head>,
     republishing: Option<Instant>,
@@ -66,12 +62,6 @@
         self.me.state == MemberState::Alive && self.me.relay
     }
 
-    /// Whether the node offers the version served to its domain: as a relay, or as the standby that
-    /// read it because no relay distributed it.
-    pub(crate) fn offering(&self) -> bool {
-        self.acting() || self.relay.cover == Some(self.store.mark().number)
-    }
-
     /// Whether the node reads and watches the platform's head.
     const fn watches(&self) -> bool {
         self.relay.held.is_some() || self.relay.standby
@@ -311,25 +301,8 @@
         self.relay.head = Some((head, revision));
         if self.relay.held.is_some() || !self.relay.standby {
             self.judge_head();
-        } else if self.is_uncovered() && !self.timers.is_set(Timer::Cover) {
-            let jitter = self.jitter(STANDBY_WAIT);
-            self.timers.set(Timer::Cover, self.now + STANDBY_WAIT + jitter);
-        }
-    }
-
-    /// Whether the platform's head is newer than any version the node holds.
-    fn is_uncovered(&self) -> bool {
-        let head = self.relay.head.as_ref().and_then(|(head, _)| head.as_ref());
-        head.is_some_and(|head| head.number > self.store.newest().number)
-    }
-
-    /// As a standby, reads and distributes a version that no relay has distributed in time: both
-    /// may have died, and their leases end only seconds later.
-    pub(crate) fn run_cover(&mut self) {
-        if self.relay.standby && self.is_uncovered() {
-            self.relay.cover = self.relay.head.as_ref().and_then(|(h, _)| Some(h.as_ref()?.number));
-            self.count(Counter::Covered);
-            self.judge_head();
+        } else {
+            self.stand_by();
         }
     }
 
@@ -349,7 +322,7 @@
 
     /// Compares the platform's head with the version served: reads the parts of a newer one,
     /// refuses a lower one and a fork, and has a lower one replaced.
-    fn judge_head(&mut self) {
+    pub(crate) fn judge_head(&mut self) {
         let Some((head, revision)) = self.relay.head.clone() else { return };
         let served = self.store.mark();
         let lower = head.as_ref().map_or(0, |head| head.number) < served.number;
--- a/crates/request/src/keeper.rs
+++ b/crates/request/src/keeper.rs
@@ -233,13 +233,13 @@
     pub fn take_over(&mut self, from: &Name, part: HandOver, now: Instant) -> bool {
         let all = self.accept_part(part.records, now);
         if all && part.last {
-            self.peers.handed_over(from, Some(part.heirs));
+            self.peers.handed_over(from, part.heirs);
         }
         all
     }
 
     /// Takes over records only; `false` if there is no room.
-    pub fn accept_part(&mut self, records: Vec<Record>, now: Instant) -> bool {
+    fn accept_part(&mut self, records: Vec<Record>, now: Instant) -> bool {
         self.expire(now);
         for Record { key, state, age } in records {
             if matches!(self.records.get(&key), Some(Slot::Kept(_))) {
@@ -253,13 +253,6 @@
         true
     }
 
-    /// Takes over the last records of a daemon that does not say among whom it divided them. Its
-    /// other keys count as lost once it has left; use [`Self::take_over`] to avoid that.
-    pub fn accept(&mut self, from: &Name, records: Vec<Record>, now: Instant) {
-        self.accept_part(records, now);
-        self.peers.handed_over(from, None);
-    }
-
     /// Removes what has expired. Claims do so too; call it now and then on an idle keeper.
     pub fn expire(&mut self, now: Instant) {
         self.records.expire(self.config.window, now);
--- a/crates/request/src/peers.rs
+++ b/crates/request/src/peers.rs
@@ -154,8 +154,8 @@
 
     /// The peer completed its hand-over among the daemons of the digest: nothing is lost when it
     /// leaves, and it takes over nothing from others.
-    pub(crate) fn handed_over(&mut self, host: &Name, heirs: Option<u64>) {
-        let agreed = heirs == Some(self.digest(Some(host)));
+    pub(crate) fn handed_over(&mut self, host: &Name, heirs: u64) {
+        let agreed = heirs == self.digest(Some(host));
         let Some(peer) = self.list.iter_mut().find(|peer| peer.host == *host) else { return };
         peer.leaving = true;
         if let Some((state, _)) = &mut peer.live {
