--- a/crates/mesh/src/report.rs
+++ b/crates/mesh/src/report.rs
@@ -1,10 +1,10 @@
-use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use dw_tables::{Name, VersionMark};
 use dw_wire::{FrameBody, Line, StatusPull, StatusReply};
 
 use crate::{
-    DomainStatus, Force, Node, Refused, Status,
+    DomainStatus, Force, Member, Node, Refused, Status,
     convert::{mark_from_wire, names},
     fleet::{DOMAINS_LIMIT, FRESH, NAMES, millis},
     timer::Timer,
@@ -85,7 +85,7 @@
                 }
             }
             domains.push(line.map_or_else(
-                || DomainStatus { domain: domain.clone(), ..DomainStatus::default() },
+                || self.silent_domain(&domain),
                 |line| self.domain_status(&domain, line, version),
             ));
         }
@@ -117,6 +117,18 @@
             .collect()
     }
 
+    /// A domain of which no relay is heard: its members that may be serving are unreachable.
+    fn silent_domain(&self, domain: &Name) -> DomainStatus {
+        let may_serve = |m: &&Arc<Member>| m.state.is_live() || self.in_doubt(m);
+        let hosts = || self.roster.members(domain).filter(may_serve).map(|m| m.host.clone());
+        DomainStatus {
+            domain: domain.clone(),
+            members: u32::try_from(hosts().count()).unwrap_or(u32::MAX),
+            unreachable: hosts().take(NAMES).collect(),
+            ..DomainStatus::default()
+        }
+    }
+
     /// The state of one domain in terms of the version that this node serves.
     fn domain_status(&self, domain: &Name, line: &Line, version: VersionMark) -> DomainStatus {
         let mark = mark_from_wire(line.mark.as_ref()).unwrap_or_default();
--- a/crates/mesh/tests/faults.rs
+++ b/crates/mesh/tests/faults.rs
@@ -410,6 +410,20 @@
     assert!(named, "{status:?}");
 }
 
+/// Guards against a status that says unknown and names nobody, which an operator cannot act on.
+#[test]
+fn members_of_a_silent_domain_are_named() {
+    let mut world = World::started(27, PresetName::Verband, &[3, 1]);
+    world.crash(3);
+    world.run(secs(15));
+    let status = world.status(0);
+    assert_ne!(status.state, Force::InForce);
+    let silent = status.domains.iter().find(|d| d.domain.as_str() == "domain-1").expect("domain");
+    assert_eq!(silent.state, Force::Unknown);
+    assert_eq!((silent.members, silent.applied), (1, 0));
+    assert!(silent.unreachable.iter().any(|h| h.as_str() == "host-3"), "{silent:?}");
+}
+
 /// Guards against relays that are replaced although nothing failed.
 #[test]
 fn quiet_fleet_keeps_its_relays() {
