--- a/crates/bench/src/distribution/measure.rs
+++ b/crates/bench/src/distribution/measure.rs
@@ -173,7 +173,7 @@
         sleep(every.min(period.saturating_sub(start.elapsed()))).await;
     }
     let seconds = start.elapsed().as_secs_f64();
-    let cpu = (Usage::now().cpu - usage.cpu).as_secs_f64();
+    let cpu = Usage::now().cpu.saturating_sub(usage.cpu).as_secs_f64();
     let after = fleet.standin.counts();
     let kinds = fleet.sent_by_kind().into_iter().filter_map(|(kind, bytes)| {
         let rate = float64(bytes - before.get(kind).copied().unwrap_or(0)) / size / seconds;
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -106,6 +106,7 @@
             sleep(POLL).await;
         }
         times.sort_unstable();
+        left.iter().take(3).for_each(|daemon| show_late(daemon, number));
         Spread { times, missing: left.len() }
     }
 
@@ -134,6 +135,20 @@
     }
 }
 
+/// Prints what a daemon that misses a version has sent and received, to find the cause.
+#[allow(clippy::print_stdout)]
+fn show_late(daemon: &Running, number: u64) {
+    let (served, members) = (daemon.served().number, daemon.members().len());
+    let counts = daemon.counters();
+    println!(
+        "late: version {number} at {}, which serves {served} and sees {members} members; sent {:?}, \
+         received {:?}",
+        daemon.addrs().peers,
+        counts.sent,
+        counts.received
+    );
+}
+
 /// When each daemon served a version, counted from the platform's acceptance.
 #[derive(Debug, Default)]
 pub(crate) struct Spread {
