Split the parts of a republished head as they are written

Cause: the mesh named parts of 900,000 bytes in a republished head and the daemon wrote parts of 768 KiB, so with tables above 768 KiB the head named parts that did not exist (found on reading the change again). Change: the mesh uses PART_LIMIT of dw_tables and has no constant of its own. The harness now compares the names; the new test with 9,000 rows fails with the old size and passes with the new one.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -51,9 +51,6 @@
 /// Time between two renewals of a lease; two may be lost before it ends.
 pub const LEASE_RENEWAL: Duration = Duration::from_secs(2);
 
-/// The size of a part in bytes, below the platform's 1 MB with room for the JSON encoding.
-pub const PART_BYTES: usize = 900_000;
-
 /// Members of each domain that may call the platform: the first by rendezvous hash. Two more than
 /// there are slots, so that a slot is taken over while a candidate is being replaced.
 pub(crate) const CANDIDATES: usize = 4;
--- a/crates/mesh/src/store.rs
+++ b/crates/mesh/src/store.rs
@@ -4,11 +4,13 @@
 };
 
 use bytes::Bytes;
-use dw_tables::{Delta, Hash, Head, Name, Tables, Version, VersionMark, split_parts, validate};
+use dw_tables::{
+    Delta, Hash, Head, Name, PART_LIMIT, Tables, Version, VersionMark, split_parts, validate,
+};
 use dw_wire::{FRAME_LIMIT, Origin};
 use tokio::time::Instant;
 
-use crate::{Action, Counter, Level, Node, PART_BYTES, Refused, timer::Timer};
+use crate::{Action, Counter, Level, Node, Refused, timer::Timer};
 
 /// Versions kept as bases of deltas: a peer further behind takes a snapshot.
 const HISTORY: usize = 8;
@@ -67,7 +69,7 @@
 
     /// The head as the platform held it.
     pub(crate) fn head(&self) -> Head {
-        let parts = split_parts(&self.version.tables.canonical(), PART_BYTES);
+        let parts = split_parts(&self.version.tables.canonical(), PART_LIMIT);
         Head {
             number: self.version.number,
             hash: self.version.hash,
--- a/crates/mesh/tests/faults.rs
+++ b/crates/mesh/tests/faults.rs
@@ -314,6 +314,20 @@
     assert_eq!(world.platform.head.as_ref().map(|head| head.number), Some(1));
 }
 
+/// Guards against a republished head that names parts which nobody writes, because the head and
+/// the parts were split at different sizes.
+#[test]
+fn head_of_large_tables_names_the_parts_written() {
+    let mut world = World::started(28, PresetName::Verband, &[1]);
+    world.rows = 9000;
+    world.apply();
+    world.run(secs(5));
+    world.overwrite(&version(1, "accepted"), Hash::default());
+    world.run(secs(5));
+    assert!(world.total(Counter::Republished) > 0);
+    assert!(world.platform.head.as_ref().is_some_and(|head| head.parts.len() > 1));
+}
+
 /// Guards against a fork that replaces the rows of an accepted version.
 #[test]
 fn fork_is_refused_and_shown() {
--- a/crates/mesh/tests/harness/platform.rs
+++ b/crates/mesh/tests/harness/platform.rs
@@ -5,8 +5,8 @@
     time::Duration,
 };
 
-use dw_mesh::{LEASE_TTL, PART_BYTES, PlatformCall, PlatformCallKind, PlatformEvent, RelayRecord};
-use dw_tables::{Hash, Head, Version, split_parts};
+use dw_mesh::{LEASE_TTL, PlatformCall, PlatformCallKind, PlatformEvent, RelayRecord};
+use dw_tables::{Hash, Head, PART_LIMIT, Version, split_parts};
 use tokio::time::Instant;
 
 struct Slot {
@@ -32,7 +32,7 @@
 impl Store {
     /// Writes the parts of a version and its head. Returns the event for watches.
     pub(crate) fn write(&mut self, version: &Version, parent: Hash) -> PlatformEvent {
-        let parts = split_parts(&version.tables.canonical(), PART_BYTES);
+        let parts = split_parts(&version.tables.canonical(), PART_LIMIT);
         let head = Head {
             number: version.number,
             hash: version.hash,
@@ -123,6 +123,8 @@
                     );
                 }
                 let event = self.write(version, head.parent);
+                let written = self.head.as_ref().map(|head| &head.parts);
+                assert_eq!(Some(&head.parts), written, "a head names the parts that are written");
                 let number = version.number;
                 return (
                     Some(PlatformEvent::Republished { number, revision: self.revision }),
