--- a/crates/cli/src/demo/deployment.rs
+++ b/crates/cli/src/demo/deployment.rs
@@ -159,9 +159,12 @@
                 ..Match::default()
             },
             pool: name,
+            split: Vec::new(),
             repeat: Repeat::Idempotent,
             deadline,
             retries: 2,
+            priority: 0,
+            objective: deadline,
         });
         tables
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,7 +1,7 @@
 use std::{collections::HashSet, io, net::SocketAddr, sync::Arc};
 
 use dw_mesh::{Member, MemberState, Node, NodeConfig, Preset, Target};
-use dw_platform::HttpPlatform;
+use dw_platform::{HttpPlatform, Platform};
 use spdlog::Logger;
 use thiserror::Error;
 use tokio::{
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    Running, Settings, TargetSettings,
+    Dialect, Running, Settings, TargetSettings,
     admin::Admin,
     counters::Counters,
     link::{Datagrams, Links},
@@ -34,6 +34,7 @@
 pub struct Daemon {
     settings: Settings,
     preset: Preset,
+    dialect: Dialect,
 }
 
 /// Why a daemon did not start.
@@ -67,9 +68,9 @@
 impl Daemon {
     /// A daemon with the given settings.
     #[must_use]
-    pub const fn new(settings: Settings) -> Self {
+    pub fn new(settings: Settings) -> Self {
         let preset = Preset::new(settings.preset.to_mesh());
-        Self { settings, preset }
+        Self { settings, preset, dialect: Dialect::default() }
     }
 
     /// Replaces the periods and widths that the preset of the settings names.
@@ -79,11 +80,28 @@
         self
     }
 
+    /// Replaces the names that callers and targets use.
+    #[must_use]
+    pub fn with_dialect(mut self, dialect: Dialect) -> Self {
+        self.dialect = dialect;
+        self
+    }
+
     /// Listens on all addresses and starts the daemon's tasks.
     ///
     /// # Errors
     /// An address that cannot be listened on, or a log that cannot be set up.
     pub async fn start(self) -> Result<Running, StartError> {
+        let addrs = &self.settings.platform;
+        let client = (!addrs.is_empty()).then(|| HttpPlatform::new(addrs.clone()));
+        self.start_on(client).await
+    }
+
+    /// Starts the daemon on a platform other than the one of the settings; `None` for no platform.
+    ///
+    /// # Errors
+    /// An address that cannot be listened on, or a log that cannot be set up.
+    pub async fn start_on<P: Platform>(self, platform: Option<P>) -> Result<Running, StartError> {
         let mut settings = self.settings;
         let log = build_logger(settings.log)?;
         let sockets = Sockets::bind(&settings).await?;
@@ -91,11 +109,24 @@
         let addrs = sockets.addrs;
         (settings.callers, settings.peers) = (addrs.callers, addrs.peers);
         (settings.data, settings.admin) = (addrs.data, addrs.admin);
-        Ok(launch(&settings, self.preset, sockets, log))
+        let start = Start { preset: self.preset, dialect: self.dialect, platform };
+        Ok(launch(&settings, start, sockets, log))
     }
 }
 
-fn launch(settings: &Settings, preset: Preset, sockets: Sockets, log: Arc<Logger>) -> Running {
+/// What a daemon is started with beside its settings.
+struct Start<P> {
+    preset: Preset,
+    dialect: Dialect,
+    platform: Option<P>,
+}
+
+fn launch<P: Platform>(
+    settings: &Settings,
+    start: Start<P>,
+    sockets: Sockets,
+    log: Arc<Logger>,
+) -> Running {
     let (tasks, counters) = (Tasks::default(), Counters::default());
     let (node_in, node_out) = mpsc::channel(QUEUE);
     let (links_in, links_out) = mpsc::channel(QUEUE);
@@ -103,9 +134,9 @@
     let (platform_in, platform_out) = mpsc::channel(QUEUE);
     let (view_in, view) = watch::channel(View::default());
 
-    let config = node_config(settings, preset);
+    let config = node_config(settings, start.preset);
     let own = own_member(&config);
-    let proxy = Proxy::new(settings, own, counters.clone(), log.clone(), &tasks);
+    let proxy = Proxy::new(settings, start.dialect, own, counters.clone(), log.clone(), &tasks);
     proxy.set_node(node_in.clone());
 
     let links = Links {
@@ -122,8 +153,7 @@
         Datagrams { socket: sockets.datagrams, node: node_in.clone(), counters: counters.clone() };
     tasks.spawn(datagrams.run(datagrams_out));
     let platform = PlatformTask {
-        client: (!settings.platform.is_empty())
-            .then(|| HttpPlatform::new(settings.platform.clone())),
+        client: start.platform,
         domain: settings.domain.clone(),
         node: node_in.clone(),
         counters: counters.clone(),
@@ -194,6 +224,7 @@
         slots: target.slots,
         connections: target.connections,
         draining: false,
+        started: 0,
     };
     let (host, domain) = (settings.host.clone(), settings.domain.clone());
     NodeConfig {
--- /dev/null
+++ b/crates/daemon/src/dialect.rs
@@ -0,0 +1,40 @@
+use http::{HeaderName, HeaderValue};
+
+/// The names that callers and targets use for what the daemon tells them and reads from them.
+///
+/// The default is the product's own interface, `docs/design.md`, section 5.2.
+#[derive(Clone, Debug)]
+pub struct Dialect {
+    /// Time left for the whole response in ms, from callers and to targets.
+    pub timeout: HeaderName,
+    /// Names a request. Targets repeat it on their responses; a response under another name belongs
+    /// to another request and is not passed on.
+    pub request: Option<HeaderName>,
+    /// The service on the host where a request began, which the daemon states to targets whatever
+    /// the caller sent.
+    pub origin: Option<(HeaderName, HeaderValue)>,
+    /// The incarnation of the target that a request is meant for; any other refuses it with status
+    /// 421.
+    pub target: Option<HeaderName>,
+    /// Present on a response of a target that did not run the request.
+    pub refused: Option<HeaderName>,
+    /// Whether `retry-after` may have a fraction of a second.
+    pub fractions: bool,
+    /// Whether targets may end a response with their connection. Such a response is complete if the
+    /// connection was closed in order.
+    pub unframed: bool,
+}
+
+impl Default for Dialect {
+    fn default() -> Self {
+        Self {
+            timeout: HeaderName::from_static("damaskwick-timeout-ms"),
+            request: None,
+            origin: None,
+            target: None,
+            refused: None,
+            fractions: false,
+            unframed: false,
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod counters;
 mod daemon;
+mod dialect;
 mod link;
 mod log;
 mod node;
@@ -17,6 +18,7 @@
 
 pub use counters::Counts;
 pub use daemon::{Daemon, StartError};
+pub use dialect::Dialect;
 pub use running::{Addrs, Running};
 pub use settings::{
     LogFormat, LogLevel, LogSettings, PresetName, ProcessLimits, Settings, TargetSettings,
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -11,6 +11,7 @@
 use dw_mesh::{Input, LocalEvent, Member, MemberTable};
 use dw_request::{
     Dispatcher, DispatcherConfig, Fingerprint, Keeper, KeeperConfig, POISON_TIME, Reason, Refusal,
+    Resident,
 };
 use dw_tables::{Name, Version};
 use http::{Request, Response};
@@ -24,7 +25,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::{
-    Settings,
+    Dialect, Settings, TargetSettings,
     counters::Counters,
     node::{ToNode, View},
     tasks::Tasks,
@@ -60,6 +61,10 @@
 /// The shortest time between two changes of the members that are applied.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(10);
 
+/// Connections that may be open to a target which states its slots only. A connection is busy until
+/// its response was read, so it may outlive the slot of its request.
+const CONNECTIONS_PER_SLOT: u32 = 2;
+
 /// The most requests remembered as poisoned by a broadcast.
 const PRINTS: usize = 4096;
 
@@ -78,7 +83,8 @@
     fleet: Mutex<Fleet>,
     applied: watch::Sender<Arc<MemberTable>>,
     prints: Mutex<HashMap<u64, Instant>>,
-    targets: Vec<Arc<Beside>>,
+    targets: Mutex<Vec<Arc<Beside>>>,
+    dialect: Dialect,
     hops: HopPool,
     node: OnceLock<mpsc::Sender<ToNode>>,
     room: Arc<Semaphore>,
@@ -94,6 +100,7 @@
     /// A proxy without a version; `own` is this daemon's member record.
     pub(crate) fn new(
         settings: &Settings,
+        dialect: Dialect,
         own: Member,
         counters: Counters,
         log: Arc<Logger>,
@@ -105,12 +112,14 @@
             domain: domain.clone(),
             region: settings.region.clone(),
             seed: rand::random(),
+            moves: settings.limits.moves,
         });
         let keeper =
             Keeper::new(KeeperConfig { host: host.clone(), domain, ..KeeperConfig::default() });
         let targets = settings.targets.iter().zip(0..);
         let targets =
-            targets.map(|(t, idx)| Arc::new(Beside::new(idx, t, tasks.clone()))).collect();
+            targets.map(|(t, idx)| Arc::new(Beside::new(idx, Name::default(), t, tasks.clone())));
+        let targets: Vec<_> = targets.collect();
         let proxy = Arc::new(Self {
             host,
             started: Instant::now(),
@@ -121,7 +130,8 @@
             fleet: Mutex::new(Fleet::new(own)),
             applied: watch::Sender::default(),
             prints: Mutex::default(),
-            targets,
+            targets: Mutex::new(targets),
+            dialect,
             hops: HopPool::new(tasks.clone()),
             node: OnceLock::new(),
             room: Arc::new(Semaphore::new(settings.limits.requests as usize)),
@@ -131,7 +141,7 @@
             log,
             tasks: tasks.clone(),
         });
-        for target in &proxy.targets {
+        for target in proxy.targets() {
             tasks.spawn(target.clone().expire());
         }
         proxy.set_members(&Arc::default());
@@ -147,11 +157,8 @@
     /// Serves a version from now on; requests in flight keep theirs.
     pub(crate) fn set_version(&self, version: &Arc<Version>) {
         self.dispatcher().set_version(version.clone());
-        for target in &self.targets {
-            let pools = &version.tables.pools;
-            if let Some(pool) = pools.iter().find(|pool| pool.service == target.service) {
-                target.set_queue(pool.limits.queue, pool.limits.queue_wait.into());
-            }
+        for target in self.targets() {
+            set_queue(&target, version);
         }
     }
 
@@ -196,15 +203,15 @@
     pub(crate) fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
         self.keeper().leave();
-        for target in &self.targets {
+        for target in self.targets() {
             target.drain();
         }
     }
 
     /// Refuses new work for one target, or takes it again; `false` if there is no such target.
     pub(crate) fn drain_target(&self, index: u32, draining: bool) -> bool {
-        let target = self.targets.get(index as usize);
-        if let Some(target) = target {
+        let target = u16::try_from(index).ok().and_then(|index| self.target(index));
+        if let Some(target) = &target {
             target.set_draining(draining);
         }
         target.is_some()
@@ -225,7 +232,7 @@
 
     /// Closes the connections that are not in use.
     pub(crate) fn close_idle(&self) {
-        for target in &self.targets {
+        for target in self.targets() {
             target.pool.close_idle();
         }
     }
@@ -235,9 +242,51 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Takes over the targets on this host from their own reports.
+    pub(crate) fn set_residents(&self, residents: &[Resident], version: &Version) {
+        let mut targets = lock(&self.targets);
+        targets.retain(|target| {
+            let stays = residents.iter().any(|r| r.index == target.index);
+            if !stays {
+                target.set_draining(true);
+                target.pool.close_idle();
+            }
+            stays
+        });
+        for resident in residents {
+            let known = targets.iter().find(|target| target.index == resident.index).cloned();
+            let target = known.unwrap_or_else(|| {
+                let report = &resident.report;
+                let settings = TargetSettings {
+                    service: report.service.clone(),
+                    address: report.address,
+                    slots: report.slots,
+                    connections: report.slots.saturating_mul(CONNECTIONS_PER_SLOT),
+                };
+                let (name, tasks) = (report.name.clone(), self.tasks.clone());
+                let target = Arc::new(Beside::new(resident.index, name, &settings, tasks));
+                set_queue(&target, version);
+                self.tasks.spawn(target.clone().expire());
+                targets.push(target.clone());
+                target
+            });
+            target.set_draining(!resident.is_open() || self.is_draining());
+        }
+    }
+
+    /// The targets on this host.
+    fn targets(&self) -> Vec<Arc<Beside>> {
+        lock(&self.targets).clone()
+    }
+
+    /// The target of an index.
+    fn target(&self, index: u16) -> Option<Arc<Beside>> {
+        lock(&self.targets).iter().find(|target| target.index == index).cloned()
+    }
+
     /// The load of each target on this host.
     pub(crate) fn loads(&self) -> Vec<(Name, dw_request::Load)> {
-        self.targets.iter().map(|t| (t.service.clone(), t.load())).collect()
+        self.targets().iter().map(|t| (t.service.clone(), t.load())).collect()
     }
 
     /// Responds to a caller.
@@ -288,7 +337,7 @@
     }
 
     async fn serve_key(self: &Arc<Self>, request: Request<Incoming>) -> Response<Payload> {
-        let mut call = Call::new(request);
+        let mut call = Call::new(request, &Dialect::default());
         let Some(key) = call.record_key() else {
             return answer::refuse(&Refusal::new(Reason::ProtocolError));
         };
@@ -370,6 +419,14 @@
     u64::from_be_bytes(part)
 }
 
+/// Gives a target the queue of its service's pool.
+fn set_queue(target: &Beside, version: &Version) {
+    let pool = version.tables.pools.iter().find(|pool| pool.service == target.service);
+    if let Some(pool) = pool {
+        target.set_queue(pool.limits.queue, pool.limits.queue_wait.into());
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -6,6 +6,17 @@
     body::{Payload, full},
     headers,
 };
+use crate::Dialect;
+
+/// The reason of a refusal in the form that the proxy of this daemon sends.
+pub(crate) fn refuse_in(refusal: &Refusal, dialect: &Dialect) -> Response<Payload> {
+    let mut response = refuse(refusal);
+    if dialect.fractions {
+        let seconds = refusal.retry_after.as_secs_f64();
+        headers::set(response.headers_mut(), header::RETRY_AFTER, format!("{seconds:.3}"));
+    }
+    response
+}
 
 /// The response that says why a request is refused, with the time after which to retry.
 pub(crate) fn refuse(refusal: &Refusal) -> Response<Payload> {
--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -1,7 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
 use dw_request::{Arrival, Death, Fingerprint, POISON_SUSPECTS, Reason, Refusal};
-use http::{Request, Response, Uri, header};
+use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body::Body;
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
@@ -22,7 +22,7 @@
     /// Runs a request at a target on this host.
     pub(super) async fn beside(&self, mut request: Request<Payload>) -> Response<Payload> {
         let map = request.headers();
-        let index = headers::read::<usize>(map, &headers::TARGET);
+        let index = headers::read::<u16>(map, &headers::TARGET);
         let left = headers::read(map, &headers::TIMEOUT).unwrap_or(NO_TIMEOUT);
         let deadline = Instant::now() + Duration::from_millis(left);
         let arrival = Arrival {
@@ -30,17 +30,36 @@
             deadline,
             fingerprint: headers::read::<String>(map, &headers::PRINT).and_then(|t| print_of(&t)),
         };
-        let Some(target) = index.and_then(|idx| self.targets.get(idx)) else {
+        let service = map.get(headers::SERVICE).map(HeaderValue::as_bytes);
+        let right = |target: &Arc<Beside>| {
+            service.is_none_or(|service| service == target.service.as_bytes())
+        };
+        let Some(target) = index.and_then(|idx| self.target(idx)).filter(right) else {
             return answer::refuse(&Refusal::new(Reason::UnknownTarget));
         };
+        let target = &target;
         let slot = match target.admit(arrival).await {
             Ok(slot) => slot,
             Err(refusal) => return answer::with_load(answer::refuse(&refusal), target.load()),
         };
-        prepare(&mut request, deadline);
+        let name = self.prepare(&mut request, deadline, target);
         let sent = timeout_at(deadline, target.pool.send(request, deadline)).await;
         let response = match sent {
-            Ok(Ok(response)) if !delimited(&response) => {
+            Ok(Ok(response)) if self.is_refusal(&response) => {
+                slot.not_started();
+                let reason = match response.status() {
+                    StatusCode::MISDIRECTED_REQUEST => Reason::UnknownTarget,
+                    _ => Reason::TargetRefused,
+                };
+                // The rest of the response is read, so that its connection can be kept.
+                self.tasks.spawn(async move { response.into_body().collect().await.is_ok() });
+                answer::refuse(&Refusal::new(reason))
+            }
+            Ok(Ok(response)) if !self.answers(&response, name.as_ref()) => {
+                spdlog::warn!(logger: self.log, "[proxy] target {}: response to another request", target.index);
+                answer::refuse(&Refusal::new(Reason::ProtocolError))
+            }
+            Ok(Ok(response)) if !self.dialect.unframed && !delimited(&response) => {
                 spdlog::warn!(logger: self.log, "[proxy] target {}: no body length", target.index);
                 answer::refuse(&Refusal::new(Reason::ProtocolError))
             }
@@ -97,6 +116,41 @@
     }
 }
 
+impl Proxy {
+    /// Turns a request between daemons into one for the target; returns the request's name.
+    fn prepare(
+        &self,
+        request: &mut Request<Payload>,
+        deadline: Instant,
+        target: &Beside,
+    ) -> Option<HeaderValue> {
+        prepare(request, deadline);
+        let map = request.headers_mut();
+        if self.dialect.timeout != headers::TIMEOUT {
+            headers::strip_own(map);
+            headers::set(map, self.dialect.timeout.clone(), headers::ms_left(deadline));
+        }
+        if let Some(header) = &self.dialect.target {
+            headers::set(map, header.clone(), &target.name);
+        }
+        self.dialect.request.as_ref().and_then(|header| map.get(header).cloned())
+    }
+
+    /// Whether the target states that it did not run the request.
+    fn is_refusal(&self, response: &Response<Payload>) -> bool {
+        let refused = |name| response.headers().contains_key(name);
+        self.dialect.refused.as_ref().is_some_and(refused)
+            || (self.dialect.target.is_some()
+                && response.status() == StatusCode::MISDIRECTED_REQUEST)
+    }
+
+    /// Whether a response is to the request of this name.
+    fn answers(&self, response: &Response<Payload>, name: Option<&HeaderValue>) -> bool {
+        let echoed = |header| response.headers().get(header);
+        name.is_none() || self.dialect.request.as_ref().and_then(echoed) == name
+    }
+}
+
 /// Turns a request between daemons into one for the target.
 fn prepare(request: &mut Request<Payload>, deadline: Instant) {
     let host = request.uri().authority().map(ToString::to_string);
@@ -105,7 +159,7 @@
     *request.version_mut() = http::Version::HTTP_11;
     let left = headers::ms_left(deadline);
     let map = request.headers_mut();
-    for name in [headers::STEP, headers::POOL, headers::TARGET, headers::PRINT] {
+    for name in [headers::STEP, headers::SERVICE, headers::TARGET, headers::PRINT] {
         map.remove(name);
     }
     if let Some(host) = host {
--- a/crates/daemon/src/proxy/call.rs
+++ b/crates/daemon/src/proxy/call.rs
@@ -14,7 +14,7 @@
     body::{BodyFault, Checked, Payload, chain, empty, full},
     headers,
 };
-use crate::clock;
+use crate::{Dialect, clock};
 
 /// The authority of a request that names no host.
 const NO_HOST: &str = "damaskwick";
@@ -48,14 +48,18 @@
 
 impl Call {
     /// Takes the head of a request; `read` takes the body.
-    pub(crate) fn new(request: Request<Incoming>) -> Self {
+    pub(crate) fn new(request: Request<Incoming>, dialect: &Dialect) -> Self {
         let version = request.version();
         let (mut head, body) = request.into_parts();
         let host = host_of(&head).unwrap_or_else(|| NO_HOST.to_owned());
         let map = &mut head.headers;
         headers::strip_hop(map);
         map.remove(header::HOST);
-        let timeout = headers::read(map, &headers::TIMEOUT).map(Duration::from_millis);
+        let timeout = headers::read(map, &dialect.timeout).map(Duration::from_millis);
+        map.remove(&dialect.timeout);
+        if let Some((name, value)) = &dialect.origin {
+            map.insert(name, value.clone());
+        }
         let key = headers::read::<String>(map, &headers::KEY).map(Name::from);
         let home = headers::read::<String>(map, &headers::HOME).map(Name::from);
         let first_sent_ms = headers::read(map, &headers::FIRST_SENT);
@@ -168,7 +172,7 @@
         let print = self.print();
         let mut request = self.forward("target", deadline);
         let map = request.headers_mut();
-        headers::set(map, headers::POOL, &attempt.route.pool);
+        headers::set(map, headers::SERVICE, &attempt.endpoint.service);
         headers::set(map, headers::TARGET, attempt.endpoint.target);
         headers::set(map, headers::DEPTH, attempt.depth);
         headers::set(map, headers::RETRIED, u8::from(attempt.retried));
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -21,14 +21,15 @@
         from: SocketAddr,
     ) -> (Response<Payload>, Option<Instant>) {
         let started = Instant::now();
-        let mut call = Call::new(request);
+        let name = self.dialect.request.as_ref().and_then(|n| request.headers().get(n).cloned());
+        let mut call = Call::new(request, &self.dialect);
         let mut response = match self.admit(&mut call, from).await {
             Ok(response) => response,
             Err(refusal) => {
                 if let Some(reason) = refusal.no_retry {
                     self.counters.not_retried(reason);
                 }
-                answer::refuse(&refusal)
+                answer::refuse_in(&refusal, &self.dialect)
             }
         };
         let outcome = answer::outcome_of(&response);
@@ -39,6 +40,9 @@
         let map = response.headers_mut();
         map.remove(headers::LOAD);
         map.remove(headers::DEATH);
+        if let (Some(header), Some(name)) = (&self.dialect.request, name) {
+            map.insert(header, name);
+        }
         if self.is_draining() {
             // HTTP/1.1 callers connect elsewhere next; hyper drops the header for HTTP/2.
             map.insert(header::CONNECTION, http::HeaderValue::from_static("close"));
@@ -167,7 +171,8 @@
                 (outcome, Some(response))
             }
             Outcome::NotRun => {
-                let seconds = headers::read(map, &header::RETRY_AFTER).map(Duration::from_secs);
+                let seconds = headers::read(map, &header::RETRY_AFTER);
+                let seconds = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
                 let reason = answer::reason_of(&response);
                 (AttemptOutcome::NotRun { reason, retry_after: seconds, load }, None)
             }
--- a/crates/daemon/src/proxy/fleet.rs
+++ b/crates/daemon/src/proxy/fleet.rs
@@ -82,8 +82,9 @@
     pub(super) fn endpoints(&self) -> Vec<Endpoint> {
         let mut list = Vec::new();
         for member in self.table.iter() {
-            let since = self.moment(member.started);
             for target in &member.targets {
+                let started = if target.started == 0 { member.started } else { target.started };
+                let since = self.moment(started);
                 let leaving = target.draining && member.state == MemberState::Alive;
                 list.push(Endpoint {
                     host: member.host.clone(),
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -17,8 +17,8 @@
 pub(crate) const DEPTH: HeaderName = HeaderName::from_static("damaskwick-depth");
 /// Whether another level of the chain retries the request.
 pub(crate) const RETRIED: HeaderName = HeaderName::from_static("damaskwick-retried");
-/// The pool, between daemons.
-pub(crate) const POOL: HeaderName = HeaderName::from_static("damaskwick-pool");
+/// The service that the target must run, between daemons.
+pub(crate) const SERVICE: HeaderName = HeaderName::from_static("damaskwick-service");
 /// The index of the target at its host, between daemons.
 pub(crate) const TARGET: HeaderName = HeaderName::from_static("damaskwick-target");
 /// What the receiving daemon is asked to do, between daemons.
--- a/crates/daemon/src/proxy/slot.rs
+++ b/crates/daemon/src/proxy/slot.rs
@@ -31,6 +31,8 @@
 pub(crate) struct Beside {
     /// Position among the targets of this host.
     pub(crate) index: u16,
+    /// The incarnation of the target; empty if the settings list it.
+    pub(crate) name: Name,
     /// The service that the target runs.
     pub(crate) service: Name,
     /// Connections to the target.
@@ -52,11 +54,12 @@
 
 impl Beside {
     /// A target with all its slots free.
-    pub(crate) fn new(index: u16, settings: &TargetSettings, tasks: Tasks) -> Self {
+    pub(crate) fn new(index: u16, name: Name, settings: &TargetSettings, tasks: Tasks) -> Self {
         let (slots, connections) = (settings.slots, settings.connections);
         let gate = Gate::new(GateConfig { slots, connections, ..GateConfig::default() });
         Self {
             index,
+            name,
             service: settings.service.clone(),
             pool: TargetPool::new(settings.address, connections, tasks),
             addr: settings.address,
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -1,6 +1,7 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use dw_mesh::{Input, LocalEvent, MemberTable, Status};
+use dw_mesh::{Input, LocalEvent, MemberTable, Status, Target};
+use dw_request::Resident;
 use dw_tables::{Version, VersionMark};
 use spdlog::Logger;
 use tokio::{
@@ -95,6 +96,28 @@
         let _ = members.wait_for(|members| good(members)).await;
     }
 
+    /// Takes over the targets on this host from their own reports, and tells the fleet. From the
+    /// return on, a target that is not open gets no request.
+    pub async fn set_residents(&self, residents: &[Resident]) {
+        let version = self.version();
+        self.proxy.set_residents(residents, &version);
+        let target = |resident: &Resident| Target {
+            index: u32::from(resident.index),
+            service: resident.report.service.clone(),
+            slots: resident.report.slots,
+            connections: resident.report.slots,
+            draining: !resident.is_open() || self.proxy.is_draining(),
+            started: resident.report.started,
+        };
+        self.tell(LocalEvent::Targets(residents.iter().map(target).collect())).await;
+    }
+
+    /// Whether the daemon takes new work: it serves a version and is not leaving.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.served().number > 0 && !self.proxy.is_draining()
+    }
+
     /// What the daemon knows about the version in force; `None` while it closes.
     pub async fn status(&self) -> Option<Status> {
         ask_status(&self.node).await
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -61,6 +61,8 @@
     pub requests: u32,
     /// Bytes of a request body that are kept so that it can be sent again.
     pub retry_body: u32,
+    /// Further targets that a request may be moved to after the daemons beside others refused it.
+    pub moves: u32,
 }
 
 /// The presets of section 3.4 of the design page.
@@ -196,6 +198,6 @@
 impl Default for ProcessLimits {
     fn default() -> Self {
         // Together at most 64 MiB of kept bodies, a quarter of the memory of a daemon.
-        Self { requests: 4096, retry_body: 16 * 1024 }
+        Self { requests: 4096, retry_body: 16 * 1024, moves: 0 }
     }
 }
--- a/crates/mesh/src/convert.rs
+++ b/crates/mesh/src/convert.rs
@@ -74,6 +74,7 @@
         slots: target.slots,
         connections: target.connections,
         draining: target.draining,
+        started: target.started,
     }
 }
 
@@ -84,6 +85,7 @@
         slots: target.slots,
         connections: target.connections,
         draining: target.draining,
+        started: target.started,
     }
 }
 
--- a/crates/mesh/src/io.rs
+++ b/crates/mesh/src/io.rs
@@ -5,7 +5,7 @@
 use dw_wire::{Frame, Packet};
 use serde::{Deserialize, Serialize};
 
-use crate::{Counter, MemberTable, Refused};
+use crate::{Counter, MemberTable, Refused, Target};
 
 /// What a node is told.
 #[derive(Clone, Debug)]
@@ -232,6 +232,8 @@
         /// Whether it takes no new work.
         draining: bool,
     },
+    /// The targets beside the daemon, in place of those known before.
+    Targets(Vec<Target>),
     /// A fingerprint to tell the fleet.
     Poison(Fingerprint),
     /// The status will be read. A node that is no relay then fetches it from one; it is at hand
--- a/crates/mesh/src/member.rs
+++ b/crates/mesh/src/member.rs
@@ -61,6 +61,9 @@
     /// Whether the target takes no new work.
     #[serde(default)]
     pub draining: bool,
+    /// When the target started, in ms since the Unix epoch; 0 for the start of its daemon.
+    #[serde(default)]
+    pub started: u64,
 }
 
 /// One member of the fleet.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -227,6 +227,11 @@
                     self.change_me(me);
                 }
             }
+            LocalEvent::Targets(ref targets) if *targets != self.me.targets => {
+                let me = Member { targets: targets.clone(), ..self.me.clone() };
+                self.change_me(me);
+            }
+            LocalEvent::Targets(_) => {}
             LocalEvent::Poison(fingerprint) => self.cast_poison(fingerprint),
             LocalEvent::StatusWanted => self.want_status(),
         }
--- a/crates/mesh/src/store.rs
+++ b/crates/mesh/src/store.rs
@@ -235,6 +235,8 @@
     }
 
     /// Whether a version may follow the one served; refuses a lower one and a fork.
+    ///
+    /// A parent that is all zeros is not known, as with a platform whose versions name none.
     pub(crate) fn may_follow(&mut self, mark: VersionMark, parent: Option<Hash>) -> bool {
         let served = self.store.mark();
         if served.number == 0 {
@@ -250,6 +252,7 @@
             return false;
         }
         let next = mark.number == served.number + 1;
+        let parent = parent.filter(|parent| *parent != Hash::default());
         if next && parent.is_some_and(|parent| parent != served.hash) {
             self.refuse(Counter::RefusedFork, mark, "its parent is not the version served");
             return false;
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -5,7 +5,7 @@
 };
 
 use dw_tables::{Name, Repeat, Version};
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
 use crate::{
@@ -16,7 +16,7 @@
     locality::Place,
     target::Seen,
     upstream::Upstream,
-    verdict::{Verdict, is_final, is_local},
+    verdict::{Verdict, is_before_target, is_final, is_local},
 };
 
 /// Calls above a request beyond which it is taken for a loop; real chains have up to 8.
@@ -33,12 +33,17 @@
     pub region: Name,
     /// Seed of the random number generator.
     pub seed: u64,
+    /// Attempts at further targets after refusals of the daemons beside them, in addition to the
+    /// retries of the route. They are no load on any target, so neither the retry budget nor a
+    /// delay applies.
+    pub moves: u32,
 }
 
 /// Decides on the caller's side where each request goes, and what follows each attempt.
 #[derive(Debug)]
 pub struct Dispatcher {
     place: Place,
+    moves: u32,
     version: Arc<Version>,
     router: Arc<Router>,
     /// State of the pools; `pools` holds the keys in the order of the version's table.
@@ -59,6 +64,7 @@
     pub fn new(config: DispatcherConfig) -> Self {
         Self {
             place: Place { domain: config.domain, region: config.region },
+            moves: config.moves,
             version: Arc::default(),
             router: Arc::default(),
             upstreams: BTreeMap::new(),
@@ -154,6 +160,10 @@
             AttemptOutcome::Unknown { reason } => (reason, None, idempotent && !is_final(reason)),
         };
         let unknown = !matches!(outcome, AttemptOutcome::NotRun { .. });
+        let place_again = !unknown && is_before_target(cause);
+        if place_again && let Some(attempt) = self.relocate(&mut flight, cause, now) {
+            return Next::Retry { after: Duration::ZERO, attempt };
+        }
         let denied = match again {
             true => match self.retry(&mut flight, cause, hint, unknown, now) {
                 Ok(next) => return next,
@@ -210,7 +220,10 @@
         if print.is_some_and(|print| self.poison.refuses(print, now)) {
             return Err(Reason::Poisoned);
         }
-        let pool = self.pools[entry.pool];
+        let pool = match entry.pools.as_slice() {
+            [(pool, _)] => self.pools[*pool],
+            _ => self.pools[entry.pick(self.rng.random())],
+        };
         let upstream = self.upstreams.get_mut(&pool).ok_or(Reason::NoTarget)?;
         if upstream.in_flight >= upstream.limiter.limit() {
             return Err(Reason::PoolLimit);
@@ -228,6 +241,7 @@
             endpoint,
             uid,
             tried: Vec::new(),
+            moves: 0,
             deadline: now + timeout,
             timeout,
             depth: info.depth + 1,
@@ -285,6 +299,29 @@
         }
     }
 
+    /// Starts an attempt at a target that was not tried yet, after a refusal that reached none.
+    fn relocate(&mut self, flight: &mut Flight, cause: Reason, now: Instant) -> Option<Attempt> {
+        if flight.moves >= self.moves || flight.deadline <= now {
+            return None;
+        }
+        let upstream = self.upstreams.get_mut(&flight.pool)?;
+        let idempotent = flight.route.repeat == Repeat::Idempotent;
+        let mut tried = flight.tried.clone();
+        tried.push(flight.uid);
+        let wish = Wish { tried: &tried, idempotent };
+        let (uid, endpoint) = upstream.balancer.choose(&upstream.pool, wish, &mut self.rng, now)?;
+        if tried.contains(&uid) {
+            upstream.balancer.finish(uid, Seen::Neutral, None, &upstream.pool.ejection, now);
+            return None;
+        }
+        flight.moves += 1;
+        flight.tried = tried;
+        (flight.uid, flight.endpoint) = (uid, endpoint);
+        flight.timeout = flight.deadline.saturating_duration_since(now);
+        let attempt = self.launch(flight.clone(), Some(cause));
+        Some(Attempt { retried: flight.retried, ..attempt })
+    }
+
     /// Starts another attempt, or says why there is none.
     fn retry(
         &mut self,
@@ -298,6 +335,7 @@
             return Err(Reason::RetryLevel);
         }
         let count = u32::try_from(flight.tried.len()).unwrap_or(u32::MAX).saturating_add(1);
+        let count = count.saturating_sub(flight.moves);
         if count > flight.route.retries {
             return Err(Reason::RetryLimit);
         }
--- a/crates/request/src/flight.rs
+++ b/crates/request/src/flight.rs
@@ -23,6 +23,8 @@
     pub(crate) uid: u64,
     /// The targets of earlier attempts.
     pub(crate) tried: Vec<u64>,
+    /// Those of `tried` that refused before the target was contacted and were replaced.
+    pub(crate) moves: u32,
     pub(crate) deadline: Instant,
     /// Time that the current attempt was given.
     pub(crate) timeout: Duration,
--- a/crates/request/src/reason.rs
+++ b/crates/request/src/reason.rs
@@ -112,6 +112,8 @@
     Shedding = "shedding", 503, NotRun;
     /// The daemon has no such target.
     UnknownTarget = "unknown-target", 503, NotRun;
+    /// The target states that it did not run the request.
+    TargetRefused = "target-refused", 503, NotRun;
     /// No connection was established, so no byte was sent.
     ConnectFailed = "connect-failed", 503, NotRun;
     /// The peer refused the stream before it processed it (GOAWAY or `REFUSED_STREAM`).
--- /dev/null
+++ b/crates/request/src/residents.rs
@@ -0,0 +1,152 @@
+use std::{net::SocketAddr, time::Duration};
+
+use dw_tables::Name;
+use tokio::time::Instant;
+
+/// Ended incarnations that are remembered, so that a late report does not bring one back.
+const ENDED: usize = 64;
+
+/// What a target says about itself to the daemon beside it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Names the incarnation of the target.
+    pub name: Name,
+    /// When the incarnation started, in ms since the Unix epoch. Two incarnations may have the
+    /// same name.
+    pub started: u64,
+    /// Orders the reports of one incarnation.
+    pub sequence: u64,
+    /// The service that it runs.
+    pub service: Name,
+    /// Its HTTP/1.1 address.
+    pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub cold: Duration,
+}
+
+/// One target beside the daemon.
+#[derive(Clone, Debug)]
+pub struct Resident {
+    /// Names this incarnation among the targets of the host; never used again by this process.
+    pub index: u16,
+    /// The newest report.
+    pub report: Report,
+    /// When that report arrived.
+    pub heard: Instant,
+    /// Whether its reports have stopped.
+    pub silent: bool,
+}
+
+impl Resident {
+    /// Whether it may get new work.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        !self.report.draining && !self.silent
+    }
+}
+
+/// What a report led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// A new incarnation, or a change of one.
+    Changed,
+    /// Nothing but the time of the newest report.
+    Same,
+    /// It is older than what is known, and was ignored.
+    Stale,
+}
+
+/// The targets beside a daemon, from their own reports.
+#[derive(Debug)]
+pub struct Residents {
+    list: Vec<Resident>,
+    /// Ended incarnations: name and start.
+    ended: Vec<(Name, u64)>,
+    silence: Duration,
+    next: u16,
+}
+
+impl Residents {
+    /// No targets yet; one counts as silent after `silence` without a report.
+    #[must_use]
+    pub const fn new(silence: Duration) -> Self {
+        Self { list: Vec::new(), ended: Vec::new(), silence, next: 0 }
+    }
+
+    /// The targets, in the order in which they were first heard of.
+    #[must_use]
+    pub fn list(&self) -> &[Resident] {
+        &self.list
+    }
+
+    /// Takes a report. A later incarnation under the same name or at the same address replaces the
+    /// one before, of which no report is taken any more.
+    pub fn hear(&mut self, report: Report, now: Instant) -> Heard {
+        if self.ended.iter().any(|(name, at)| *name == report.name && *at == report.started) {
+            return Heard::Stale;
+        }
+        let known =
+            |r: &&Resident| r.report.name == report.name || r.report.address == report.address;
+        let newer = |r: &Resident| {
+            let (old, new) = ((r.report.started, &r.report.name), (report.started, &report.name));
+            old.0 > new.0 || (old == new && r.report.sequence >= report.sequence)
+        };
+        if self.list.iter().filter(known).any(newer) {
+            return Heard::Stale;
+        }
+        let same =
+            |r: &Resident| r.report.name == report.name && r.report.started == report.started;
+        if let Some(resident) = self.list.iter_mut().find(|r| same(r)) {
+            let old = (resident.is_open(), resident.report.slots, resident.report.address);
+            *resident = Resident { report, heard: now, silent: false, ..*resident };
+            let new = (resident.is_open(), resident.report.slots, resident.report.address);
+            return if old == new { Heard::Same } else { Heard::Changed };
+        }
+        let replaced =
+            |r: &Resident| r.report.name == report.name || r.report.address == report.address;
+        let gone: Vec<_> = self.list.iter().filter(|r| replaced(r)).map(life).collect();
+        self.list.retain(|r| !replaced(r));
+        gone.into_iter().for_each(|life| self.end(life));
+        self.list.push(Resident { index: self.next, report, heard: now, silent: false });
+        self.next = self.next.wrapping_add(1);
+        Heard::Changed
+    }
+
+    /// The target of this name is gone, or will be in a moment; `false` if it is not known.
+    pub fn leave(&mut self, name: &str) -> bool {
+        let gone: Vec<_> =
+            self.list.iter().filter(|r| r.report.name.as_str() == name).map(life).collect();
+        self.list.retain(|r| r.report.name.as_str() != name);
+        let known = !gone.is_empty();
+        gone.into_iter().for_each(|life| self.end(life));
+        known
+    }
+
+    /// Marks those whose reports have stopped; `true` if there are new ones.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let silence = self.silence;
+        let over =
+            |r: &&mut Resident| !r.silent && now.saturating_duration_since(r.heard) >= silence;
+        let mut changed = false;
+        for resident in self.list.iter_mut().filter(over) {
+            resident.silent = true;
+            changed = true;
+        }
+        changed
+    }
+
+    fn end(&mut self, life: (Name, u64)) {
+        if self.ended.len() >= ENDED {
+            self.ended.remove(0);
+        }
+        self.ended.push(life);
+    }
+}
+
+fn life(resident: &Resident) -> (Name, u64) {
+    (resident.report.name.clone(), resident.report.started)
+}
--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -5,13 +5,26 @@
 /// Rows of one host: normalized path prefix to its candidates, most specific first.
 type Paths = HashMap<Name, Vec<Arc<Entry>>>;
 
-/// A row of the table of routes with its pool resolved.
+/// A row of the table of routes with its pools resolved.
 #[derive(Clone, Debug)]
 pub struct Entry {
     /// The row.
     pub route: Arc<Route>,
-    /// Position of its pool in the version's table of pools.
-    pub pool: usize,
+    /// Positions in the version's table of pools, each with its weight; never empty.
+    pub pools: Vec<(usize, u32)>,
+}
+
+impl Entry {
+    /// The pool of one request; `draw` is uniform in 0 to 1.
+    pub(crate) fn pick(&self, draw: f64) -> usize {
+        let total: u32 = self.pools.iter().map(|(_, weight)| weight).sum();
+        let mut left = draw * f64::from(total);
+        let found = self.pools.iter().find(|(_, weight)| {
+            left -= f64::from(*weight);
+            left < 0.0
+        });
+        found.or(self.pools.last()).map_or(0, |(pool, _)| *pool)
+    }
 }
 
 /// The routes of one version, indexed by host and path.
@@ -33,8 +46,16 @@
         let pools: HashMap<&str, usize> =
             version.tables.pools.iter().enumerate().map(|(i, p)| (p.name.as_str(), i)).collect();
         for route in &version.tables.routes {
-            if let Some(&pool) = pools.get(route.pool.as_str()) {
-                router.add(Entry { route: Arc::new(route.clone()), pool });
+            let whole = [(&route.pool, 1)];
+            let split = route.split.iter().map(|share| (&share.pool, share.weight));
+            let split: Vec<_> =
+                if route.split.is_empty() { whole.to_vec() } else { split.collect() };
+            let parts = split
+                .iter()
+                .filter_map(|(name, weight)| pools.get(name.as_str()).map(|pool| (*pool, *weight)));
+            let parts: Vec<_> = parts.collect();
+            if parts.len() == split.len() {
+                router.add(Entry { route: Arc::new(route.clone()), pools: parts });
             }
         }
         router
--- a/crates/request/src/verdict.rs
+++ b/crates/request/src/verdict.rs
@@ -50,6 +50,7 @@
         | Reason::QueueWait
         | Reason::QueuePreempted
         | Reason::DeadlineUnmet
+        | Reason::TargetRefused
         | Reason::Shedding => Seen::Shed,
         _ => Seen::Neutral,
     }
@@ -68,10 +69,17 @@
             | Reason::QueueWait
             | Reason::QueuePreempted
             | Reason::DeadlineUnmet
+            | Reason::TargetRefused
             | Reason::Shedding
     )
 }
 
+/// Whether the refusal came before the target was contacted, so that another attempt is the first
+/// one to reach a target.
+pub(crate) const fn is_before_target(reason: Reason) -> bool {
+    is_local(reason) && !matches!(reason, Reason::TargetRefused)
+}
+
 /// Whether the reason concerns the request or its key, so that it says nothing about the target and
 /// no further attempt can change it.
 pub(crate) const fn is_final(reason: Reason) -> bool {
--- /dev/null
+++ b/crates/request/tests/residents.rs
@@ -0,0 +1,81 @@
+//! Targets that announce themselves to the daemon beside them.
+
+use std::time::Duration;
+
+use dw_request::{Heard, Report, Residents};
+use googletest::prelude::*;
+use tokio::time::Instant;
+
+const SILENCE: Duration = Duration::from_secs(4);
+
+fn report(name: &str, started: u64, sequence: u64) -> Report {
+    Report {
+        name: name.into(),
+        started,
+        sequence,
+        service: "tally".into(),
+        address: ([127, 0, 0, 1], 8000).into(),
+        slots: 12,
+        draining: false,
+        cold: Duration::ZERO,
+    }
+}
+
+fn names(residents: &Residents) -> Vec<(u16, String)> {
+    residents.list().iter().map(|r| (r.index, r.report.name.to_string())).collect()
+}
+
+/// Guards against a late report that ends a drain.
+#[gtest]
+fn late_reports_are_ignored() {
+    let now = Instant::now();
+    let mut residents = Residents::new(SILENCE);
+    expect_that!(residents.hear(report("a", 100, 4), now), eq(Heard::Changed));
+    expect_that!(residents.hear(report("a", 100, 5), now), eq(Heard::Same));
+    let draining = Report { draining: true, ..report("a", 100, 7) };
+    expect_that!(residents.hear(draining, now), eq(Heard::Changed));
+    expect_that!(residents.hear(report("a", 100, 6), now), eq(Heard::Stale));
+    expect_that!(residents.list()[0].is_open(), eq(false));
+}
+
+/// Guards against a report of an earlier incarnation, delayed by a partition, that replaces the
+/// target now at the address, and against an index that two incarnations share.
+#[gtest]
+fn the_latest_incarnation_holds_the_address() {
+    let now = Instant::now();
+    let mut residents = Residents::new(SILENCE);
+    residents.hear(report("a", 100, 9), now);
+    expect_that!(residents.hear(report("b", 200, 1), now), eq(Heard::Changed));
+    expect_that!(names(&residents), eq(&vec![(1, "b".to_owned())]));
+    expect_that!(residents.hear(report("a", 100, 10), now), eq(Heard::Stale));
+    // The same name again, with counts that start anew.
+    expect_that!(residents.hear(report("b", 300, 1), now), eq(Heard::Changed));
+    expect_that!(names(&residents), eq(&vec![(2, "b".to_owned())]));
+    expect_that!(residents.hear(report("b", 200, 2), now), eq(Heard::Stale));
+}
+
+/// Guards against a target that left and is brought back by a report which was under way.
+#[gtest]
+fn a_target_that_left_stays_away() {
+    let now = Instant::now();
+    let mut residents = Residents::new(SILENCE);
+    residents.hear(report("a", 100, 1), now);
+    expect_that!(residents.leave("a"), eq(true));
+    expect_that!(residents.leave("a"), eq(false));
+    expect_that!(residents.hear(report("a", 100, 2), now), eq(Heard::Stale));
+    expect_that!(residents.hear(report("a", 101, 1), now), eq(Heard::Changed));
+}
+
+/// Guards against requests for a target that ended without a word.
+#[gtest]
+fn silence_closes_a_target_until_it_reports_again() {
+    let now = Instant::now();
+    let mut residents = Residents::new(SILENCE);
+    residents.hear(report("a", 100, 1), now);
+    expect_that!(residents.expire(now + SILENCE - Duration::from_millis(1)), eq(false));
+    expect_that!(residents.expire(now + SILENCE), eq(true));
+    expect_that!(residents.list()[0].is_open(), eq(false));
+    expect_that!(residents.hear(report("a", 100, 2), now + SILENCE), eq(Heard::Changed));
+    expect_that!(names(&residents), eq(&vec![(0, "a".to_owned())]));
+    expect_that!(residents.list()[0].is_open(), eq(true));
+}
--- a/crates/request/tests/support/mod.rs
+++ b/crates/request/tests/support/mod.rs
@@ -55,6 +55,7 @@
 
 pub(crate) fn dispatcher(seed: u64, version: Arc<Version>, endpoints: Vec<Endpoint>) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(DispatcherConfig {
+        moves: 0,
         host: "portland-caller".into(),
         domain: "portland".into(),
         region: "new-england".into(),
--- a/crates/tables/src/check.rs
+++ b/crates/tables/src/check.rs
@@ -122,6 +122,13 @@
             let message = format!("pool {:?} does not exist", route.pool.as_str());
             routes.report(findings, idx, "pool", message, listed(pools.rows));
         }
+        if !routes.intact(idx, "split") {
+            continue;
+        }
+        for share in route.split.iter().filter(|share| !names.contains(&share.pool)) {
+            let message = format!("pool {:?} does not exist", share.pool.as_str());
+            routes.report(findings, idx, "split", message, listed(pools.rows));
+        }
     }
 }
 
--- a/crates/tables/src/field.rs
+++ b/crates/tables/src/field.rs
@@ -2,7 +2,7 @@
 
 use derive_more::Display;
 
-use crate::{Millis, Name, kind::Kind};
+use crate::{Millis, Name, Share, kind::Kind};
 
 /// A field of a row: its path in the row, what it accepts, and its default.
 ///
@@ -33,6 +33,7 @@
 pub(crate) enum Value<'a> {
     Text(&'a str),
     List(&'a [Name]),
+    Shares(&'a [Share]),
     Count(u64),
     Time(Millis),
     /// The type of the field leaves no other value.
@@ -60,6 +61,9 @@
 /// longer deadline would let a repeat run twice.
 pub const MAX_DEADLINE: u64 = 29_000;
 
+/// The lowest rank of a route.
+pub(crate) const MAX_PRIORITY: u64 = 100;
+
 /// The longest drain and the longest ejection, in ms.
 const HOUR: u64 = 3_600_000;
 
@@ -73,9 +77,12 @@
     optional("match.host", Kind::Host, "\"\""),
     optional("match.methods", Kind::Methods, "[]"),
     required("pool", Kind::Name),
+    optional("split", Kind::Shares, "[]"),
     optional("repeat", Kind::Choice(&["idempotent", "once"]), "\"once\""),
     optional("deadline", Kind::Time(Bounds { min: 1, max: MAX_DEADLINE }), "\"2s\""),
     optional("retries", Kind::Count(Bounds { min: 0, max: 5 }), "1"),
+    optional("priority", Kind::Count(Bounds { min: 0, max: MAX_PRIORITY }), "0"),
+    optional("objective", Kind::Time(Bounds { min: 1, max: MAX_DEADLINE }), "\"1s\""),
 ];
 
 /// The fields of a pool.
--- a/crates/tables/src/kind.rs
+++ b/crates/tables/src/kind.rs
@@ -1,6 +1,6 @@
 use std::collections::HashSet;
 
-use crate::{Bounds, Millis, Name, field::Value};
+use crate::{Bounds, Millis, Name, Share, field::Value};
 
 /// The longest name of a row or service, in bytes.
 pub const MAX_NAME: usize = 64;
@@ -22,6 +22,8 @@
     Path,
     /// A list of request methods.
     Methods,
+    /// The parts of a split.
+    Shares,
     /// One of a closed set.
     Choice(&'static [&'static str]),
     /// A whole number.
@@ -50,6 +52,11 @@
             Self::Methods => {
                 format!("[] for any method, or a list of different ones of {}", METHODS.join(", "))
             }
+            Self::Shares => {
+                "[] for no split, or a list of pools with their weights, such as \"ledger=90\", each \
+                 pool once"
+                    .to_owned()
+            }
             Self::Choice(list) => {
                 let list: Vec<String> = list.iter().map(|one| format!("{one:?}")).collect();
                 format!("one of {}", list.join(", "))
@@ -69,6 +76,7 @@
             (Self::Host, Value::Text(text)) => host_fault(text),
             (Self::Path, Value::Text(text)) => path_fault(text),
             (Self::Methods, Value::List(list)) => methods_fault(list),
+            (Self::Shares, Value::Shares(list)) => shares_fault(list),
             (Self::Count(bounds), Value::Count(count)) => {
                 bounds_fault(bounds, count, &count.to_string())
             }
@@ -141,3 +149,14 @@
         _ => None,
     })
 }
+
+fn shares_fault(list: &[Share]) -> Option<String> {
+    let mut seen = HashSet::new();
+    list.iter().find_map(|share| match name_fault(&share.pool) {
+        Some(fault) => Some(fault),
+        None if !seen.insert(&share.pool) => {
+            Some(format!("pool {:?} is listed twice", share.pool.as_str()))
+        }
+        None => None,
+    })
+}
--- a/crates/tables/src/leaf.rs
+++ b/crates/tables/src/leaf.rs
@@ -1,7 +1,7 @@
 use jsonc_parser::ast::Value as Ast;
 use serde_json::Value as Json;
 
-use crate::{Kind, Millis, Name, field::Value};
+use crate::{Kind, Millis, Name, Share, field::Value};
 
 /// Reads the value of a field of the given kind, or says what is wrong with it.
 pub(crate) fn read_leaf(kind: Kind, value: &Ast<'_>) -> Result<Json, String> {
@@ -12,6 +12,7 @@
             Ok(text.into())
         }
         Kind::Methods => methods(kind, value),
+        Kind::Shares => shares(kind, value),
         Kind::Choice(list) => {
             let text = text(value)?;
             let known = list.contains(&text);
@@ -35,12 +36,22 @@
     kind.fault(value).map_or(Ok(()), Err)
 }
 
-fn methods(kind: Kind, value: &Ast<'_>) -> Result<Json, String> {
+fn texts<'a>(value: &'a Ast<'_>) -> Result<Vec<&'a str>, String> {
     let Ast::Array(array) = value else {
         return Err(format!("{} is not a list", shown(value)));
     };
-    let list: Result<Vec<&str>, String> = array.elements.iter().map(text).collect();
-    let list = list?;
+    array.elements.iter().map(text).collect()
+}
+
+fn shares(kind: Kind, value: &Ast<'_>) -> Result<Json, String> {
+    let list = texts(value)?;
+    let parsed: Result<Vec<Share>, _> = list.iter().map(|text| text.parse()).collect();
+    check(kind, Value::Shares(&parsed.map_err(|error| error.to_string())?))?;
+    Ok(list.into())
+}
+
+fn methods(kind: Kind, value: &Ast<'_>) -> Result<Json, String> {
+    let list = texts(value)?;
     let names: Vec<Name> = list.iter().copied().map(Name::new).collect();
     check(kind, Value::List(&names))?;
     Ok(list.into())
--- a/crates/tables/src/route.rs
+++ b/crates/tables/src/route.rs
@@ -2,7 +2,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Match, Millis, Name,
+    Match, Millis, Name, Share,
     field::{Field, ROUTE_FIELDS, Row, Value},
 };
 
@@ -17,6 +17,9 @@
     pub matches: Match,
     /// The name of a row in the table of pools.
     pub pool: Name,
+    /// Where the requests go in place of `pool`; empty for no split.
+    #[serde(default)]
+    pub split: Vec<Share>,
     /// Whether the request may run more than once.
     #[serde(default)]
     pub repeat: Repeat,
@@ -26,6 +29,12 @@
     /// Attempts after the first, at the most.
     #[serde(default = "default_retries")]
     pub retries: u32,
+    /// Rank of the requests where slots are short; 0 is served first.
+    #[serde(default)]
+    pub priority: u32,
+    /// Time within which an answer is worth most to the caller.
+    #[serde(default = "default_objective")]
+    pub objective: Millis,
 }
 
 /// Whether a request may run more than once.
@@ -68,9 +77,12 @@
             Value::Text(&self.matches.host),
             Value::List(&self.matches.methods),
             Value::Text(&self.pool),
+            Value::Shares(&self.split),
             Value::Closed,
             Value::Time(self.deadline),
             Value::Count(u64::from(self.retries)),
+            Value::Count(u64::from(self.priority)),
+            Value::Time(self.objective),
         ]
     }
 }
@@ -79,6 +91,10 @@
     Millis::new(2000)
 }
 
+const fn default_objective() -> Millis {
+    Millis::new(1000)
+}
+
 const fn default_retries() -> u32 {
     1
 }
--- a/crates/tables/tests/arbitrary.rs
+++ b/crates/tables/tests/arbitrary.rs
@@ -22,9 +22,12 @@
         name: name.into(),
         matches: Match { path: Name::from(format!("/{name}")), ..Match::default() },
         pool: "p0".into(),
+        split: Vec::new(),
         repeat: Repeat::Once,
         deadline: Millis::new(deadline),
         retries: 0,
+        priority: 0,
+        objective: Millis::new(1000),
     }
 }
 
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -83,6 +83,9 @@
     /// Whether the target takes no new work.
     #[prost(bool, tag = "5")]
     pub draining: bool,
+    /// When the target started, in ms since the Unix epoch; 0 for the start of its daemon.
+    #[prost(uint64, tag = "6")]
+    pub started: u64,
 }
 
 impl Member {
