Admit requests beside a target by their objective and rank what waits

Ruled out: too few slots in use (the targets turned none away).

Change: the caller's daemon learns how long callers wait in all (Patience) and states the objective that is left (Goal) in one compact header (Leg). The gate queues a request only if it is expected to wait no longer than a quarter of its objective, serves what can still end in time first, and refused callers return within what is left of their time (Returns).

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -42,6 +42,7 @@
 mod headers;
 mod hop;
 mod keep;
+mod leg;
 mod records;
 mod server;
 mod slot;
@@ -113,6 +114,7 @@
             region: settings.region.clone(),
             seed: rand::random(),
             moves: settings.limits.moves,
+            returns: settings.returns,
         });
         let keeper =
             Keeper::new(KeeperConfig { host: host.clone(), domain, ..KeeperConfig::default() });
@@ -327,7 +329,7 @@
         let version = request.version();
         let checked = |r: Request<Incoming>| r.map(|b| Checked::new(b, version).boxed_unsync());
         let response = match step.as_deref() {
-            Some("target") => self.beside(checked(request)).await,
+            None => self.beside(checked(request)).await,
             Some("keeper") => self.serve_key(request).await,
             Some("cede") => self.cede(checked(request)).await,
             Some("hand-over") => self.accept(checked(request)).await,
--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -1,4 +1,4 @@
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use dw_request::{Arrival, Death, Fingerprint, POISON_SUSPECTS, Reason, Refusal};
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
@@ -11,30 +11,26 @@
     body::{Ended, Payload, Tracked},
     fault::SendFault,
     headers,
+    leg::Leg,
     slot::{Beside, Slot},
 };
 use crate::clock;
 
-/// Time left to a request whose sender states none; every daemon does.
-const NO_TIMEOUT: u64 = 2000;
-
 impl Proxy {
     /// Runs a request at a target on this host.
     pub(super) async fn beside(&self, mut request: Request<Payload>) -> Response<Payload> {
         let map = request.headers();
-        let index = headers::read::<u16>(map, &headers::TARGET);
-        let left = headers::read(map, &headers::TIMEOUT).unwrap_or(NO_TIMEOUT);
-        let deadline = Instant::now() + Duration::from_millis(left);
-        let arrival = Arrival {
-            depth: headers::read(map, &headers::DEPTH).unwrap_or(0),
-            deadline,
-            fingerprint: headers::read::<String>(map, &headers::PRINT).and_then(|t| print_of(&t)),
+        let Some(leg) = headers::read::<Leg>(map, &headers::LEG) else {
+            return answer::refuse(&Refusal::new(Reason::ProtocolError));
         };
+        let fingerprint = headers::read::<String>(map, &headers::PRINT).and_then(|t| print_of(&t));
+        let arrival = Arrival { fingerprint, ..leg.arrival(Instant::now()) };
+        let deadline = arrival.deadline;
         let service = map.get(headers::SERVICE).map(HeaderValue::as_bytes);
         let right = |target: &Arc<Beside>| {
             service.is_none_or(|service| service == target.service.as_bytes())
         };
-        let Some(target) = index.and_then(|idx| self.target(idx)).filter(right) else {
+        let Some(target) = self.target(leg.target).filter(right) else {
             return answer::refuse(&Refusal::new(Reason::UnknownTarget));
         };
         let target = &target;
@@ -42,7 +38,7 @@
             Ok(slot) => slot,
             Err(refusal) => return answer::with_load(answer::refuse(&refusal), target.load()),
         };
-        let name = self.prepare(&mut request, deadline, target);
+        let name = self.prepare(&mut request, &leg, deadline, target);
         let sent = timeout_at(deadline, target.pool.send(request, deadline)).await;
         let response = match sent {
             Ok(Ok(response)) if self.is_refusal(&response) => {
@@ -121,10 +117,11 @@
     fn prepare(
         &self,
         request: &mut Request<Payload>,
+        leg: &Leg,
         deadline: Instant,
         target: &Beside,
     ) -> Option<HeaderValue> {
-        prepare(request, deadline);
+        prepare(request, leg, deadline);
         let map = request.headers_mut();
         if self.dialect.timeout != headers::TIMEOUT {
             headers::strip_own(map);
@@ -152,20 +149,22 @@
 }
 
 /// Turns a request between daemons into one for the target.
-fn prepare(request: &mut Request<Payload>, deadline: Instant) {
+fn prepare(request: &mut Request<Payload>, leg: &Leg, deadline: Instant) {
     let host = request.uri().authority().map(ToString::to_string);
     let path = request.uri().path_and_query().cloned();
     *request.uri_mut() = path.map(Uri::from).unwrap_or_default();
     *request.version_mut() = http::Version::HTTP_11;
     let left = headers::ms_left(deadline);
     let map = request.headers_mut();
-    for name in [headers::STEP, headers::SERVICE, headers::TARGET, headers::PRINT] {
+    for name in [headers::SERVICE, headers::LEG, headers::PRINT] {
         map.remove(name);
     }
     if let Some(host) = host {
         headers::set(map, header::HOST, host);
     }
     headers::set(map, headers::TIMEOUT, left);
+    headers::set(map, headers::DEPTH, leg.depth);
+    headers::set(map, headers::RETRIED, u8::from(leg.retried));
     headers::set(map, headers::DEADLINE, u128::from(clock::unix_ms()) + left);
 }
 
--- a/crates/daemon/src/proxy/call.rs
+++ b/crates/daemon/src/proxy/call.rs
@@ -13,6 +13,7 @@
 use super::{
     body::{BodyFault, Checked, Payload, chain, empty, full},
     headers,
+    leg::Leg,
 };
 use crate::{Dialect, clock};
 
@@ -34,6 +35,8 @@
     first_sent_ms: Option<u64>,
     /// When the caller stops waiting.
     pub(crate) deadline: Option<Instant>,
+    /// Time that the caller stated.
+    stated: Option<Duration>,
     depth: u8,
     retried: bool,
 }
@@ -57,6 +60,9 @@
         map.remove(header::HOST);
         let timeout = headers::read(map, &dialect.timeout).map(Duration::from_millis);
         map.remove(&dialect.timeout);
+        if let Some(name) = &dialect.request {
+            headers::mark_unique(map, name);
+        }
         if let Some((name, value)) = &dialect.origin {
             map.insert(name, value.clone());
         }
@@ -73,6 +79,7 @@
             first_sent_ms,
             first_sent: first_sent_ms.and_then(clock::from_unix_ms),
             deadline: timeout.map(|left| Instant::now() + left),
+            stated: timeout,
             depth,
             retried,
             digest: None,
@@ -153,6 +160,7 @@
             body: self.digest.as_ref(),
             depth: self.depth,
             timeout: self.deadline.map(|at| at.saturating_duration_since(Instant::now())),
+            stated: self.stated,
             retried: self.retried,
         }
     }
@@ -170,14 +178,12 @@
     /// The request for the daemon beside the target of an attempt.
     pub(crate) fn for_target(&mut self, attempt: &Attempt, deadline: Instant) -> Request<Payload> {
         let print = self.print();
-        let mut request = self.forward("target", deadline);
+        let mut request = self.copy();
         let map = request.headers_mut();
         headers::set(map, headers::SERVICE, &attempt.endpoint.service);
-        headers::set(map, headers::TARGET, attempt.endpoint.target);
-        headers::set(map, headers::DEPTH, attempt.depth);
-        headers::set(map, headers::RETRIED, u8::from(attempt.retried));
+        headers::set_unique(map, headers::LEG, Leg::new(attempt, deadline, Instant::now()));
         if let Some(print) = print {
-            headers::set(map, headers::PRINT, print);
+            headers::set_unique(map, headers::PRINT, print);
         }
         request
     }
@@ -206,11 +212,17 @@
         }
     }
 
-    fn forward(&mut self, step: &str, deadline: Instant) -> Request<Payload> {
+    /// The request as the caller sent it.
+    fn copy(&mut self) -> Request<Payload> {
         let mut request = Request::new(self.body.take());
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.uri();
         *request.headers_mut() = self.head.headers.clone();
+        request
+    }
+
+    fn forward(&mut self, step: &str, deadline: Instant) -> Request<Payload> {
+        let mut request = self.copy();
         let map = request.headers_mut();
         headers::set(map, headers::STEP, step);
         headers::set(map, headers::TIMEOUT, headers::ms_left(deadline));
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -19,8 +19,8 @@
 pub(crate) const RETRIED: HeaderName = HeaderName::from_static("damaskwick-retried");
 /// The service that the target must run, between daemons.
 pub(crate) const SERVICE: HeaderName = HeaderName::from_static("damaskwick-service");
-/// The index of the target at its host, between daemons.
-pub(crate) const TARGET: HeaderName = HeaderName::from_static("damaskwick-target");
+/// What the daemon beside a target is told about a request, between daemons.
+pub(crate) const LEG: HeaderName = HeaderName::from_static("damaskwick-leg");
 /// What the receiving daemon is asked to do, between daemons.
 pub(crate) const STEP: HeaderName = HeaderName::from_static("damaskwick-step");
 /// The fingerprint of the request, between daemons.
@@ -101,6 +101,23 @@
     }
 }
 
+/// Sets a header whose value differs from request to request. It is marked as sensitive, which keeps
+/// it out of the compression table of an HTTP/2 connection, where it would displace values that
+/// repeat.
+pub(crate) fn set_unique(headers: &mut HeaderMap, name: HeaderName, value: impl Into<Text>) {
+    if let Ok(mut value) = HeaderValue::try_from(value.into().0) {
+        value.set_sensitive(true);
+        headers.insert(name, value);
+    }
+}
+
+/// Marks a header as one whose value differs from request to request, see [`set_unique`].
+pub(crate) fn mark_unique(headers: &mut HeaderMap, name: &HeaderName) {
+    if let Some(value) = headers.get_mut(name) {
+        value.set_sensitive(true);
+    }
+}
+
 /// The text of a header value.
 pub(crate) struct Text(String);
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,6 +1,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use derive_more::{Display, FromStr};
+use dw_request::Returns;
 use dw_tables::{Millis, Name};
 
 mod fields;
@@ -39,6 +40,8 @@
     pub log: LogSettings,
     /// The longest wait for requests in flight when the daemon stops.
     pub grace: Millis,
+    /// When refused callers are asked to come back.
+    pub returns: Returns,
 }
 
 /// One target on the daemon's host.
@@ -149,6 +152,7 @@
             preset: PresetName::default(),
             log: LogSettings::default(),
             grace: GRACE,
+            returns: Returns::default(),
         }
     }
 
--- a/crates/request/src/admission.rs
+++ b/crates/request/src/admission.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use crate::{Fingerprint, Refusal};
+use crate::{Fingerprint, Goal, Refusal};
 
 /// Limits of one target, kept exactly by the daemon beside it.
 #[derive(Clone, Debug)]
@@ -40,6 +40,8 @@
     pub depth: u8,
     /// When the caller stops waiting.
     pub deadline: Instant,
+    /// When its answer is worth most; `None` if the caller's daemon does not say.
+    pub goal: Option<Goal>,
     /// Identifies the request across repeats.
     pub fingerprint: Option<Fingerprint>,
 }
--- a/crates/request/src/attempt.rs
+++ b/crates/request/src/attempt.rs
@@ -3,7 +3,7 @@
 use dw_tables::{Name, Repeat, Route};
 use tokio::time::Instant;
 
-use crate::{Endpoint, Fingerprint, Load, Reason, Refusal};
+use crate::{Endpoint, Fingerprint, Goal, Load, Reason, Refusal};
 
 /// What a caller's daemon knows of a request when it arrives.
 #[derive(Clone, Copy, Debug, Default)]
@@ -24,6 +24,8 @@
     pub depth: u8,
     /// Time left according to the caller, from `damaskwick-timeout-ms`.
     pub timeout: Option<Duration>,
+    /// Time that the caller itself stated, before the route's deadline shortened it.
+    pub stated: Option<Duration>,
     /// Whether another level of the chain retries this request, from `damaskwick-retried`.
     pub retried: bool,
 }
@@ -56,6 +58,8 @@
     pub route: Arc<Route>,
     /// Whether the request may run more than once.
     pub repeat: Repeat,
+    /// When the answer is worth most.
+    pub goal: Goal,
     /// Value of `damaskwick-retried`: no level below may retry.
     pub retried: bool,
     /// Value of `damaskwick-depth` for the daemon beside the target.
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -9,11 +9,13 @@
 use tokio::time::Instant;
 
 use crate::{
-    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, Fingerprint, Next, Poison, Reason,
-    Refusal, RequestInfo, Router, backoff,
+    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, Fingerprint, Goal, Next, Poison,
+    Reason, Refusal, RequestInfo, Router, backoff,
     balancer::Wish,
     flight::{Flight, LostAttempts},
     locality::Place,
+    patience::Patience,
+    returns::{self, Returns},
     target::Seen,
     upstream::Upstream,
     verdict::{Verdict, is_before_target, is_final, is_local},
@@ -37,6 +39,8 @@
     /// retries of the route. They are no load on any target, so neither the retry budget nor a
     /// delay applies.
     pub moves: u32,
+    /// When refused callers are asked to come back.
+    pub returns: Returns,
 }
 
 /// Decides on the caller's side where each request goes, and what follows each attempt.
@@ -44,6 +48,8 @@
 pub struct Dispatcher {
     place: Place,
     moves: u32,
+    returns: Returns,
+    patience: HashMap<Name, Patience>,
     version: Arc<Version>,
     router: Arc<Router>,
     /// State of the pools; `pools` holds the keys in the order of the version's table.
@@ -65,6 +71,8 @@
         Self {
             place: Place { domain: config.domain, region: config.region },
             moves: config.moves,
+            returns: config.returns,
+            patience: HashMap::new(),
             version: Arc::default(),
             router: Arc::default(),
             upstreams: BTreeMap::new(),
@@ -83,6 +91,8 @@
     pub fn set_version(&mut self, version: Arc<Version>) {
         self.router = Arc::new(Router::new(&version));
         self.version = version;
+        let names: HashSet<_> = self.version.tables.routes.iter().map(|r| &r.name).collect();
+        self.patience.retain(|name, _| names.contains(name));
         self.upstreams.values_mut().for_each(|upstream| upstream.current = false);
         let old: HashMap<Name, u64> =
             self.upstreams.iter().map(|(key, u)| (u.pool.name.clone(), *key)).collect();
@@ -138,7 +148,7 @@
     pub fn begin(&mut self, info: RequestInfo<'_>, now: Instant) -> Decision {
         match self.admit(info, now) {
             Ok(attempt) => Decision::Forward(attempt),
-            Err(reason) => Decision::Refuse(self.refusal(reason)),
+            Err(reason) => Decision::Refuse(self.refusal(reason, info.timeout, None, now)),
         }
     }
 
@@ -174,9 +184,12 @@
         if matches!(outcome, AttemptOutcome::Answered { .. }) {
             return self.done(&flight, Next::Deliver);
         }
-        let mut refusal = self.refusal(cause);
+        let left = Some(flight.deadline.saturating_duration_since(now));
+        let mut refusal = self.refusal(cause, left, Some(flight.goal), now);
         refusal.no_retry = denied;
-        refusal.retry_after = refusal.retry_after.max(hint.unwrap_or_default());
+        if self.returns == Returns::Spread {
+            refusal.retry_after = refusal.retry_after.max(hint.unwrap_or_default());
+        }
         let refusal = if unknown || flight.unknown { refusal.with_unknown() } else { refusal };
         self.done(&flight, Next::Refuse(refusal))
     }
@@ -224,6 +237,12 @@
             [(pool, _)] => self.pools[*pool],
             _ => self.pools[entry.pick(self.rng.random())],
         };
+        let objective = Duration::from(entry.route.objective);
+        let age = info.stated.map_or(Duration::ZERO, |stated| {
+            self.patience.entry(entry.route.name.clone()).or_default().age(stated)
+        });
+        let late_at = now + objective.saturating_sub(age);
+        let goal = Goal { objective, late_at, priority: entry.route.priority };
         let upstream = self.upstreams.get_mut(&pool).ok_or(Reason::NoTarget)?;
         if upstream.in_flight >= upstream.limiter.limit() {
             return Err(Reason::PoolLimit);
@@ -245,6 +264,7 @@
             deadline: now + timeout,
             timeout,
             depth: info.depth + 1,
+            goal,
             retried: info.retried,
             unknown: false,
             print,
@@ -261,6 +281,7 @@
             timeout: flight.timeout,
             route: Arc::clone(&flight.route),
             repeat: flight.route.repeat,
+            goal: flight.goal,
             retried: flight.retried || cause.is_some(),
             depth: flight.depth,
             cause,
@@ -381,7 +402,17 @@
         next
     }
 
-    fn refusal(&mut self, reason: Reason) -> Refusal {
-        Refusal::new(reason).with_retry_after(backoff::retry_after(&mut self.rng))
+    fn refusal(
+        &mut self,
+        reason: Reason,
+        left: Option<Duration>,
+        goal: Option<Goal>,
+        now: Instant,
+    ) -> Refusal {
+        let after = match self.returns {
+            Returns::Spread => backoff::retry_after(&mut self.rng),
+            Returns::Deadline => returns::within(reason, left, goal, now, &mut self.rng),
+        };
+        Refusal::new(reason).with_retry_after(after)
     }
 }
--- a/crates/request/src/flight.rs
+++ b/crates/request/src/flight.rs
@@ -3,7 +3,7 @@
 use dw_tables::{Name, Route};
 use tokio::time::Instant;
 
-use crate::{Endpoint, Fingerprint};
+use crate::{Endpoint, Fingerprint, Goal};
 
 /// Attempts whose end was not seen that are remembered for a report of a death.
 const LOST: usize = 1024;
@@ -29,6 +29,7 @@
     /// Time that the current attempt was given.
     pub(crate) timeout: Duration,
     pub(crate) depth: u8,
+    pub(crate) goal: Goal,
     /// Whether another level of the chain retries.
     pub(crate) retried: bool,
     /// Whether an earlier attempt may have run.
--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -1,4 +1,5 @@
 use std::{
+    cmp::Reverse,
     collections::{HashMap, VecDeque},
     time::Duration,
 };
@@ -8,15 +9,26 @@
 use crate::{
     Admission, Arrival, Fingerprint, GateConfig, Limiter, Load, Permit, Poison, Reason, Refusal,
     RunOutcome, Ticket, Wake,
-    queue::{WaitQueue, Waiting},
+    queue::{Rank, WaitQueue, Waiting},
 };
 
+/// Deeper calls count as this deep, so that a stated depth cannot overtake all others for ever.
+const MAX_DEPTH: u8 = 15;
+
 /// Lost requests that are remembered for a report of a death.
 const LOST: usize = 256;
 
 /// How long before a death is noticed its lost requests may have ended.
 const NOTICE: Duration = Duration::from_secs(5);
 
+/// Share of its objective that a request may be expected to wait. A longer queue serves no more
+/// requests, only all of them later; a shorter one leaves slots empty between arrivals.
+const WAIT_SHARE: f64 = 0.25;
+
+/// Share of its objective after which a request that still waits is refused: the estimate was
+/// wrong, and its caller may find a free target elsewhere.
+const LEAVE_SHARE: f64 = 0.5;
+
 /// Weight of the newest sample in the mean service time.
 const ALPHA: f64 = 0.1;
 
@@ -216,30 +228,32 @@
 
     fn enqueue(&mut self, arrival: Arrival, now: Instant) -> Result<Ticket, Reason> {
         let service = Duration::from_secs_f64(self.service.unwrap_or_default());
-        let ahead = count(self.queue.ahead(arrival.depth)) + 1;
+        let rank = rank(&arrival, service, now);
+        let ahead = count(self.queue.ahead(rank)) + 1;
         let wait = service * ahead / self.limiter.limit().max(1);
         if now + wait + service > arrival.deadline {
             return Err(Reason::DeadlineUnmet);
         }
+        if arrival.goal.is_some_and(|goal| wait > goal.objective.mul_f64(WAIT_SHARE)) {
+            return Err(Reason::QueueFull);
+        }
         if self.queue.len() >= self.config.queue as usize {
-            let Some((ticket, _)) = self.queue.pop_below(arrival.depth) else {
+            let Some((ticket, _)) = self.queue.pop_below(rank) else {
                 let lowered = self.limiter.is_lowered();
                 return Err(if lowered { Reason::Shedding } else { Reason::QueueFull });
             };
             let refusal = self.refusal(Reason::QueuePreempted);
             self.postpone(vec![Wake::Refuse { ticket, refusal }], now);
         }
-        let patience = now + self.config.queue_wait;
+        let longest = self.config.queue_wait;
+        let longest = arrival.goal.map_or(longest, |goal| goal.objective.mul_f64(LEAVE_SHARE));
+        let patience = now + longest.min(self.config.queue_wait);
         let latest = arrival.deadline - service;
         let reason = if latest < patience { Reason::DeadlineUnmet } else { Reason::QueueWait };
         self.next += 1;
         let ticket = Ticket(self.next);
         let until = patience.min(latest);
-        self.queue.push(
-            ticket,
-            arrival.depth,
-            Waiting { until, reason, item: arrival.fingerprint },
-        );
+        self.queue.push(ticket, rank, Waiting { until, reason, item: arrival.fingerprint });
         Ok(ticket)
     }
 
@@ -276,6 +290,14 @@
     }
 }
 
+fn rank(arrival: &Arrival, service: Duration, now: Instant) -> Rank {
+    Rank {
+        late: arrival.goal.is_some_and(|goal| now + service > goal.late_at),
+        depth: Reverse(arrival.depth.min(MAX_DEPTH)),
+        urgency: arrival.goal.map_or(now, |goal| goal.urgency()),
+    }
+}
+
 fn count(number: usize) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
--- a/crates/request/src/queue.rs
+++ b/crates/request/src/queue.rs
@@ -7,11 +7,20 @@
 
 use crate::{Reason, Ticket};
 
-/// Depths that are told apart; deeper calls count as the deepest.
-const DEPTHS: u8 = 16;
+/// Which of the waiting requests runs first: one that can still end within its objective before
+/// one that cannot, then the deepest call, then the most urgent one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    /// Whether it can no longer end within its objective.
+    pub(crate) late: bool,
+    /// Calls above it in the chain.
+    pub(crate) depth: Reverse<u8>,
+    /// The smaller, the more urgent.
+    pub(crate) urgency: Instant,
+}
 
-/// The deepest call first, then the oldest.
-type Position = (Reverse<u8>, u64);
+/// Rank, then age.
+type Position = (Rank, u64);
 
 /// A request that waits for a slot.
 #[derive(Clone, Copy, Debug)]
@@ -24,23 +33,18 @@
     pub(crate) item: T,
 }
 
-/// Requests that wait for a slot, by depth and age. Every operation takes logarithmic time.
+/// Requests that wait for a slot, by rank and age. Every operation but [`Self::ahead`] takes
+/// logarithmic time.
 #[derive(Debug)]
 pub(crate) struct WaitQueue<T> {
     list: BTreeMap<Position, Waiting<T>>,
     until: BTreeSet<(Instant, Position)>,
-    tickets: HashMap<u64, u8>,
-    depths: [usize; DEPTHS as usize],
+    tickets: HashMap<u64, Rank>,
 }
 
 impl<T> WaitQueue<T> {
     pub(crate) fn new() -> Self {
-        Self {
-            list: BTreeMap::new(),
-            until: BTreeSet::new(),
-            tickets: HashMap::new(),
-            depths: [0; DEPTHS as usize],
-        }
+        Self { list: BTreeMap::new(), until: BTreeSet::new(), tickets: HashMap::new() }
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -51,18 +55,16 @@
         self.list.is_empty()
     }
 
-    /// Requests that run before a new one of this depth.
-    pub(crate) fn ahead(&self, depth: u8) -> usize {
-        self.depths[usize::from(cap(depth))..].iter().sum()
+    /// Requests that run before a new one of this rank. Takes linear time; the queue is short.
+    pub(crate) fn ahead(&self, rank: Rank) -> usize {
+        self.list.range(..=(rank, u64::MAX)).count()
     }
 
-    pub(crate) fn push(&mut self, ticket: Ticket, depth: u8, waiting: Waiting<T>) {
-        let depth = cap(depth);
-        let at = (Reverse(depth), ticket.0);
+    pub(crate) fn push(&mut self, ticket: Ticket, rank: Rank, waiting: Waiting<T>) {
+        let at = (rank, ticket.0);
         self.until.insert((waiting.until, at));
         self.list.insert(at, waiting);
-        self.tickets.insert(ticket.0, depth);
-        self.depths[usize::from(depth)] += 1;
+        self.tickets.insert(ticket.0, rank);
     }
 
     /// Takes the request that runs next.
@@ -71,10 +73,12 @@
         self.take(at)
     }
 
-    /// Takes the newest of the shallowest requests if it is less deep than `depth`.
-    pub(crate) fn pop_below(&mut self, depth: u8) -> Option<(Ticket, Waiting<T>)> {
+    /// Takes the last request if its call is less deep than `rank`, or if it is late and `rank`
+    /// is not.
+    pub(crate) fn pop_below(&mut self, rank: Rank) -> Option<(Ticket, Waiting<T>)> {
         let at = *self.list.last_key_value()?.0;
-        if at.0.0 < cap(depth) { self.take(at) } else { None }
+        let last = at.0;
+        if (last.late, last.depth) > (rank.late, rank.depth) { self.take(at) } else { None }
     }
 
     /// Takes a request whose time is over.
@@ -85,8 +89,8 @@
 
     /// Takes the request with this ticket.
     pub(crate) fn remove(&mut self, ticket: Ticket) -> Option<Waiting<T>> {
-        let depth = *self.tickets.get(&ticket.0)?;
-        self.take((Reverse(depth), ticket.0)).map(|(_, waiting)| waiting)
+        let rank = *self.tickets.get(&ticket.0)?;
+        self.take((rank, ticket.0)).map(|(_, waiting)| waiting)
     }
 
     /// When the first request is refused.
@@ -98,12 +102,6 @@
         let waiting = self.list.remove(&at)?;
         self.until.remove(&(waiting.until, at));
         self.tickets.remove(&at.1);
-        let count = &mut self.depths[usize::from(at.0.0)];
-        *count = count.saturating_sub(1);
         Some((Ticket(at.1), waiting))
     }
 }
-
-const fn cap(depth: u8) -> u8 {
-    if depth >= DEPTHS { DEPTHS - 1 } else { depth }
-}
--- /dev/null
+++ b/crates/request/src/returns.rs
@@ -0,0 +1,55 @@
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::{Goal, RETRY_AFTER, Reason};
+
+/// Shares of the time left after which a caller is asked to return if its objective is missed in
+/// any case, or if what refused it does not pass within the objective. Callers heed a request to
+/// wait for up to a third of their time.
+const LATER: std::ops::Range<f64> = 0.2..0.33;
+
+/// Shares of the objective after which a caller is asked to return while it can still be served
+/// within it: long enough for the queue that refused it to empty.
+const SOON: std::ops::Range<f64> = 0.1..0.3;
+
+/// How the time is chosen after which a refused caller is asked to return.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Returns {
+    /// Some seconds, for callers whose patience is not known.
+    #[default]
+    Spread,
+    /// A part of the time that the caller has left.
+    Deadline,
+}
+
+/// The time after which a refused caller returns, of the time that it has left.
+pub(crate) fn within(
+    reason: Reason,
+    left: Option<Duration>,
+    goal: Option<Goal>,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Duration {
+    let Some(left) = left else { return RETRY_AFTER };
+    let timely = goal.filter(|goal| is_overload(reason) && goal.late_at > now);
+    match timely {
+        Some(goal) => goal.objective.mul_f64(rng.random_range(SOON)).min(left / 3),
+        None => left.mul_f64(rng.random_range(LATER)),
+    }
+}
+
+/// Whether the reason may have passed as soon as another request has ended.
+const fn is_overload(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::QueueFull
+            | Reason::QueueWait
+            | Reason::QueuePreempted
+            | Reason::DeadlineUnmet
+            | Reason::TargetRefused
+            | Reason::Shedding
+            | Reason::PoolLimit
+    )
+}
--- a/crates/request/tests/schedule.rs
+++ b/crates/request/tests/schedule.rs
@@ -161,7 +161,11 @@
             match self.events.remove(&number).expect("event") {
                 Event::Request => self.request(),
                 Event::Arrive { target, call, deadline, depth } => {
-                    self.arrive(target, call, Arrival { depth, deadline, fingerprint: None });
+                    self.arrive(
+                        target,
+                        call,
+                        Arrival { depth, deadline, goal: None, fingerprint: None },
+                    );
                 }
                 Event::Expire { target } => {
                     let wakes = self.targets[target].gate.expire(at);
