Leave after callers are sent elsewhere, and start from the platform's own copy

Change: a daemon stays at work for a linger after the signal and only says that it is not ready; on a platform that loses nothing it serves the platform's version without a floor; hops are pinged after 0.4 s without a byte and fail after 0.9 s without an acknowledgement; responses between daemons lose their date.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,4 +1,9 @@
-use std::{collections::HashSet, io, net::SocketAddr, sync::Arc};
+use std::{
+    collections::HashSet,
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicBool},
+};
 
 use dw_mesh::{Member, MemberState, Node, NodeConfig, Preset, Target};
 use dw_platform::{HttpPlatform, Platform};
@@ -198,6 +203,8 @@
     Running {
         addrs: sockets.addrs,
         grace: settings.grace.into(),
+        linger: settings.linger,
+        retiring: AtomicBool::new(false),
         view,
         node: node_in,
         proxy,
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -41,7 +41,7 @@
 
 /// Adds the load of the target to a response between daemons.
 pub(crate) fn with_load(mut response: Response<Payload>, load: Load) -> Response<Payload> {
-    headers::set(response.headers_mut(), headers::LOAD, load);
+    headers::set_unique(response.headers_mut(), headers::LOAD, load);
     response
 }
 
--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -190,6 +190,7 @@
     let map = response.headers_mut();
     headers::strip_hop(map);
     headers::strip_own(map);
+    map.remove(header::DATE);
     answer::mark_run(&mut response);
     response
 }
--- a/crates/daemon/src/proxy/hop.rs
+++ b/crates/daemon/src/proxy/hop.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::client::conn::http2::{Builder, SendRequest};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::{
     net::TcpStream,
     time::{sleep, timeout},
@@ -23,8 +24,17 @@
 };
 use crate::tasks::Tasks;
 
-/// Interval of the pings that detect a connection which no longer responds, and the wait for each.
-pub(crate) const PING: Duration = Duration::from_secs(2);
+/// Time without a byte from the other daemon, while requests wait for it, after which it is pinged.
+/// Failure domains are about 1 ms apart.
+pub(crate) const PING_AFTER: Duration = Duration::from_millis(400);
+
+/// The wait for the answer to a ping; a daemon on a host that is out of processor time for a moment
+/// answers within it.
+pub(crate) const PING_WAIT: Duration = Duration::from_millis(700);
+
+/// Time after which a connection fails if the other host does not acknowledge what was sent. After
+/// a lost packet it is sent again after about 200 ms, so this allows for two losses in a row.
+const UNACKED: Duration = Duration::from_millis(900);
 
 /// The longest wait for a connection to another daemon; domains are about 1 ms apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -123,10 +133,12 @@
     async fn connect(&self, peer: &Arc<Peer>, addr: SocketAddr) -> Result<Conn, String> {
         let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        // Without the option the pings notice a silent peer, only later.
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED));
         let (sender, link) = Builder::new(self.0.tasks.clone())
             .timer(TokioTimer::new())
-            .keep_alive_interval(PING)
-            .keep_alive_timeout(PING)
+            .keep_alive_interval(PING_AFTER)
+            .keep_alive_timeout(PING_WAIT)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| e.to_string())?;
--- a/crates/daemon/src/proxy/server.rs
+++ b/crates/daemon/src/proxy/server.rs
@@ -12,7 +12,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{Proxy, body::Payload, hop::PING};
+use super::{Proxy, body::Payload};
 use crate::tasks::Tasks;
 
 /// The longest wait for the next request on a caller's HTTP/1.1 connection.
@@ -21,6 +21,10 @@
 /// Interval of the pings to callers over HTTP/2, and the wait for each; their networks are slower.
 const CALLER_PING: Duration = Duration::from_secs(20);
 
+/// Interval of the pings to other daemons on the connections that they opened, and the wait for
+/// each; a daemon that waits for a response pings more often itself.
+const DAEMON_PING: Duration = Duration::from_secs(2);
+
 /// Requests at the same time on one connection between daemons, which carries those of all
 /// callers of a host.
 const STREAMS: u32 = 2048;
@@ -117,9 +121,11 @@
         let service = service_fn(move |request| daemon(proxy.clone(), request));
         let conn = http2::Builder::new(self.tasks.clone())
             .timer(TokioTimer::new())
-            .keep_alive_interval(PING)
-            .keep_alive_timeout(PING)
+            .keep_alive_interval(DAEMON_PING)
+            .keep_alive_timeout(DAEMON_PING)
             .max_concurrent_streams(STREAMS)
+            // Daemons do not read it, and its bytes count.
+            .auto_date_header(false)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(conn);
         tokio::select! {
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -1,8 +1,16 @@
-use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashSet,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use dw_mesh::{Input, LocalEvent, MemberTable, Status, Target};
 use dw_request::Resident;
-use dw_tables::{Version, VersionMark};
+use dw_tables::{Millis, Version, VersionMark};
 use spdlog::Logger;
 use tokio::{
     sync::{mpsc, watch},
@@ -48,6 +56,9 @@
 pub struct Running {
     pub(crate) addrs: Addrs,
     pub(crate) grace: Duration,
+    pub(crate) linger: Millis,
+    /// Whether the daemon was told to leave.
+    pub(crate) retiring: AtomicBool,
     pub(crate) view: watch::Receiver<View>,
     pub(crate) node: mpsc::Sender<ToNode>,
     pub(crate) proxy: Arc<Proxy>,
@@ -115,7 +126,7 @@
     /// Whether the daemon takes new work: it serves a version and is not leaving.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.served().number > 0 && !self.proxy.is_draining()
+        self.served().number > 0 && !self.retiring.load(Ordering::Relaxed)
     }
 
     /// What the daemon knows about the version in force; `None` while it closes.
@@ -143,10 +154,14 @@
     /// is in flight, hands the at-most-once records over, and closes the connections. Further calls
     /// return at once.
     pub async fn drain(&self) {
-        if self.server.drain.is_cancelled() {
+        if self.retiring.load(Ordering::Relaxed) {
             return;
         }
         let until = Instant::now() + self.grace;
+        let linger = Duration::from(self.linger).min(self.grace);
+        self.retiring.store(true, Ordering::Relaxed);
+        spdlog::info!(logger: self.log, "[proxy] leaving in {} ms", linger.as_millis());
+        sleep(linger).await;
         spdlog::info!(logger: self.log, "[proxy] leaving");
         self.proxy.drain();
         self.server.drain.cancel();
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -40,6 +40,9 @@
     pub log: LogSettings,
     /// The longest wait for requests in flight when the daemon stops.
     pub grace: Millis,
+    /// Time from the signal to stop during which new work is still taken, while whoever sends
+    /// callers to this host notices that the daemon is not ready.
+    pub linger: Millis,
     /// When refused callers are asked to come back.
     pub returns: Returns,
 }
@@ -152,6 +155,7 @@
             preset: PresetName::default(),
             log: LogSettings::default(),
             grace: GRACE,
+            linger: Millis::new(0),
             returns: Returns::default(),
         }
     }
--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -15,9 +15,8 @@
 /// Wait for the answer of one peer before the next is tried.
 const ANSWER_WAIT: Duration = Duration::from_millis(500);
 
-/// Wait for the platform's relay records. All hosts of a restarted domain may read them at once,
-/// so the read is put off by a random part of this time.
-const RELAYS_WAIT: Duration = Duration::from_secs(2);
+/// Wait for the platform's relay records after the latest moment at which they are asked for.
+const RELAYS_WAIT: Duration = Duration::from_secs(1);
 
 /// Wait for the floors of further peers after the first.
 const FLOOR_WAIT: Duration = Duration::from_secs(1);
@@ -114,9 +113,10 @@
             self.settle_alone();
         } else {
             self.join.asked_relays = true;
-            let jitter = self.jitter(RELAYS_WAIT / 2);
+            let spread = self.cfg.preset.join_spread;
+            let jitter = self.jitter(spread);
             self.timers.set(Timer::Relays, self.now + jitter);
-            self.timers.set(Timer::Join, self.now + RELAYS_WAIT);
+            self.timers.set(Timer::Join, self.now + spread + RELAYS_WAIT);
         }
     }
 
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -86,6 +86,9 @@
         timers.set(Timer::Probe, now + jitter(&mut rng, cfg.preset.probe));
         timers.set(Timer::Sweep, now + SWEEP_EVERY);
         timers.set(Timer::Members, now);
+        if cfg.preset.durable {
+            timers.set(Timer::Head, now);
+        }
         let mut roster = Roster::default();
         roster.put(me.clone(), now);
         Self {
@@ -99,7 +102,7 @@
             probe: Probe::default(),
             join: Joining::new(&cfg, now),
             urgent: Urgent::new(now),
-            store: Store::new(now),
+            store: Store::new(cfg.preset.durable, now),
             pull: Pulling::default(),
             trees: BTreeMap::new(),
             acks: Acks::default(),
--- a/crates/mesh/src/preset.rs
+++ b/crates/mesh/src/preset.rs
@@ -30,6 +30,13 @@
     /// How long a member declared dead without proof may still be serving. Until then it keeps the
     /// status from `in-force` unless it acknowledged the version; see `Status`.
     pub doubt: Duration,
+    /// Whether the platform's reads are linearizable and it loses nothing that it acknowledged. A
+    /// version read from it is then at least as new as any that was served, so a node that starts
+    /// reads it at once and serves it without asking peers for a floor.
+    pub durable: bool,
+    /// The longest wait of a node that starts before it reads the relay records, so that the hosts
+    /// of a restarted domain do not all read them at once.
+    pub join_spread: Duration,
 }
 
 impl Preset {
@@ -44,6 +51,8 @@
                 suspicion: 4,
                 summary: Duration::from_secs(1),
                 doubt: Duration::from_secs(600),
+                durable: false,
+                join_spread: Duration::from_secs(1),
             },
             PresetName::Verband => Self {
                 fan_out: 6,
@@ -52,6 +61,8 @@
                 suspicion: 4,
                 summary: Duration::from_secs(1),
                 doubt: Duration::from_secs(600),
+                durable: false,
+                join_spread: Duration::from_secs(1),
             },
         }
     }
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -136,6 +136,9 @@
             let jitter = self.jitter(REREAD);
             self.timers.set(Timer::Head, self.now + REREAD / 2 + jitter);
             self.call(PlatformCall::ReadHead);
+        } else if self.cfg.preset.durable && self.store.served().is_none() {
+            self.timers.set(Timer::Head, self.now + CALL_WAIT);
+            self.call(PlatformCall::ReadHead);
         }
     }
 
@@ -356,6 +359,7 @@
             self.store.open = Some(mark);
             return;
         }
+        self.confirm(mark);
         if mark.number > self.store.newest().number && self.relay.reading.as_ref() != Some(&head) {
             self.relay.reading = Some(head);
             self.run_parts();
--- a/crates/mesh/src/store.rs
+++ b/crates/mesh/src/store.rs
@@ -104,6 +104,8 @@
     pub(crate) floor_known: bool,
     /// Whether no peer could be reached, so that the platform's head may be served without floor.
     pub(crate) alone: bool,
+    /// Whether what the platform holds may be served without floor in any case.
+    durable: bool,
     /// When the version served was published.
     pub(crate) since: Instant,
     snapshot: Option<Bytes>,
@@ -116,13 +118,14 @@
 
 impl Store {
     /// No version.
-    pub(crate) const fn new(now: Instant) -> Self {
+    pub(crate) const fn new(durable: bool, now: Instant) -> Self {
         Self {
             held: VecDeque::new(),
             staged: None,
             floor: 0,
             floor_known: false,
             alone: false,
+            durable,
             since: now,
             snapshot: None,
             deltas: BTreeMap::new(),
@@ -156,7 +159,8 @@
     /// Whether the node may serve a version of the given number, read from the platform or from a
     /// peer.
     const fn may_serve(&self, number: u64, platform: bool) -> bool {
-        (self.floor_known || (self.alone && platform)) && number >= self.floor
+        let fresh = platform && (self.alone || self.durable);
+        (self.floor_known || fresh) && number >= self.floor
     }
 
     /// The version served as rows for a peer: changed rows if the base is known and they are
@@ -320,6 +324,17 @@
         }
     }
 
+    /// The platform holds this version: one that is staged under the same mark is served.
+    pub(crate) fn confirm(&mut self, mark: VersionMark) {
+        if let Some((release, _)) = self.store.staged.take_if(|(r, _)| r.version.mark() == mark) {
+            if self.store.may_serve(mark.number, true) {
+                self.publish(release);
+            } else {
+                self.store.staged = Some((release, true));
+            }
+        }
+    }
+
     fn publish(&mut self, release: Release) {
         let mark = release.version.mark();
         let store = &mut self.store;
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -24,6 +24,11 @@
 /// Calls above a request beyond which it is taken for a loop; real chains have up to 8.
 const MAX_DEPTH: u8 = 16;
 
+/// Whether the attempt was refused before the target was contacted.
+const fn is_move(outcome: &AttemptOutcome) -> bool {
+    matches!(outcome, AttemptOutcome::NotRun { reason, .. } if is_before_target(*reason))
+}
+
 /// Where the dispatcher runs.
 #[derive(Clone, Debug, Default)]
 pub struct DispatcherConfig {
@@ -309,6 +314,9 @@
                 upstream.limiter.succeeded(upstream.in_flight);
                 upstream.shed.record(false, now);
             }
+            // A refusal of a daemon beside a target moves the request elsewhere. It says how full that
+            // target is, and lowering this daemon's own limit would refuse what others have room for.
+            Seen::Shed if self.moves > 0 && is_move(outcome) => {}
             Seen::Shed => {
                 upstream.shed.record(true, now);
                 if upstream.shed.is_shedding(now) {
--- a/crates/request/src/locality.rs
+++ b/crates/request/src/locality.rs
@@ -6,11 +6,13 @@
 /// Distances that are told apart.
 pub(crate) const TIERS: usize = 3;
 
-/// Utilization of the local slots above which requests spill over.
-const SPILL_FROM: f64 = 0.7;
+/// Utilization of the local slots above which requests spill over. Bytes between failure domains are
+/// paid for, and the gate beside a full target sends a request on, so local slots are filled first.
+const SPILL_FROM: f64 = 0.9;
 
-/// Utilization at which every request spills over.
-const SPILL_ALL: f64 = 1.0;
+/// Utilization at which every request spills over; above 1, because requests that wait a moment for
+/// a local slot still end within their objective.
+const SPILL_ALL: f64 = 1.2;
 
 /// Where the caller's daemon is.
 #[derive(Clone, Debug, Default)]
