Estimate service times beside a target by kind of request

Change: the gate keeps a mean for each goal and lets a request that is cheaper than the mean wait longer, up to four times.

--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -7,9 +7,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    Admission, Arrival, Fingerprint, GateConfig, Limiter, Load, Permit, Poison, Reason, Refusal,
-    RunOutcome, Ticket, Wake,
+    Admission, Arrival, Fingerprint, GateConfig, Goal, Limiter, Load, Permit, Poison, Reason,
+    Refusal, RunOutcome, Ticket, Wake,
     queue::{Rank, WaitQueue, Waiting},
+    service_times::{Kind, ServiceTimes, kind_of},
 };
 
 /// Deeper calls count as this deep, so that a stated depth cannot overtake all others for ever.
@@ -29,9 +30,6 @@
 /// wrong, and its caller may find a free target elsewhere.
 const LEAVE_SHARE: f64 = 0.5;
 
-/// Weight of the newest sample in the mean service time.
-const ALPHA: f64 = 0.1;
-
 /// Bounds of the time after which a refused caller is told to retry.
 const RETRY_MIN: Duration = Duration::from_millis(10);
 const RETRY_MAX: Duration = Duration::from_secs(5);
@@ -40,10 +38,20 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     print: Option<Fingerprint>,
+    kind: Option<Kind>,
     /// The target died while the request was in flight.
     died: bool,
 }
 
+/// A request that waits for a slot.
+#[derive(Clone, Copy, Debug)]
+struct Queued {
+    print: Option<Fingerprint>,
+    kind: Option<Kind>,
+    /// How long it is expected to take.
+    service: Duration,
+}
+
 /// Decides beside a target which requests run, wait or are refused.
 ///
 /// Slots are exact: a slot is taken from the decision to run until [`Self::finish`], and for a
@@ -53,13 +61,12 @@
     config: GateConfig,
     poison: Poison,
     limiter: Limiter,
-    queue: WaitQueue<Option<Fingerprint>>,
+    queue: WaitQueue<Queued>,
     running: HashMap<u64, Running>,
     /// When the slots of requests whose end was not seen are free again.
     linger: VecDeque<Instant>,
     lost: VecDeque<(Instant, Fingerprint)>,
-    /// Mean service time in seconds.
-    service: Option<f64>,
+    service: ServiceTimes,
     /// Decisions that were made while no wakes could be returned, and since when.
     pending: Vec<Wake>,
     since: Option<Instant>,
@@ -79,7 +86,7 @@
             running: HashMap::new(),
             linger: VecDeque::new(),
             lost: VecDeque::new(),
-            service: None,
+            service: ServiceTimes::default(),
             pending: Vec::new(),
             since: None,
             next: 0,
@@ -115,7 +122,8 @@
         self.advance(now, &mut wakes);
         self.postpone(wakes, now);
         if self.queue.is_empty() && self.has_slot() {
-            return Admission::Run(self.start(arrival.fingerprint));
+            let kind = arrival.goal.as_ref().map(kind_of);
+            return Admission::Run(self.start(arrival.fingerprint, kind));
         }
         match self.enqueue(arrival, now) {
             Ok(ticket) => Admission::Wait(ticket),
@@ -197,9 +205,9 @@
         self.taken() < self.limiter.limit() as usize
     }
 
-    fn start(&mut self, print: Option<Fingerprint>) -> Permit {
+    fn start(&mut self, print: Option<Fingerprint>, kind: Option<Kind>) -> Permit {
         self.next += 1;
-        self.running.insert(self.next, Running { print, died: false });
+        self.running.insert(self.next, Running { print, kind, died: false });
         Permit(self.next)
     }
 
@@ -214,7 +222,10 @@
         while self.has_slot()
             && let Some((ticket, waiting)) = self.queue.pop()
         {
-            wakes.push(Wake::Run { ticket, permit: self.start(waiting.item) });
+            wakes.push(Wake::Run {
+                ticket,
+                permit: self.start(waiting.item.print, waiting.item.kind),
+            });
         }
     }
 
@@ -227,16 +238,22 @@
     }
 
     fn enqueue(&mut self, arrival: Arrival, now: Instant) -> Result<Ticket, Reason> {
-        let service = Duration::from_secs_f64(self.service.unwrap_or_default());
+        let kind = arrival.goal.as_ref().map(kind_of);
+        let service = self.service.of(kind);
         let rank = rank(&arrival, service, now);
-        let ahead = count(self.queue.ahead(rank)) + 1;
-        let wait = service * ahead / self.limiter.limit().max(1);
+        let slots = self.limiter.limit().max(1);
+        let ahead: Duration = self.queue.ahead(rank).map(|queued| queued.service).sum();
+        let wait = (ahead + self.service.mean()) / slots;
         if now + wait + service > arrival.deadline {
             return Err(Reason::DeadlineUnmet);
         }
-        if arrival.goal.is_some_and(|goal| wait > goal.objective.mul_f64(WAIT_SHARE)) {
+        let share =
+            |goal: Goal, part: f64| goal.objective.mul_f64(part * self.service.cheapness(kind));
+        if arrival.goal.is_some_and(|goal| wait > share(goal, WAIT_SHARE)) {
             return Err(Reason::QueueFull);
         }
+        let longest = arrival.goal.map(|goal| share(goal, LEAVE_SHARE));
+        let longest = longest.map_or(self.config.queue_wait, |it| it.min(self.config.queue_wait));
         if self.queue.len() >= self.config.queue as usize {
             let Some((ticket, _)) = self.queue.pop_below(rank) else {
                 let lowered = self.limiter.is_lowered();
@@ -245,15 +262,14 @@
             let refusal = self.refusal(Reason::QueuePreempted);
             self.postpone(vec![Wake::Refuse { ticket, refusal }], now);
         }
-        let longest = self.config.queue_wait;
-        let longest = arrival.goal.map_or(longest, |goal| goal.objective.mul_f64(LEAVE_SHARE));
-        let patience = now + longest.min(self.config.queue_wait);
+        let patience = now + longest;
         let latest = arrival.deadline - service;
         let reason = if latest < patience { Reason::DeadlineUnmet } else { Reason::QueueWait };
         self.next += 1;
         let ticket = Ticket(self.next);
         let until = patience.min(latest);
-        self.queue.push(ticket, rank, Waiting { until, reason, item: arrival.fingerprint });
+        let item = Queued { print: arrival.fingerprint, kind, service };
+        self.queue.push(ticket, rank, Waiting { until, reason, item });
         Ok(ticket)
     }
 
@@ -265,8 +281,7 @@
             }
             RunOutcome::Answered { latency, .. } => {
                 self.limiter.succeeded(count(used));
-                let new = latency.as_secs_f64();
-                self.service = Some(self.service.map_or(new, |old| old + ALPHA * (new - old)));
+                self.service.observe(running.kind, latency);
             }
             RunOutcome::NotStarted => {}
             RunOutcome::Lost if running.died => {}
@@ -284,7 +299,7 @@
 
     /// A refusal that names the time in which the queue empties.
     fn refusal(&self, reason: Reason) -> Refusal {
-        let service = Duration::from_secs_f64(self.service.unwrap_or_default());
+        let service = self.service.mean();
         let wait = service * (count(self.queue.len()) + 1) / self.limiter.limit().max(1);
         Refusal::new(reason).with_retry_after(wait.clamp(RETRY_MIN, RETRY_MAX))
     }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -33,6 +33,7 @@
 mod residents;
 mod returns;
 mod router;
+mod service_times;
 mod shed;
 mod target;
 mod upstream;
--- a/crates/request/src/queue.rs
+++ b/crates/request/src/queue.rs
@@ -56,8 +56,8 @@
     }
 
     /// Requests that run before a new one of this rank. Takes linear time; the queue is short.
-    pub(crate) fn ahead(&self, rank: Rank) -> usize {
-        self.list.range(..=(rank, u64::MAX)).count()
+    pub(crate) fn ahead(&self, rank: Rank) -> impl Iterator<Item = &T> {
+        self.list.range(..=(rank, u64::MAX)).map(|(_, waiting)| &waiting.item)
     }
 
     pub(crate) fn push(&mut self, ticket: Ticket, rank: Rank, waiting: Waiting<T>) {
