Move refused requests only to targets with a free slot

Change: a move goes to the nearest target that was not tried and has a free slot by its last load report; without one, the caller is refused at once.

--- a/crates/request/src/balancer.rs
+++ b/crates/request/src/balancer.rs
@@ -122,6 +122,30 @@
         Some((target.uid, Arc::clone(&target.endpoint)))
     }
 
+    /// Chooses a target that was not tried and has a free slot as far as is known, the nearest one
+    /// first, for a request that another target had no room for. Counts it as in flight there.
+    pub(crate) fn choose_free(
+        &mut self,
+        pool: &Pool,
+        wish: Wish<'_>,
+        now: Instant,
+    ) -> Option<(u64, Arc<Endpoint>)> {
+        let free = |target: &Target| {
+            let usable = classify(target, wish, &pool.ejection, now) == Some(Class::Usable);
+            usable && target.busy(now) < f64::from(target.endpoint.slots) * target.warmth(now)
+        };
+        let mean = self.mean.unwrap_or(1.0);
+        let place = &self.place;
+        let cost =
+            |target: &Target| (place.tier(pool.prefer, &target.endpoint), target.score(mean, now));
+        let best = self.targets.iter_mut().filter(|target| free(target)).min_by(|a, b| {
+            let ((near, a), (far, b)) = (cost(a), cost(b));
+            near.cmp(&far).then(a.total_cmp(&b))
+        })?;
+        best.in_flight += 1;
+        Some((best.uid, Arc::clone(&best.endpoint)))
+    }
+
     /// Ends an attempt.
     pub(crate) fn finish(
         &mut self,
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -338,11 +338,7 @@
         let mut tried = flight.tried.clone();
         tried.push(flight.uid);
         let wish = Wish { tried: &tried, idempotent };
-        let (uid, endpoint) = upstream.balancer.choose(&upstream.pool, wish, &mut self.rng, now)?;
-        if tried.contains(&uid) {
-            upstream.balancer.finish(uid, Seen::Neutral, None, &upstream.pool.ejection, now);
-            return None;
-        }
+        let (uid, endpoint) = upstream.balancer.choose_free(&upstream.pool, wish, now)?;
         flight.moves += 1;
         flight.tried = tried;
         (flight.uid, flight.endpoint) = (uid, endpoint);
