--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -12,6 +12,9 @@
     timer::Timer,
 };
 
+/// Contacts that are asked at the same time: relay records may name hosts that have failed.
+const JOIN_WIDTH: usize = 3;
+
 /// Wait for the answer of one peer before the next is tried.
 const ANSWER_WAIT: Duration = Duration::from_millis(500);
 
@@ -99,14 +102,16 @@
 }
 
 impl Node {
-    /// Tries the next contact; after the last one reads the relay records, and then starts over.
+    /// Tries the next contacts; after the last one reads the relay records, and then starts over.
     pub(crate) fn run_join(&mut self) {
         if self.join.admitted {
             return;
         }
-        if let Some(addr) = self.join.contacts.get(self.join.next).copied() {
-            self.join.next += 1;
-            self.send_join(addr);
+        let contacts: Vec<_> =
+            self.join.contacts.iter().skip(self.join.next).take(JOIN_WIDTH).copied().collect();
+        if !contacts.is_empty() {
+            self.join.next += contacts.len();
+            contacts.into_iter().for_each(|addr| self.send_join(addr));
             let wait = ANSWER_WAIT + self.jitter(ANSWER_WAIT);
             self.timers.set(Timer::Join, self.now + wait);
         } else if self.join.asked_relays {
@@ -144,6 +149,10 @@
     /// Takes peers from the platform's relay records.
     pub(crate) fn on_relay_records(&mut self, records: Vec<RelayRecord>) {
         let me = self.me.peer;
+        let mut records = records;
+        // Peers of the own domain know it best, and newcomers do not all ask the same ones.
+        records.shuffle(&mut self.rng);
+        records.sort_by_key(|record| record.domain != self.me.domain);
         for record in records.into_iter().filter(|r| r.peer != me) {
             let known = self.roster.at(record.peer).is_some();
             if !known && self.join.unheard.len() < CONTACTS_LIMIT {
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -18,6 +18,10 @@
 /// Time between two reads of the head beside the watch, in case the watch is lost silently.
 const REREAD: Duration = Duration::from_secs(30);
 
+/// Time between two reads of the head by a node that no peer has admitted yet, and that therefore
+/// hears of new versions from nobody else.
+const UNJOINED_REREAD: Duration = Duration::from_millis(700);
+
 /// Wait before the head is read after a version came from a peer first.
 const RECHECK: Duration = Duration::from_secs(1);
 
@@ -136,8 +140,8 @@
             let jitter = self.jitter(REREAD);
             self.timers.set(Timer::Head, self.now + REREAD / 2 + jitter);
             self.call(PlatformCall::ReadHead);
-        } else if self.cfg.preset.durable && self.store.served().is_none() {
-            self.timers.set(Timer::Head, self.now + CALL_WAIT);
+        } else if self.cfg.preset.durable && !self.join.admitted {
+            self.timers.set(Timer::Head, self.now + UNJOINED_REREAD);
             self.call(PlatformCall::ReadHead);
         }
     }
