--- a/crates/daemon/src/proxy/hop.rs
+++ b/crates/daemon/src/proxy/hop.rs
@@ -26,11 +26,11 @@
 
 /// Time without a byte from the other daemon, while requests wait for it, after which it is pinged.
 /// Failure domains are about 1 ms apart.
-pub(crate) const PING_AFTER: Duration = Duration::from_millis(400);
+pub(crate) const PING_AFTER: Duration = Duration::from_millis(150);
 
-/// The wait for the answer to a ping; a daemon on a host that is out of processor time for a moment
-/// answers within it.
-pub(crate) const PING_WAIT: Duration = Duration::from_millis(700);
+/// The wait for the answer to a ping; a host whose share of the processor is used up stands still for
+/// up to 100 ms.
+pub(crate) const PING_WAIT: Duration = Duration::from_millis(350);
 
 /// Time after which a connection fails if the other host does not acknowledge what was sent. After
 /// a lost packet it is sent again after about 200 ms, so this allows for two losses in a row.
