Leave out targets that cannot be reached, and say when nothing was sent

Change: connecting fails after 300 ms and pauses for 300 ms; the wait for a connection ends as not run; a target that could not be reached is taken last for a second.

--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -128,7 +128,7 @@
         let response = if endpoint.host == self.host {
             Ok(Ok(self.beside(request).await))
         } else {
-            timeout_at(deadline, self.hops.send(endpoint.addr, request)).await
+            timeout_at(deadline, self.hops.send(endpoint.addr, request, deadline)).await
         };
         match response {
             Ok(Ok(response)) => self.read_answer(attempt, call, response, sent),
--- a/crates/daemon/src/proxy/hop.rs
+++ b/crates/daemon/src/proxy/hop.rs
@@ -15,7 +15,7 @@
 use socket2::SockRef;
 use tokio::{
     net::TcpStream,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use super::{
@@ -36,8 +36,13 @@
 /// a lost packet it is sent again after about 200 ms, so this allows for two losses in a row.
 const UNACKED: Duration = Duration::from_millis(900);
 
-/// The longest wait for a connection to another daemon; domains are about 1 ms apart.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The longest wait for a connection to another daemon. Domains are about 1 ms apart, and a lost first
+/// packet is sent again only after a second, so that longer waits do not help.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time after a failed attempt to connect in which no other is made, so that requests for a host
+/// that cannot be reached go elsewhere at once.
+const CONNECT_PAUSE: Duration = Duration::from_millis(300);
 
 /// A connection without a request for this long is closed.
 const IDLE: Duration = Duration::from_secs(30);
@@ -66,6 +71,8 @@
     conns: Mutex<Vec<Conn>>,
     // Held while connecting, so that concurrent requests open one connection and not one each.
     opening: tokio::sync::Mutex<()>,
+    // When the last attempt to connect failed.
+    failed: Mutex<Option<Instant>>,
 }
 
 #[derive(Clone)]
@@ -80,7 +87,8 @@
         Self(Arc::new(Inner { peers: Mutex::default(), tasks }))
     }
 
-    /// Sends a request to the daemon at `addr` and returns the response head.
+    /// Sends a request to the daemon at `addr` and returns the response head. Only the wait for a
+    /// connection ends at `deadline`, since nothing was sent by then.
     ///
     /// # Errors
     /// Whether the request was sent at all.
@@ -88,10 +96,13 @@
         &self,
         addr: SocketAddr,
         mut request: Request<Payload>,
+        deadline: Instant,
     ) -> Result<Response<Payload>, SendFault> {
         let peer = lock(&self.0.peers).entry(addr).or_default().clone();
         for _ in 0..STALE_LIMIT {
-            let mut conn = match self.checkout(&peer, addr).await {
+            let conn = timeout_at(deadline, self.checkout(&peer, addr)).await;
+            let late = || "no connection before the deadline".to_owned();
+            let mut conn = match conn.unwrap_or_else(|_| Err(late())) {
                 Ok(conn) => conn,
                 Err(reason) => return Err(SendFault::not_sent(&reason, request)),
             };
@@ -123,11 +134,16 @@
         if let Some(conn) = peer.pick() {
             return Ok(conn);
         }
-        match timeout(CONNECT_TIMEOUT, self.connect(peer, addr)).await {
-            Ok(Ok(conn)) => Ok(conn),
-            Ok(Err(reason)) => peer.any().ok_or(reason),
-            Err(_) => peer.any().ok_or_else(|| "the daemon did not accept in time".to_owned()),
+        if lock(&peer.failed).is_some_and(|at| at.elapsed() < CONNECT_PAUSE) {
+            return peer.any().ok_or_else(|| "the daemon could not be reached lately".to_owned());
         }
+        let connected = timeout(CONNECT_TIMEOUT, self.connect(peer, addr)).await;
+        let connected =
+            connected.unwrap_or_else(|_| Err("the daemon did not accept in time".to_owned()));
+        connected.or_else(|reason| {
+            *lock(&peer.failed) = Some(Instant::now());
+            peer.any().ok_or(reason)
+        })
     }
 
     async fn connect(&self, peer: &Arc<Peer>, addr: SocketAddr) -> Result<Conn, String> {
--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -66,7 +66,7 @@
                 continue;
             }
             let request = call.for_keeper(deadline);
-            match timeout_at(deadline, self.hops.send(keeper.data, request)).await {
+            match timeout_at(deadline, self.hops.send(keeper.data, request, deadline)).await {
                 Ok(Ok(response)) => {
                     let again = answer::outcome_of(&response) == Outcome::NotRun
                         && answer::reason_of(&response) == Reason::KeeperMoved;
@@ -236,7 +236,8 @@
 
     async fn exchange(&self, addr: SocketAddr, request: Request<Payload>) -> Option<Bytes> {
         let work = async {
-            let response = self.hops.send(addr, request).await.ok()?;
+            let response =
+                self.hops.send(addr, request, Instant::now() + RECORD_TIMEOUT).await.ok()?;
             let good = response.status().is_success();
             collect(response.into_body()).await.filter(|_| good)
         };
--- a/crates/request/src/balancer.rs
+++ b/crates/request/src/balancer.rs
@@ -183,6 +183,13 @@
         }
     }
 
+    /// The target could not be reached.
+    pub(crate) fn mark_unreachable(&mut self, uid: u64, now: Instant) {
+        if let Some(&idx) = self.index.get(&uid) {
+            self.targets[idx].mark_unreachable(now);
+        }
+    }
+
     /// Targets that are ejected or on probation, and all targets.
     pub(crate) fn ejected(&self) -> (usize, usize) {
         let listed = || self.targets.iter().filter(|t| is_listed(t));
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -309,6 +309,9 @@
         if verdict.leaving {
             upstream.balancer.mark_leaving(uid, now);
         }
+        if verdict.unreachable {
+            upstream.balancer.mark_unreachable(uid, now);
+        }
         match verdict.seen {
             Seen::Success(_) => {
                 upstream.limiter.succeeded(upstream.in_flight);
--- a/crates/request/src/target.rs
+++ b/crates/request/src/target.rs
@@ -30,6 +30,10 @@
 /// Time that a target which refused as draining is left out while membership still lists it.
 const LEAVING: Duration = Duration::from_secs(30);
 
+/// Time that a target which could not be reached is left out while others can be. Membership notices a
+/// host that failed within one to three seconds.
+const UNREACHABLE: Duration = Duration::from_secs(1);
+
 /// How an attempt ended, as far as the target's score is concerned.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Seen {
@@ -57,6 +61,7 @@
     seen: Option<Instant>,
     load: Option<(Load, Instant)>,
     leaving: Option<Instant>,
+    unreachable: Option<Instant>,
 }
 
 impl Target {
@@ -73,6 +78,7 @@
             seen: None,
             load: None,
             leaving: None,
+            unreachable: None,
         }
     }
 
@@ -80,10 +86,23 @@
     pub(crate) fn state(&self, now: Instant) -> EndpointState {
         match self.leaving {
             Some(since) if now.saturating_duration_since(since) < LEAVING => EndpointState::Leaving,
+            _ if self.endpoint.state == EndpointState::Alive && self.is_unreachable(now) => {
+                EndpointState::Suspect
+            }
             _ => self.endpoint.state,
         }
     }
 
+    /// Whether it could not be reached a moment ago.
+    fn is_unreachable(&self, now: Instant) -> bool {
+        self.unreachable.is_some_and(|at| now.saturating_duration_since(at) < UNREACHABLE)
+    }
+
+    /// No connection reached the target.
+    pub(crate) const fn mark_unreachable(&mut self, now: Instant) {
+        self.unreachable = Some(now);
+    }
+
     /// The target refused because it is leaving.
     pub(crate) const fn mark_leaving(&mut self, now: Instant) {
         self.leaving = Some(now);
@@ -131,6 +150,7 @@
     pub(crate) fn observe(&mut self, seen: Seen, now: Instant) {
         let bad = match seen {
             Seen::Success(latency) => {
+                self.unreachable = None;
                 let ms = latency.as_secs_f64() * 1000.0;
                 self.latency = Some(self.latency.map_or(ms, |old| old + ALPHA * (ms - old)));
                 0.0
--- a/crates/request/src/verdict.rs
+++ b/crates/request/src/verdict.rs
@@ -9,6 +9,8 @@
     pub(crate) load: Option<Load>,
     /// The target is leaving.
     pub(crate) leaving: bool,
+    /// No connection reaches it, or the one that did has gone silent.
+    pub(crate) unreachable: bool,
 }
 
 impl Verdict {
@@ -31,7 +33,12 @@
             AttemptOutcome::Unknown { .. } => (Seen::Failure, None, false),
             AttemptOutcome::Cancelled => (Seen::Neutral, None, false),
         };
-        Self { seen, load, leaving }
+        let unreachable = matches!(
+            outcome,
+            AttemptOutcome::NotRun { reason: Reason::ConnectFailed, .. }
+                | AttemptOutcome::Unknown { reason: Reason::ConnectionUnresponsive }
+        );
+        Self { seen, load, leaving, unreachable }
     }
 }
 
