--- a/crates/fakes/src/gateway.rs
+++ b/crates/fakes/src/gateway.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::{
+    kv::{self, KvCall},
     messages::{
         CompareResult, CompareTarget, LeaseRequest, RangeRequest, RequestOp, TxnRequest,
         WatchRequest,
@@ -96,10 +97,16 @@
 /// Answers one call of the gateway.
 pub(crate) async fn handle(shared: Arc<Shared>, request: Request<Incoming>, gate: Gate) -> Answer {
     let kind = Kind::of(request.uri().path());
-    let Ok(body) = Limited::new(request.into_body(), MAX_BODY).collect().await else {
+    let (head, body) = request.into_parts();
+    let Ok(body) = Limited::new(body, MAX_BODY).collect().await else {
         return Err(Severed);
     };
     let body = body.to_bytes();
+    if let Some(name) = head.uri.path().strip_prefix(kv::PREFIX) {
+        let call = KvCall::new(head.method, name, head.uri.query(), body);
+        let run = tokio::spawn(kv::handle(shared, call, gate));
+        return run.await.unwrap_or(Err(Severed));
+    }
     let Some(kind) = kind else {
         let message = "Not Found".to_owned();
         return Ok(Failure { status: StatusCode::NOT_FOUND, code: 5, message }.answer());
@@ -299,7 +306,7 @@
     })
 }
 
-fn respond(status: StatusCode, body: &Value) -> Response<Body> {
+pub(crate) fn respond(status: StatusCode, body: &Value) -> Response<Body> {
     let mut response = Response::new(full(body.to_string()));
     *response.status_mut() = status;
     response.headers_mut().insert(
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for tests, demo and benches, served over real sockets: the platform's key-value
-//! service (the JSON gateway of etcd v3, in the subset that damaskwick uses) with fault injection
-//! and call counts, and small targets with slots, cold start, load shedding, crashes and a ledger
+//! service (the JSON gateway of etcd v3, in the subset that damaskwick uses, and the calls of the
+//! users' platform, on one store) with fault injection and call counts, and small targets with slots, cold start, load shedding, crashes and a ledger
 //! of executed requests. A clock that moves only on request keeps tests independent of real time.
 
 mod answer;
@@ -9,6 +9,7 @@
 mod control;
 mod counts;
 mod gateway;
+mod kv;
 mod ledger;
 mod messages;
 mod serve;
--- a/crates/fakes/src/standin.rs
+++ b/crates/fakes/src/standin.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use hyper::{Response, body::Body as _};
 use tokio::{
     sync::{Notify, watch},
@@ -18,7 +19,7 @@
     counts::Counts,
     gateway,
     serve::{Body, Limits, Serve},
-    store::Store,
+    store::{Op, Store},
 };
 
 /// Time between progress notifications of a watch.
@@ -161,6 +162,16 @@
         self.inner.shared.lock().store.revision.unsigned_abs()
     }
 
+    /// Writes a key as an operator does, whom neither rates nor faults concern.
+    ///
+    /// # Errors
+    /// What the store has against the value.
+    pub fn write(&self, key: &str, value: impl Into<Bytes>) -> Result<(), String> {
+        let op = Op::Put { key: key.to_owned().into(), value: value.into(), lease: 0 };
+        let run = |state: &mut State| state.store.run(vec![op]);
+        self.inner.shared.with(run).map(drop).map_err(|error| error.to_string())
+    }
+
     /// Refuses connections and resets the existing ones.
     pub async fn down(&self) {
         self.inner.down().await;
