Serve the platform's version first on a standby, and do not wait for the floors of failed peers

Change: a node that serves nothing judges the head that it reads, reads it again until it serves, and on a platform that loses nothing waits for one round of floors only. tests/durable.rs plays it; a_host_without_a_version_goes_on_reading_the_platform failed before.

--- a/crates/fakes/src/kv.rs
+++ b/crates/fakes/src/kv.rs
@@ -247,10 +247,7 @@
             let state = shared.lock();
             (state.store.changes(&span, after + 1), state.store.revision)
         };
-        let changes = match changes {
-            Ok(changes) => changes,
-            Err(_) => return (StatusCode::GONE, json!({})),
-        };
+        let Ok(changes) = changes else { return (StatusCode::GONE, json!({})) };
         let left = until.saturating_duration_since(Instant::now());
         if !changes.is_empty() || left.is_zero() {
             let events: Vec<_> = changes.iter().map(event).collect();
--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -32,6 +32,10 @@
 /// Times that peers are asked again, and others beside them, if some did not answer.
 const FLOOR_ROUNDS: u32 = 5;
 
+/// The same on a platform that loses nothing: peers that have failed must not keep a host from
+/// serving for seconds.
+const FLOOR_ROUNDS_DURABLE: u32 = 1;
+
 /// Joins per second that a peer admits; each costs it up to 1 MiB of records.
 const JOIN_RATE: f64 = 4.0;
 
@@ -313,7 +317,9 @@
         if !self.join.admitted || self.store.floor_known {
             return;
         }
-        let over = self.join.floor_from.is_empty() || self.join.floor_rounds == FLOOR_ROUNDS;
+        // A floor matters less there: only a node that cannot read the platform relies on it.
+        let rounds = if self.cfg.preset.durable { FLOOR_ROUNDS_DURABLE } else { FLOOR_ROUNDS };
+        let over = self.join.floor_from.is_empty() || self.join.floor_rounds >= rounds;
         if over && self.join.floor_heard {
             self.know_floor();
             return;
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -18,8 +18,8 @@
 /// Time between two reads of the head beside the watch, in case the watch is lost silently.
 const REREAD: Duration = Duration::from_secs(30);
 
-/// Time between two reads of the head by a node that no peer has admitted yet, and that therefore
-/// hears of new versions from nobody else.
+/// Time between two reads of the head by a node that serves nothing yet, or that no peer has admitted
+/// and that therefore hears of new versions from nobody else.
 const UNJOINED_REREAD: Duration = Duration::from_millis(700);
 
 /// Wait before the head is read after a version came from a peer first.
@@ -140,7 +140,8 @@
             let jitter = self.jitter(REREAD);
             self.timers.set(Timer::Head, self.now + REREAD / 2 + jitter);
             self.call(PlatformCall::ReadHead);
-        } else if self.cfg.preset.durable && !self.join.admitted {
+        } else if self.cfg.preset.durable && (!self.join.admitted || self.store.served().is_none())
+        {
             self.timers.set(Timer::Head, self.now + UNJOINED_REREAD);
             self.call(PlatformCall::ReadHead);
         }
@@ -306,7 +307,9 @@
     fn on_head(&mut self, head: Option<Head>, revision: u64) {
         self.start_watch(revision);
         self.relay.head = Some((head, revision));
-        if self.relay.held.is_some() || !self.relay.standby {
+        // A standby leaves new versions to the relays, but not the first one that it serves.
+        let first = self.cfg.preset.durable && self.store.served().is_none();
+        if self.relay.held.is_some() || !self.relay.standby || first {
             self.judge_head();
         } else {
             self.stand_by();
--- a/crates/mesh/tests/durable.rs
+++ b/crates/mesh/tests/durable.rs
@@ -73,3 +73,40 @@
         assert_eq!(host.served.number, 2, "{}", host.cfg.host);
     }
 }
+
+/// Guards against a host that has joined, has the version, and waits for the floors of peers that
+/// have failed; and against one that then serves an old version although the platform has a newer
+/// one.
+#[test]
+fn a_host_that_starts_beside_failed_peers_serves_soon() {
+    for platform in [true, false] {
+        let mut world = world(4, &[6]);
+        world.crash(5);
+        world.hosts[5].cfg.join = world.hosts[..2].iter().map(|host| host.cfg.peer).collect();
+        if !platform {
+            world.cut_platform(&[0, 1, 2, 3, 4, 5]);
+        }
+        [3, 4].into_iter().for_each(|id| world.crash(id));
+        world.start(5);
+        world.run(ms(2500));
+        let newest = world.accepted.last().expect("version").number;
+        assert_eq!(world.hosts[5].served.number, newest, "platform: {platform}");
+    }
+}
+
+/// Guards against a host that stops to read the platform once a peer has admitted it, although it
+/// serves nothing yet.
+#[test]
+fn a_host_without_a_version_goes_on_reading_the_platform() {
+    let mut world = world(5, &[6]);
+    world.crash(5);
+    world.hosts[5].cfg.join = world.hosts[..2].iter().map(|host| host.cfg.peer).collect();
+    world.cut_platform(&[5]);
+    [2, 3, 4].into_iter().for_each(|id| world.crash(id));
+    world.start(5);
+    world.run(ms(400));
+    world.platform.cut.clear();
+    world.run(ms(1200));
+    let newest = world.accepted.last().expect("version").number;
+    assert_eq!(world.hosts[5].served.number, newest);
+}
