--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -18,7 +18,7 @@
     returns::{self, Returns},
     target::Seen,
     upstream::Upstream,
-    verdict::{Verdict, is_before_target, is_final, is_local},
+    verdict::{Verdict, is_before_target, is_final, is_local, is_overload},
 };
 
 /// Calls above a request beyond which it is taken for a loop; real chains have up to 8.
@@ -175,10 +175,12 @@
             AttemptOutcome::Unknown { reason } => (reason, None, idempotent && !is_final(reason)),
         };
         let unknown = !matches!(outcome, AttemptOutcome::NotRun { .. });
-        let place_again = !unknown && is_before_target(cause);
-        if place_again && let Some(attempt) = self.relocate(&mut flight, cause, now) {
+        // Where requests are moved, a refusal that reached no target is not retried in another way.
+        let movable = self.moves > 0 && !unknown && is_before_target(cause);
+        if movable && let Some(attempt) = self.relocate(&mut flight, cause, now) {
             return Next::Retry { after: Duration::ZERO, attempt };
         }
+        let again = again && !movable;
         let denied = match again {
             true => match self.retry(&mut flight, cause, hint, unknown, now) {
                 Ok(next) => return next,
@@ -341,7 +343,16 @@
         let mut tried = flight.tried.clone();
         tried.push(flight.uid);
         let wish = Wish { tried: &tried, idempotent };
-        let (uid, endpoint) = upstream.balancer.choose_free(&upstream.pool, wish, now)?;
+        // One that no gate has seen yet may also wait in a queue.
+        let chosen = match is_overload(cause) {
+            true => upstream.balancer.choose_free(&upstream.pool, wish, now),
+            false => upstream.balancer.choose(&upstream.pool, wish, &mut self.rng, now),
+        };
+        let (uid, endpoint) = chosen?;
+        if tried.contains(&uid) {
+            upstream.balancer.finish(uid, Seen::Neutral, None, &upstream.pool.ejection, now);
+            return None;
+        }
         flight.moves += 1;
         flight.tried = tried;
         (flight.uid, flight.endpoint) = (uid, endpoint);
--- a/crates/request/src/returns.rs
+++ b/crates/request/src/returns.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::{Goal, RETRY_AFTER, Reason};
+use crate::{Goal, RETRY_AFTER, Reason, verdict::is_overload};
 
 /// Shares of the time left after which a caller is asked to return if its objective is missed in
 /// any case, or if what refused it does not pass within the objective. Callers heed a request to
@@ -39,17 +39,3 @@
         None => left.mul_f64(rng.random_range(LATER)),
     }
 }
-
-/// Whether the reason may have passed as soon as another request has ended.
-const fn is_overload(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::QueueFull
-            | Reason::QueueWait
-            | Reason::QueuePreempted
-            | Reason::DeadlineUnmet
-            | Reason::TargetRefused
-            | Reason::Shedding
-            | Reason::PoolLimit
-    )
-}
--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -17,8 +17,8 @@
 impl Entry {
     /// The pool of one request; `draw` is uniform in 0 to 1.
     pub(crate) fn pick(&self, draw: f64) -> usize {
-        let total: u32 = self.pools.iter().map(|(_, weight)| weight).sum();
-        let mut left = draw * f64::from(total);
+        let total: f64 = self.pools.iter().map(|(_, weight)| f64::from(*weight)).sum();
+        let mut left = draw * total;
         let found = self.pools.iter().find(|(_, weight)| {
             left -= f64::from(*weight);
             left < 0.0
--- a/crates/request/src/verdict.rs
+++ b/crates/request/src/verdict.rs
@@ -101,3 +101,17 @@
             | Reason::Cancelled
     )
 }
+
+/// Whether the reason may have passed as soon as another request has ended.
+pub(crate) const fn is_overload(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::QueueFull
+            | Reason::QueueWait
+            | Reason::QueuePreempted
+            | Reason::DeadlineUnmet
+            | Reason::TargetRefused
+            | Reason::Shedding
+            | Reason::PoolLimit
+    )
+}
