--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -160,8 +160,10 @@
         let until = Instant::now() + self.grace;
         let linger = Duration::from(self.linger).min(self.grace);
         self.retiring.store(true, Ordering::Relaxed);
-        spdlog::info!(logger: self.log, "[proxy] leaving in {} ms", linger.as_millis());
-        sleep(linger).await;
+        if !linger.is_zero() {
+            spdlog::info!(logger: self.log, "[proxy] leaving in {} ms", linger.as_millis());
+            sleep(linger).await;
+        }
         spdlog::info!(logger: self.log, "[proxy] leaving");
         self.proxy.drain();
         self.server.drain.cancel();
