Answer a peer on its newest connection

Cause: a host that lost power leaves connections behind that stay open at its peers. Ruled out: the store (the host read it every 0.7 s), the relays (all others had version 83 within 55 ms), the admission rate (no join reached the log of a peer's answer). Change: an accepted connection replaces the one kept for its peer. Test: the daemon must answer a host on the second of two connections from the same address; it failed before.

--- a/crates/daemon/src/link/tcp.rs
+++ b/crates/daemon/src/link/tcp.rs
@@ -96,7 +96,8 @@
                 }
                 ToLinks::Known { from, outbox } => {
                     peers.retain(|_, outbox| !outbox.is_closed());
-                    peers.entry(from).or_insert(outbox);
+                    // An older one may lead to a process that has ended without closing it.
+                    peers.insert(from, outbox);
                 }
             }
         }
