Let connections fail when the other side falls silent

Cause: a connection on which nothing is waiting for an acknowledgement shows no failure when the other side falls silent. Links between daemons had no limit at all, and a relay's watch on the store waited up to 12 s, so a new version reached nobody while both relays of a domain were deaf. Ruled out: UDP between daemons, which named the newer version as soon as one daemon had it. A test checks the options.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod proxy;
 mod running;
 mod settings;
+mod socket;
 mod tasks;
 
 pub use counters::Counts;
@@ -24,3 +25,4 @@
     LogFormat, LogLevel, LogSettings, PresetName, ProcessLimits, Settings, TargetSettings,
     parse_settings,
 };
+pub use socket::detect_silence;
--- a/crates/daemon/src/link/tcp.rs
+++ b/crates/daemon/src/link/tcp.rs
@@ -15,7 +15,7 @@
 use tokio_util::codec::Framed;
 
 use super::outbox::{Outbox, Parcel, kind_of, size_of};
-use crate::{counters::Counters, node::ToNode, tasks::Tasks};
+use crate::{counters::Counters, detect_silence, node::ToNode, tasks::Tasks};
 
 /// The longest wait for a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -216,7 +216,6 @@
 }
 
 fn framed(stream: TcpStream) -> Stream {
-    // Control messages are small and latency counts; without the option they are only slower.
-    let _ = stream.set_nodelay(true);
+    detect_silence(&stream);
     Framed::new(stream, FrameCodec::default())
 }
--- a/crates/daemon/src/proxy/hop.rs
+++ b/crates/daemon/src/proxy/hop.rs
@@ -12,7 +12,6 @@
 use http_body_util::BodyExt;
 use hyper::client::conn::http2::{Builder, SendRequest};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
 use tokio::{
     net::TcpStream,
     time::{Instant, sleep, timeout, timeout_at},
@@ -22,7 +21,7 @@
     body::{Checked, Payload, Tracked},
     fault::SendFault,
 };
-use crate::tasks::Tasks;
+use crate::{detect_silence, tasks::Tasks};
 
 /// Time without a byte from the other daemon, while requests wait for it, after which it is pinged.
 /// Failure domains are about 1 ms apart.
@@ -32,10 +31,6 @@
 /// up to 100 ms.
 pub(crate) const PING_WAIT: Duration = Duration::from_millis(350);
 
-/// Time after which a connection fails if the other host does not acknowledge what was sent. After
-/// a lost packet it is sent again after about 200 ms, so this allows for two losses in a row.
-const UNACKED: Duration = Duration::from_millis(900);
-
 /// The longest wait for a connection to another daemon. Domains are about 1 ms apart, and a lost first
 /// packet is sent again only after a second, so that longer waits do not help.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -148,9 +143,7 @@
 
     async fn connect(&self, peer: &Arc<Peer>, addr: SocketAddr) -> Result<Conn, String> {
         let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
-        stream.set_nodelay(true).map_err(|e| e.to_string())?;
-        // Without the option the pings notice a silent peer, only later.
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED));
+        detect_silence(&stream);
         let (sender, link) = Builder::new(self.0.tasks.clone())
             .timer(TokioTimer::new())
             .keep_alive_interval(PING_AFTER)
--- a/crates/daemon/src/proxy/target.rs
+++ b/crates/daemon/src/proxy/target.rs
@@ -18,7 +18,7 @@
     body::{Checked, Ended, Payload, Tracked},
     fault::SendFault,
 };
-use crate::tasks::Tasks;
+use crate::{detect_silence, tasks::Tasks};
 
 /// The longest wait for a connection to a target on the same host; one takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -99,7 +99,7 @@
 
     async fn connect(&self, permit: OwnedSemaphorePermit) -> Result<SendRequest<Payload>, String> {
         let stream = TcpStream::connect(self.0.addr).await.map_err(|e| e.to_string())?;
-        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        detect_silence(&stream);
         let (sender, conn) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
         self.0.tasks.spawn(async move {
             // A failed connection is reported by the request on it.
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -4,9 +4,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use dw_daemon::detect_silence;
 use dw_wire::{Frame, FrameBody, FrameCodec, Hello, Join, Member};
 use futures_util::{SinkExt, StreamExt};
 use googletest::prelude::*;
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     time::timeout,
@@ -68,3 +70,21 @@
     running.close().await;
     Ok(())
 }
+
+/// Without a limit a relay waited 12 s for the next version on a watch whose connection had gone silent,
+/// so callers got 404 for routes that had been added.
+#[gtest]
+#[tokio::test]
+async fn a_silent_connection_fails_within_the_time_to_apply_a_version() -> Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let stream = TcpStream::connect(listener.local_addr()?).await?;
+    detect_silence(&stream);
+
+    let socket = SockRef::from(&stream);
+    let unacked = socket.tcp_user_timeout()?.unwrap_or(Duration::MAX);
+    let probes = socket.tcp_keepalive_time()? + socket.tcp_keepalive_interval()?;
+    expect_that!(socket.keepalive()?, eq(true));
+    expect_that!(unacked, lt(Duration::from_secs(1)));
+    expect_that!(probes.max(unacked), le(Duration::from_secs(2)));
+    Ok(())
+}
