--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -35,6 +35,8 @@
     Status(StatusArgs),
     /// wait until a version is in force everywhere
     Watch(WatchArgs),
+    /// tell from logs what became of a request, and why
+    Explain(ExplainArgs),
     /// show a whole mesh in one process
     Demo(DemoArgs),
 }
@@ -166,6 +168,25 @@
     pub limit: Millis,
 }
 
+/// `explain` joins the log lines of several processes into the story of one request.
+#[derive(Debug, Options)]
+pub struct ExplainArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// id of the request, from its header or the complaint
+    #[options(free, required)]
+    pub request: String,
+    /// logs of daemons in JSON; - for standard input
+    #[options(free)]
+    pub logs: Vec<String>,
+    /// how long before and after the request other lines about its hosts are shown
+    #[options(no_short, meta = "TIME", default = "5s")]
+    pub around: Millis,
+}
+
 /// `demo` runs a platform, daemons, targets and callers in one process, disturbs them, and checks
 /// that every promise is kept.
 #[derive(Debug, Options)]
@@ -192,6 +213,7 @@
             Self::History(args) => args.json,
             Self::Status(args) => args.json,
             Self::Watch(args) => args.json,
+            Self::Explain(args) => args.json,
             Self::Demo(args) => args.json,
         }
     }
--- /dev/null
+++ b/crates/cli/src/explain/cause.rs
@@ -0,0 +1,146 @@
+use dw_log::{Field, Kind};
+
+use super::{line::Line, story::Story};
+
+/// Why the request ended as it did, in one sentence.
+pub(super) fn cause_of(story: &Story) -> String {
+    let entry = story.entry();
+    let end = story.lines.iter().rfind(|line| {
+        let ends = matches!(
+            line.kind,
+            Some(Kind::Refused | Kind::Answered | Kind::Truncated | Kind::Cancelled)
+        );
+        ends && line.host == entry
+    });
+    let Some(end) = end else {
+        return format!("no line says how it ended at {entry}");
+    };
+    match end.kind {
+        Some(Kind::Refused) => refused(story, end),
+        Some(Kind::Truncated) => format!(
+            "the response with status {} ended early after {} ms{}",
+            number(end, Field::Status),
+            number(end, Field::TookMs),
+            longest(story)
+        ),
+        Some(Kind::Cancelled) => {
+            let after = end.time.duration_since(story.start).unwrap_or_default();
+            format!("the caller went away after {} ms{}", after.as_millis(), longest(story))
+        }
+        _ => answered(story, end),
+    }
+}
+
+fn answered(story: &Story, end: &Line) -> String {
+    let (status, took) = (number(end, Field::Status), number(end, Field::TookMs));
+    let retries = story.lines.iter().filter(|line| line.kind == Some(Kind::AttemptFailed)).count();
+    let again = match retries {
+        0 => String::new(),
+        1 => ", after one failed attempt".to_owned(),
+        many => format!(", after {many} failed attempts"),
+    };
+    if end.flag(Field::Late) {
+        return format!("answered late, status {status} after {took} ms{again}{}", longest(story));
+    }
+    if end.number(Field::Status).is_some_and(|status| status >= 500) {
+        return format!("the target answered {status} after {took} ms{again}{}", longest(story));
+    }
+    format!("answered in time, status {status} after {took} ms{again}")
+}
+
+fn refused(story: &Story, end: &Line) -> String {
+    let (reason, outcome) = (end.text(Field::Reason), end.text(Field::Outcome));
+    let told = end.number(Field::RetryMs).unwrap_or_default();
+    let answer = format!(
+        "answered {} by {}, {reason}, outcome {outcome}, told to return after {told} ms",
+        number(end, Field::Status),
+        end.host
+    );
+    let Some(failed) = story.last(Kind::AttemptFailed) else {
+        return format!("{answer}; no target was tried");
+    };
+    let target = failed.text(Field::Target);
+    let turned = story.lines.iter().rfind(|line| {
+        matches!(line.kind, Some(Kind::TurnedAway | Kind::NotRun)) && line.host == target
+    });
+    let why = match turned {
+        Some(line) if line.kind == Some(Kind::TurnedAway) => format!(
+            "{target} turned it away: {} of {} slots taken and {} waiting, {} ms of waiting \
+             expected, {} ms left",
+            number(line, Field::InFlight),
+            number(line, Field::Slots),
+            number(line, Field::Queued),
+            number(line, Field::WaitMs),
+            number(line, Field::LeftMs)
+        ),
+        Some(line) => format!(
+            "{target} handed it to the target, which {} after {} ms{}",
+            line.text(Field::Reason),
+            number(line, Field::TookMs),
+            detail(line)
+        ),
+        None => format!(
+            "{target} gave no answer within {} ms{}{}",
+            number(failed, Field::TookMs),
+            detail(failed),
+            fate(story, target)
+        ),
+    };
+    let tried = story.lines.iter().filter(|line| line.kind == Some(Kind::Placed)).count();
+    format!("{answer}; {why}; {tried} of the targets tried")
+}
+
+/// What became known of a host that did not answer.
+fn fate(story: &Story, target: &str) -> String {
+    let about = |line: &&Line| {
+        line.kind == Some(Kind::MemberChanged)
+            && line.text(Field::Target) == target
+            && line.time >= story.start
+    };
+    let Some(line) = story.context.iter().find(about) else { return String::new() };
+    let after = line.time.duration_since(story.start).unwrap_or_default().as_millis();
+    format!(
+        "; {} held it for {} {after} ms after the request came",
+        line.host,
+        line.text(Field::State)
+    )
+}
+
+/// The step that took the longest, if one took half of the time or more.
+fn longest(story: &Story) -> String {
+    let steps = story.lines.iter().filter_map(|line| {
+        let (field, what) = match line.kind? {
+            Kind::Admitted => (Field::WaitMs, "in the queue at"),
+            Kind::Ran | Kind::NotRun => (Field::TookMs, "at the target on"),
+            Kind::AttemptFailed => (Field::TookMs, "in a failed attempt at"),
+            Kind::Retried => (Field::RetryMs, "before another attempt at"),
+            _ => return None,
+        };
+        let host = match line.kind? {
+            Kind::AttemptFailed => line.text(Field::Target),
+            _ => line.host.as_str(),
+        };
+        Some((line.number(field)?, what, host.to_owned()))
+    });
+    let total = story
+        .lines
+        .last()
+        .map_or(0, |line| line.time.duration_since(story.start).unwrap_or_default().as_millis());
+    match steps.max_by_key(|(time, ..)| *time) {
+        Some((time, what, host)) if u128::from(time) * 2 >= total && time > 0 => {
+            format!("; {time} ms of it {what} {host}")
+        }
+        _ => String::new(),
+    }
+}
+
+fn detail(line: &Line) -> String {
+    match line.text(Field::Detail) {
+        "" => String::new(),
+        detail => format!(" ({detail})"),
+    }
+}
+
+fn number(line: &Line, field: Field) -> String {
+    line.number(field).map_or_else(|| "?".to_owned(), |number| number.to_string())
+}
--- /dev/null
+++ b/crates/cli/src/explain/gaps.rs
@@ -0,0 +1,62 @@
+use std::{collections::BTreeSet, time::Duration};
+
+use dw_log::{Field, Kind};
+
+use super::{line::Line, story::Story};
+
+/// How long after a request a line about what was left out may still concern it; such lines come once a
+/// second.
+const LEFT_OUT: Duration = Duration::from_secs(2);
+
+/// The hosts that the request went to and that say nothing of it, each with what is known of why.
+pub(super) fn gaps(story: &Story) -> Vec<String> {
+    let reached = |line: &&Line| matches!(line.kind, Some(Kind::Placed | Kind::KeeperAsked));
+    let reached: BTreeSet<&str> =
+        story.lines.iter().filter(reached).map(|line| line.text(Field::Target)).collect();
+    let heard: BTreeSet<&str> = story
+        .lines
+        .iter()
+        .filter(|line| !matches!(line.kind, Some(Kind::Placed | Kind::KeeperAsked)))
+        .map(|line| line.host.as_str())
+        .collect();
+    let silent = reached.difference(&heard).filter(|host| !host.is_empty());
+    silent.map(|host| format!("{host} says nothing of it: {}", why(story, host))).collect()
+}
+
+/// Why no line names the request at all.
+pub(super) fn why_absent(story: &Story) -> String {
+    let thinned = story.marks.iter().any(|line| line.kind == Some(Kind::LinesThinned));
+    let lost = story.marks.iter().any(|line| line.kind == Some(Kind::LinesLost));
+    match (thinned, lost) {
+        (_, true) => "lines were lost there, see lines-lost".to_owned(),
+        (true, false) => "requests were left out there, see lines-thinned".to_owned(),
+        (false, false) => {
+            "nothing was left out there, so look in the logs of other hosts".to_owned()
+        }
+    }
+}
+
+fn why(story: &Story, host: &str) -> String {
+    if !story.hosts.contains(host) {
+        return "its log was not given".to_owned();
+    }
+    let end = story.lines.last().map_or(story.start, |line| line.time);
+    let after = |line: &&Line| line.host == host && line.time >= story.start;
+    let soon = |line: &&Line| after(line) && line.time <= end + LEFT_OUT;
+    let is = |kind: Kind| move |line: &Line| line.kind == Some(kind);
+    let marks = || story.marks.iter();
+    if marks().filter(soon).any(is(Kind::LinesLost)) {
+        return "its output lost lines then".to_owned();
+    }
+    if marks().filter(soon).any(is(Kind::LinesThinned)) {
+        return "it left requests out of its log then".to_owned();
+    }
+    let stopped =
+        marks().filter(after).find(|line| matches!(line.kind, Some(Kind::Started | Kind::Stopped)));
+    match stopped {
+        Some(line) if line.kind == Some(Kind::Started) => {
+            "it was killed: it started again later without having stopped".to_owned()
+        }
+        _ => "the request did not arrive, or the host was killed or has not ended it".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/explain/story.rs
@@ -0,0 +1,73 @@
+use std::{
+    collections::BTreeSet,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use dw_log::{Field, Kind};
+
+use super::line::Line;
+
+/// What the logs say of one request.
+#[derive(Debug)]
+pub(super) struct Story {
+    /// The lines that name the request, by time.
+    pub(super) lines: Vec<Line>,
+    /// Lines about the hosts of the request that were written meanwhile, by time.
+    pub(super) context: Vec<Line>,
+    /// The time of the first line.
+    pub(super) start: SystemTime,
+    /// All other lines about the log itself: starts, and what was left out or lost.
+    pub(super) marks: Vec<Line>,
+    /// The hosts whose logs were read.
+    pub(super) hosts: BTreeSet<String>,
+}
+
+impl Story {
+    /// The story of a request; `around` is how long before and after it other lines matter.
+    pub(super) fn new(request: &str, lines: Vec<Line>, around: Duration) -> Self {
+        let hosts = lines.iter().map(|line| line.host.clone()).collect();
+        let (mut named, mut others): (Vec<_>, Vec<_>) =
+            lines.into_iter().partition(|line| line.text(Field::Request) == request);
+        named.sort_by_key(|line| line.time);
+        others.sort_by_key(|line| line.time);
+        let start = named.first().map_or(UNIX_EPOCH, |line| line.time);
+        let end = named.last().map_or(UNIX_EPOCH, |line| line.time);
+        let involved: BTreeSet<&str> =
+            named.iter().flat_map(|line| [line.host.as_str(), line.text(Field::Target)]).collect();
+        let (marks, beliefs): (Vec<_>, Vec<_>) = others
+            .into_iter()
+            .filter(|line| line.text(Field::Request).is_empty())
+            .partition(|line| line.kind.is_some_and(is_mark));
+        let near = |line: &&Line| {
+            line.time + around >= start && line.time <= end + around && concerns(line, &involved)
+        };
+        let context = beliefs.iter().filter(near).cloned().collect();
+        Self { context, start, marks, hosts, lines: named }
+    }
+
+    /// The last line of an event.
+    pub(super) fn last(&self, kind: Kind) -> Option<&Line> {
+        self.lines.iter().rfind(|line| line.kind == Some(kind))
+    }
+
+    /// The host that took the request from its caller.
+    pub(super) fn entry(&self) -> &str {
+        let entered = |line: &&Line| {
+            matches!(line.kind, Some(Kind::Placed | Kind::Refused | Kind::KeeperAsked))
+        };
+        self.lines.iter().find(entered).or(self.lines.first()).map_or("", |line| &line.host)
+    }
+}
+
+/// Whether the line is about the log or the process itself.
+const fn is_mark(kind: Kind) -> bool {
+    matches!(kind, Kind::Started | Kind::Stopped | Kind::LinesLost | Kind::LinesThinned)
+}
+
+/// Whether the line is about one of the hosts, or was written by one of them about itself.
+fn concerns(line: &Line, involved: &BTreeSet<&str>) -> bool {
+    match line.text(Field::Target) {
+        "" => involved.contains(line.host.as_str()),
+        target => involved.contains(target),
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,7 @@
 mod demo;
 mod diff;
 mod exit;
+mod explain;
 mod failure;
 mod files;
 mod get;
@@ -27,8 +28,8 @@
 pub use admin::{Admin, AdminError, HttpAdmin};
 pub use apply::{Edit, apply};
 pub use args::{
-    ApplyArgs, Args, CheckArgs, Command, DemoArgs, DiffArgs, GetArgs, HistoryArgs, StatusArgs,
-    WatchArgs,
+    ApplyArgs, Args, CheckArgs, Command, DemoArgs, DiffArgs, ExplainArgs, GetArgs, HistoryArgs,
+    StatusArgs, WatchArgs,
 };
 pub use check::check;
 pub use console::Console;
@@ -39,6 +40,7 @@
 };
 pub use diff::diff;
 pub use exit::Exit;
+pub use explain::explain;
 pub use failure::Failure;
 pub use get::get;
 pub use history::history;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -4,8 +4,8 @@
 use serde_json::Value as Json;
 
 use crate::{
-    Admin, Command, Console, Edit, Exit, Failure, apply, check, demo, diff, get, history, status,
-    watch,
+    Admin, Command, Console, Edit, Exit, Failure, apply, check, demo, diff, explain, get, history,
+    status, watch,
 };
 
 /// Runs a command and returns the exit code. `connect` is called only by commands that use the
@@ -54,6 +54,7 @@
             given("--daemon", &args.daemon)?;
             watch(args, admin, console).await
         }
+        Command::Explain(args) => explain(args, console),
         Command::Demo(args) => demo(args, console).await,
     }
 }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,6 +1,7 @@
 use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
+use dw_log::Log;
 use dw_mesh::{Input, LocalEvent};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -37,6 +38,8 @@
     pub(crate) proxy: Arc<Proxy>,
     /// Metrics.
     pub(crate) counters: Counters,
+    /// Tells what it did not write.
+    pub(crate) log: Log,
     /// Runs connections.
     pub(crate) tasks: Tasks,
 }
@@ -150,6 +153,7 @@
     }
 
     fn metrics(&self) -> Reply {
+        self.counters.losses(self.log.losses());
         let mut reply = text(StatusCode::OK, self.counters.text());
         let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
         reply.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -1,11 +1,14 @@
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet, HashSet},
     fmt,
-    sync::{Arc, atomic::AtomicI64},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicI64},
+    time::Duration,
 };
 
+use dw_log::LogLosses;
+use dw_mesh::{MemberState, MemberTable};
 use dw_request::{Outcome, Reason};
-use dw_tables::VersionMark;
+use dw_tables::{Name, Tables, VersionMark};
 use prometheus_client::{
     encoding::text::encode,
     metrics::{
@@ -17,8 +20,12 @@
     registry::Registry,
 };
 
+use crate::clock;
+
 type Label = [(&'static str, &'static str); 1];
+type NameLabel = [(&'static str, String); 1];
 type ByLabel = Family<Label, Counter>;
+type Times<L> = Family<L, Histogram, fn() -> Histogram>;
 
 /// The kinds of control messages, for counters that exist from the start.
 pub(crate) const KINDS: [&str; 18] = [
@@ -45,6 +52,58 @@
 /// The calls to the platform, for counters that exist from the start.
 pub(crate) const CALLS: [&str; 7] = ["get", "range", "commit", "grant", "renew", "revoke", "watch"];
 
+/// The states of members with their labels.
+const STATES: [(MemberState, &str); 5] = [
+    (MemberState::Alive, "alive"),
+    (MemberState::Leaving, "leaving"),
+    (MemberState::Suspect, "suspect"),
+    (MemberState::Dead, "dead"),
+    (MemberState::Left, "left"),
+];
+
+/// A step of a request whose time is measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// The wait for a slot of a target on this host.
+    Queue,
+    /// From the hand-over to a target on this host to the end of its response.
+    Target,
+    /// From sending an attempt to another daemon to the head of its response.
+    Hop,
+}
+
+impl Step {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Queue => "queue",
+            Self::Target => "target",
+            Self::Hop => "hop",
+        }
+    }
+}
+
+/// Why a report of a target was not used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ignored {
+    /// A newer one was used before.
+    Stale,
+    /// It cannot be read.
+    Unreadable,
+}
+
+impl Ignored {
+    const ALL: [Self; 2] = [Self::Stale, Self::Unreadable];
+
+    /// The text for the log and the metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Stale => "stale",
+            Self::Unreadable => "unreadable",
+        }
+    }
+}
+
 /// The counters of one daemon. Clones count together.
 #[derive(Clone)]
 pub(crate) struct Counters(Arc<Inner>);
@@ -56,14 +115,25 @@
     dropped: Counter,
     calls: ByLabel,
     failed_calls: ByLabel,
-    events: Family<[(&'static str, String); 1], Counter>,
+    events: Family<NameLabel, Counter>,
     refusals: ByLabel,
     retries: ByLabel,
     unretried: ByLabel,
     requests: ByLabel,
     latency: Histogram,
+    routes: Times<NameLabel>,
+    /// The routes that have a series.
+    observed: Mutex<BTreeSet<Name>>,
+    steps: Times<Label>,
+    ages: Histogram,
+    members: Family<Label, Gauge>,
+    ignored: ByLabel,
+    lines: Gauge,
+    left_out: Gauge,
     held: Gauge,
     served: Gauge,
+    served_at: Gauge,
+    called_at: Gauge,
     in_flight: Gauge<i64, AtomicI64>,
 }
 
@@ -108,15 +178,37 @@
             retries: by_label(&mut registry, "retries", "Requests sent again, by reason"),
             unretried: by_label(&mut registry, "not_retried", "Failures not retried, by reason"),
             requests: by_label(&mut registry, "requests", "Requests of callers, by outcome"),
-            latency: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
+            latency: seconds(),
+            routes: Family::new_with_constructor(seconds),
+            observed: Mutex::default(),
+            steps: Family::new_with_constructor(seconds),
+            ages: seconds(),
+            members: add(&mut registry, "members", "Members of the fleet, by state"),
+            ignored: by_label(&mut registry, "reports_ignored", "Reports of targets not used"),
+            lines: add(&mut registry, "log_lines_lost", "Log lines that the output did not take"),
+            left_out: add(&mut registry, "log_requests_left_out", "Requests left out of the log"),
+            served_at: add(
+                &mut registry,
+                "version_served_timestamp_seconds",
+                "When the version served came into use",
+            ),
+            called_at: add(
+                &mut registry,
+                "platform_answered_timestamp_seconds",
+                "When the platform last answered a call",
+            ),
             held: add(&mut registry, "version_held", "Number of the newest version held"),
             served: add(&mut registry, "version_served", "Number of the version served"),
             in_flight: add(&mut registry, "in_flight", "Requests in flight"),
             registry,
         };
         let mut inner = inner;
-        let name = "request_seconds";
-        inner.registry.register(name, "Time to the response head", inner.latency.clone());
+        let histograms = &mut inner.registry;
+        histograms.register("request_seconds", "Time to the response head", inner.latency.clone());
+        histograms.register("route_seconds", "Time to the response end", inner.routes.clone());
+        histograms.register("step_seconds", "Time of one step of a request", inner.steps.clone());
+        let help = "Age of what was known of a target's load when it was chosen";
+        histograms.register("load_age_seconds", help, inner.ages.clone());
         inner.prepare();
         Self(Arc::new(inner))
     }
@@ -145,6 +237,15 @@
             drop(self.retries.get_or_create(&label));
             drop(self.unretried.get_or_create(&label));
         }
+        for step in [Step::Queue, Step::Target, Step::Hop] {
+            drop(self.steps.get_or_create(&[("step", step.as_str())]));
+        }
+        for state in STATES {
+            drop(self.members.get_or_create(&[("state", state.1)]));
+        }
+        for reason in Ignored::ALL {
+            drop(self.ignored.get_or_create(&[("reason", reason.as_str())]));
+        }
         for outcome in [Outcome::Run, Outcome::NotRun, Outcome::Unknown] {
             drop(self.requests.get_or_create(&[("outcome", outcome.as_str())]));
         }
@@ -170,11 +271,69 @@
     /// Counts a call to the platform.
     pub(crate) fn call(&self, call: &'static str, good: bool) {
         self.0.calls.get_or_create(&[("call", call)]).inc();
-        if !good {
+        if good {
+            self.0.called_at.set(now_seconds());
+        } else {
             self.0.failed_calls.get_or_create(&[("call", call)]).inc();
         }
     }
 
+    /// Observes the time of one step of a request.
+    pub(crate) fn step(&self, step: Step, time: Duration) {
+        self.0.steps.get_or_create(&[("step", step.as_str())]).observe(time.as_secs_f64());
+    }
+
+    /// Observes the time to the end of a response on a route.
+    pub(crate) fn route(&self, route: &Name, time: Duration) {
+        let label = [("route", route.to_string())];
+        self.0.routes.get_or_create(&label).observe(time.as_secs_f64());
+        let mut observed = self.observed();
+        if !observed.contains(route) {
+            observed.insert(route.clone());
+        }
+    }
+
+    /// Drops the series of routes that a new version does not have.
+    pub(crate) fn keep_routes(&self, tables: &Tables) {
+        let kept: HashSet<_> = tables.routes.iter().map(|route| &route.name).collect();
+        self.observed().retain(|route| {
+            let keep = kept.contains(route);
+            if !keep {
+                self.0.routes.remove(&[("route", route.to_string())]);
+            }
+            keep
+        });
+    }
+
+    fn observed(&self) -> MutexGuard<'_, BTreeSet<Name>> {
+        self.0.observed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Observes the age of a target's last report when the target was chosen.
+    pub(crate) fn load_age(&self, age: Duration) {
+        self.0.ages.observe(age.as_secs_f64());
+    }
+
+    /// Shows the members by state.
+    pub(crate) fn members(&self, members: &MemberTable) {
+        for (state, name) in STATES {
+            let count = members.iter().filter(|member| member.state == state).count();
+            let gauge = self.0.members.get_or_create(&[("state", name)]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
+    /// Counts a report of a target that was not used.
+    pub(crate) fn ignored(&self, reason: Ignored) {
+        self.0.ignored.get_or_create(&[("reason", reason.as_str())]).inc();
+    }
+
+    /// Shows what the log did not write.
+    pub(crate) fn losses(&self, losses: LogLosses) {
+        self.0.lines.set(i64::try_from(losses.lines).unwrap_or(i64::MAX));
+        self.0.left_out.set(i64::try_from(losses.requests).unwrap_or(i64::MAX));
+    }
+
     /// Counts an event of the control plane.
     pub(crate) fn event(&self, event: dw_mesh::Counter) {
         self.0.events.get_or_create(&[("event", event.to_string())]).inc();
@@ -210,6 +369,7 @@
     pub(crate) fn versions(&self, held: VersionMark, served: VersionMark) {
         self.0.held.set(i64::try_from(held.number).unwrap_or(i64::MAX));
         self.0.served.set(i64::try_from(served.number).unwrap_or(i64::MAX));
+        self.0.served_at.set(now_seconds());
     }
 
     /// The refusals so far, by reason.
@@ -248,6 +408,15 @@
     }
 }
 
+/// Buckets from 0.25 ms to 8 s.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_25, 2.0, 16))
+}
+
+fn now_seconds() -> i64 {
+    i64::try_from(clock::unix_ms() / 1_000).unwrap_or(i64::MAX)
+}
+
 fn by_label(registry: &mut Registry, name: &str, help: &str) -> ByLabel {
     add(registry, name, help)
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,9 +5,9 @@
     sync::{Arc, atomic::AtomicBool},
 };
 
+use dw_log::{Event, Field, Kind, Log, LogError};
 use dw_mesh::{Member, MemberState, Node, NodeConfig, Preset, Target};
 use dw_platform::{HttpPlatform, Platform};
-use spdlog::Logger;
 use thiserror::Error;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -20,7 +20,6 @@
     admin::Admin,
     counters::Counters,
     link::{Datagrams, Links},
-    log::build_logger,
     node::{NodeTask, View},
     platform::PlatformTask,
     proxy::{Proxy, Server},
@@ -40,6 +39,7 @@
     settings: Settings,
     preset: Preset,
     dialect: Dialect,
+    log: Option<Log>,
 }
 
 /// Why a daemon did not start.
@@ -56,8 +56,8 @@
         source: io::Error,
     },
     /// The log cannot be set up.
-    #[error("cannot set up the log: {0}")]
-    Log(#[from] spdlog::Error),
+    #[error("{0}")]
+    Log(#[from] LogError),
 }
 
 /// The sockets of a daemon.
@@ -75,7 +75,7 @@
     #[must_use]
     pub fn new(settings: Settings) -> Self {
         let preset = Preset::new(settings.preset.to_mesh());
-        Self { settings, preset, dialect: Dialect::default() }
+        Self { settings, preset, dialect: Dialect::default(), log: None }
     }
 
     /// Replaces the periods and widths that the preset of the settings names.
@@ -92,6 +92,13 @@
         self
     }
 
+    /// Logs there, and not as the settings say.
+    #[must_use]
+    pub fn with_log(mut self, log: Log) -> Self {
+        self.log = Some(log);
+        self
+    }
+
     /// Listens on all addresses and starts the daemon's tasks.
     ///
     /// # Errors
@@ -108,7 +115,10 @@
     /// An address that cannot be listened on, or a log that cannot be set up.
     pub async fn start_on<P: Platform>(self, platform: Option<P>) -> Result<Running, StartError> {
         let mut settings = self.settings;
-        let log = build_logger(settings.log)?;
+        let log = match self.log {
+            Some(log) => log,
+            None => Log::new(settings.log, settings.host.clone())?,
+        };
         let sockets = Sockets::bind(&settings).await?;
         // From here on the settings name the ports that were chosen.
         let addrs = sockets.addrs;
@@ -130,7 +140,7 @@
     settings: &Settings,
     start: Start<P>,
     sockets: Sockets,
-    log: Arc<Logger>,
+    log: Log,
 ) -> Running {
     let (tasks, counters) = (Tasks::default(), Counters::default());
     let (node_in, node_out) = mpsc::channel(QUEUE);
@@ -196,6 +206,7 @@
         node: node_in.clone(),
         proxy: proxy.clone(),
         counters: counters.clone(),
+        log: log.clone(),
         tasks: tasks.clone(),
     };
     tasks.spawn(admin.run(sockets.admin));
@@ -215,13 +226,11 @@
     }
 }
 
-fn log_start(settings: &Settings, log: &Logger) {
-    let Settings { host, domain, callers, peers, data, admin, .. } = settings;
-    spdlog::info!(
-        logger: log,
-        "[proxy] host {host} in domain {domain} listens: callers {callers}, peers {peers}, data \
-         {data}, admin {admin}"
-    );
+fn log_start(settings: &Settings, log: &Log) {
+    let Settings { domain, callers, peers, data, admin, .. } = settings;
+    let address = format!("callers {callers}, peers {peers}, data {data}, admin {admin}");
+    let event = Event::new(Kind::Started).with(Field::Domain, domain);
+    log.write(&event.with(Field::Address, address));
 }
 
 fn node_config(settings: &Settings, preset: Preset) -> NodeConfig {
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -1,5 +1,8 @@
 use http::{HeaderName, HeaderValue};
 
+/// The name of a request in the product's own interface.
+static REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
 /// The names that callers and targets use for what the daemon tells them and reads from them.
 ///
 /// The default is the product's own interface, `docs/design.md`, section 5.2.
@@ -8,7 +11,8 @@
     /// Time left for the whole response in ms, from callers and to targets.
     pub timeout: HeaderName,
     /// Names a request. Targets repeat it on their responses; a response under another name belongs
-    /// to another request and is not passed on.
+    /// to another request and is not passed on. Without it requests are named by `x-request-id`, which
+    /// a daemon adds where the caller sent none and which targets need not repeat.
     pub request: Option<HeaderName>,
     /// The service on the host where a request began, which the daemon states to targets whatever
     /// the caller sent.
@@ -25,6 +29,18 @@
     pub unframed: bool,
 }
 
+impl Dialect {
+    /// The names that daemons use towards each other; requests keep the one they have.
+    pub(crate) fn between(&self) -> Self {
+        Self { request: self.request.clone(), ..Self::default() }
+    }
+
+    /// The header that names a request.
+    pub(crate) fn id(&self) -> &HeaderName {
+        self.request.as_ref().unwrap_or(&REQUEST_ID)
+    }
+}
+
 impl Default for Dialect {
     fn default() -> Self {
         Self {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,8 +8,8 @@
 mod daemon;
 mod dialect;
 mod link;
-mod log;
 mod node;
+mod notes;
 mod platform;
 mod proxy;
 mod running;
@@ -17,12 +17,10 @@
 mod socket;
 mod tasks;
 
-pub use counters::Counts;
+pub use counters::{Counts, Ignored};
 pub use daemon::{Daemon, StartError};
 pub use dialect::Dialect;
+pub use dw_log::{LogFormat, LogLevel, LogSettings};
 pub use running::{Addrs, Running};
-pub use settings::{
-    LogFormat, LogLevel, LogSettings, PresetName, ProcessLimits, Settings, TargetSettings,
-    parse_settings,
-};
+pub use settings::{PresetName, ProcessLimits, Settings, TargetSettings, parse_settings};
 pub use socket::detect_silence;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,8 +1,8 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use dw_mesh::{Action, Counter, Input, Level, LocalEvent, MemberTable, Node, PlatformCall, Status};
+use dw_log::Log;
+use dw_mesh::{Action, Counter, Input, LocalEvent, MemberTable, Node, PlatformCall, Status};
 use dw_tables::Version;
-use spdlog::Logger;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::{Instant, sleep, sleep_until},
@@ -11,6 +11,7 @@
 use crate::{
     counters::Counters,
     link::{ToDatagrams, ToLinks},
+    notes::event_of,
     proxy::Proxy,
 };
 
@@ -57,7 +58,7 @@
     /// Counts events.
     pub(crate) counters: Counters,
     /// The log.
-    pub(crate) log: Arc<Logger>,
+    pub(crate) log: Log,
 }
 
 impl NodeTask {
@@ -105,12 +106,15 @@
                 let _ = self.platform.send(call).await;
             }
             Action::Publish(version) => self.publish(version),
-            Action::Members(members) => self.view.send_modify(|view| view.members = members),
+            Action::Members(members) => {
+                self.counters.members(&members);
+                self.view.send_modify(|view| view.members = members);
+            }
             Action::Poison(print) => self.proxy.refuse_print(print),
             // The status names it, and the node logs it.
             Action::Refused(_) => {}
             Action::Count(counter) => self.count(counter),
-            Action::Log { level, text } => self.log(level, &text),
+            Action::Note(note) => self.log.write(&event_of(note)),
         }
     }
 
@@ -119,22 +123,13 @@
     fn publish(&self, version: Arc<Version>) {
         self.proxy.set_version(&version);
         self.counters.versions(version.mark(), version.mark());
-        spdlog::info!(logger: self.log, "[dist] version {} is served", version.number);
+        self.counters.keep_routes(&version.tables);
         self.view.send_modify(|view| view.version = version);
     }
 
     fn count(&self, counter: Counter) {
         self.counters.event(counter);
     }
-
-    fn log(&self, level: Level, text: &str) {
-        match level {
-            Level::Debug => spdlog::debug!(logger: self.log, "{text}"),
-            Level::Info => spdlog::info!(logger: self.log, "{text}"),
-            Level::Warn => spdlog::warn!(logger: self.log, "{text}"),
-            Level::Error => spdlog::error!(logger: self.log, "{text}"),
-        }
-    }
 }
 
 /// Asks the node for its status, with a relay's totals where it is none; `None` if it is gone.
--- /dev/null
+++ b/crates/daemon/src/notes.rs
@@ -0,0 +1,54 @@
+use dw_log::{Event, Field, Kind};
+use dw_mesh::Note;
+use dw_request::Belief;
+
+/// The log line of what the control plane did or came to believe.
+pub(crate) fn event_of(note: Note) -> Event {
+    match note {
+        Note::Joined { through } => {
+            Event::new(Kind::Joined).with(Field::Address, through.to_string())
+        }
+        Note::Alone => Event::new(Kind::Alone),
+        Note::Member { host, domain, state, incarnation } => Event::new(Kind::MemberChanged)
+            .with(Field::Target, host)
+            .with(Field::Domain, domain)
+            .with(Field::State, state.to_string())
+            .with(Field::Incarnation, incarnation),
+        Note::Relay(relay) => {
+            let state = if relay { "relay" } else { "member" };
+            Event::new(Kind::RelayChanged).with(Field::State, state)
+        }
+        Note::LeaseLost(slot) => Event::new(Kind::LeaseLost).with(Field::Index, slot),
+        Note::CallFailed { call, reason, count } => {
+            // One line tells that the store is lost; those that follow are of use for details only.
+            let kind = if count == 1 { Kind::StoreLost } else { Kind::CallFailed };
+            Event::new(kind)
+                .with(Field::State, call.to_string())
+                .with(Field::Count, count)
+                .with(Field::Detail, reason)
+        }
+        Note::Regained { count } => Event::new(Kind::StoreRegained).with(Field::Count, count),
+        Note::Served(mark) => Event::new(Kind::VersionServed).with(Field::Version, mark.number),
+        Note::Refused { mark, reason } => Event::new(Kind::VersionRefused)
+            .with(Field::Version, mark.number)
+            .with(Field::Detail, reason),
+        Note::Held { number, floor } => {
+            Event::new(Kind::VersionHeld).with(Field::Version, number).with(Field::Floor, floor)
+        }
+        Note::Restored { number } => Event::new(Kind::VersionRestored).with(Field::Version, number),
+        Note::Detail(text) => Event::new(Kind::Control).with(Field::Detail, text),
+    }
+}
+
+/// The log line of a change in the view of a target.
+pub(crate) fn event_of_belief(belief: Belief) -> Event {
+    let kind = match belief.avoided {
+        Some(_) => Kind::TargetAvoided,
+        None => Kind::TargetRestored,
+    };
+    Event::new(kind)
+        .with(Field::Target, belief.host)
+        .with(Field::Index, belief.target)
+        .with(Field::Service, belief.service)
+        .with_some(Field::Reason, belief.avoided.map(|avoided| avoided.as_str()))
+}
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use dw_log::{Event, Field, Kind, Log};
 use dw_mesh::{Input, LocalEvent, Member, MemberTable};
 use dw_request::{
     Dispatcher, DispatcherConfig, Fingerprint, Keeper, KeeperConfig, POISON_TIME, Reason, Refusal,
@@ -17,7 +18,6 @@
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use spdlog::Logger;
 use tokio::{
     sync::{Semaphore, mpsc, watch},
     time::{Instant, sleep},
@@ -47,6 +47,7 @@
 mod server;
 mod slot;
 mod target;
+mod tell;
 
 use body::{Checked, Ended, Payload, Tracked};
 use bounded::Bounded;
@@ -93,7 +94,7 @@
     /// Tokens of the requests in flight.
     pub(crate) flights: TaskTracker,
     counters: Counters,
-    log: Arc<Logger>,
+    log: Log,
     tasks: Tasks,
 }
 
@@ -104,7 +105,7 @@
         dialect: Dialect,
         own: Member,
         counters: Counters,
-        log: Arc<Logger>,
+        log: Log,
         tasks: &Tasks,
     ) -> Arc<Self> {
         let (host, domain) = (settings.host.clone(), settings.domain.clone());
@@ -252,11 +253,13 @@
             if !stays {
                 target.set_draining(true);
                 target.pool.close_idle();
+                self.log.write(&reported(target, "gone"));
             }
             stays
         });
         for resident in residents {
             let known = targets.iter().find(|target| target.index == resident.index).cloned();
+            let is_new = known.is_none();
             let target = known.unwrap_or_else(|| {
                 let report = &resident.report;
                 let settings = TargetSettings {
@@ -272,7 +275,19 @@
                 targets.push(target.clone());
                 target
             });
-            target.set_draining(!resident.is_open() || self.is_draining());
+            let draining = !resident.is_open() || self.is_draining();
+            if target.set_draining(draining) != draining || is_new {
+                let state = match (resident.silent, resident.report.draining) {
+                    (true, _) => "silent",
+                    (false, true) => "draining",
+                    (false, false) => "ready",
+                };
+                let event = reported(&target, state)
+                    .with(Field::Incarnation, resident.report.started)
+                    .with(Field::Slots, resident.report.slots)
+                    .with(Field::AgeMs, resident.heard.elapsed());
+                self.log.write(&event);
+            }
         }
     }
 
@@ -302,7 +317,7 @@
             return answer::refuse(&Refusal::new(Reason::PoolLimit));
         };
         let flight = self.flight(Call::is_nested(request.headers()));
-        let (response, deadline) = self.enter(request, from).await;
+        let (response, deadline, ending) = self.enter(request, from).await;
         let response = hold(response, (room, flight));
         let counters = self.counters.clone();
         response.map(|body| {
@@ -314,6 +329,7 @@
                 if ended == Ended::Failed {
                     counters.refused(Reason::ResponseTruncated);
                 }
+                ending.tell(ended);
             });
             counted.boxed_unsync()
         })
@@ -339,7 +355,7 @@
     }
 
     async fn serve_key(self: &Arc<Self>, request: Request<Incoming>) -> Response<Payload> {
-        let mut call = Call::new(request, &Dialect::default());
+        let mut call = Call::new(request, &self.dialect.between(), &self.log);
         let Some(key) = call.record_key() else {
             return answer::refuse(&Refusal::new(Reason::ProtocolError));
         };
@@ -370,6 +386,8 @@
 
     fn announce_print(&self, print: Fingerprint) {
         let print = dw_mesh::Fingerprint(short(print));
+        let poisoned = Event::new(Kind::Poisoned).with(Field::Print, format!("{:016x}", print.0));
+        self.log.write(&poisoned);
         self.refuse_print(print);
         if let Some(node) = self.node.get() {
             // A full queue loses the broadcast; the request is still refused at this daemon.
@@ -421,6 +439,15 @@
     u64::from_be_bytes(part)
 }
 
+/// The log line of a target whose own report changed what is known of it.
+fn reported(target: &Beside, state: &'static str) -> Event {
+    Event::new(Kind::TargetReported)
+        .with(Field::Service, &target.service)
+        .with(Field::Index, target.index)
+        .with(Field::Instance, &target.name)
+        .with(Field::State, state)
+}
+
 /// Gives a target the queue of its service's pool.
 fn set_queue(target: &Beside, version: &Version) {
     let pool = version.tables.pools.iter().find(|pool| pool.service == target.service);
--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use dw_log::{Event, Field, Kind, Story};
 use dw_request::{Arrival, Death, Fingerprint, POISON_SUSPECTS, Reason, Refusal};
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body::Body;
@@ -9,12 +10,14 @@
 use super::{
     Proxy, answer,
     body::{Ended, Payload, Tracked},
+    call::story_of,
     fault::SendFault,
     headers,
     leg::Leg,
     slot::{Beside, Slot},
+    tell,
 };
-use crate::clock;
+use crate::{clock, counters::Step};
 
 impl Proxy {
     /// Runs a request at a target on this host.
@@ -34,11 +37,27 @@
             return answer::refuse(&Refusal::new(Reason::UnknownTarget));
         };
         let target = &target;
+        let story = story_of(&self.log, map.get(self.dialect.id()));
+        let asked = Instant::now();
         let slot = match target.admit(arrival).await {
             Ok(slot) => slot,
-            Err(refusal) => return answer::with_load(answer::refuse(&refusal), target.load()),
+            Err(refusal) => {
+                let load = target.load();
+                story.end(|| {
+                    let expected = target.expected(&arrival);
+                    tell::turned_away(&target.spot(), refusal.reason, load, expected)
+                });
+                return answer::with_load(answer::refuse(&refusal), load);
+            }
         };
+        self.counters.step(Step::Queue, asked.elapsed());
+        story.note(|| tell::admitted(&target.spot(), asked.elapsed(), target.load()));
         let name = self.prepare(&mut request, &leg, deadline, target);
+        let handed = Instant::now();
+        let not_run = |reason: Reason, detail: Option<String>| {
+            story.end(|| tell::not_run(&target.spot(), reason, handed, detail));
+            answer::refuse(&Refusal::new(reason))
+        };
         let sent = timeout_at(deadline, target.pool.send(request, deadline)).await;
         let response = match sent {
             Ok(Ok(response)) if self.is_refusal(&response) => {
@@ -49,27 +68,27 @@
                 };
                 // The rest of the response is read, so that its connection can be kept.
                 self.tasks.spawn(async move { response.into_body().collect().await.is_ok() });
-                answer::refuse(&Refusal::new(reason))
+                not_run(reason, None)
             }
             Ok(Ok(response)) if !self.answers(&response, name.as_ref()) => {
-                spdlog::warn!(logger: self.log, "[proxy] target {}: response to another request", target.index);
-                answer::refuse(&Refusal::new(Reason::ProtocolError))
+                not_run(Reason::ProtocolError, Some("a response to another request".to_owned()))
             }
             Ok(Ok(response)) if !self.dialect.unframed && !delimited(&response) => {
-                spdlog::warn!(logger: self.log, "[proxy] target {}: no body length", target.index);
-                answer::refuse(&Refusal::new(Reason::ProtocolError))
+                not_run(Reason::ProtocolError, Some("a body without a length".to_owned()))
             }
-            Ok(Ok(response)) => pass_on(response, target, slot),
+            Ok(Ok(response)) => self.pass_on(response, target, slot, story, handed),
             Ok(Err(fault @ SendFault::NotSent { .. })) => {
-                spdlog::debug!(logger: self.log, "[proxy] target {}: {fault}", target.index);
                 slot.not_started();
-                answer::refuse(&Refusal::new(Reason::ConnectFailed))
+                not_run(Reason::ConnectFailed, Some(fault.to_string()))
             }
             Ok(Err(fault)) => {
-                spdlog::debug!(logger: self.log, "[proxy] target {}: {fault}", target.index);
-                self.lost(target, slot, arrival.fingerprint).await
+                let response = self.lost(target, slot, arrival.fingerprint).await;
+                let reason = answer::reason_of(&response);
+                let detail = Some(fault.to_string());
+                story.end(|| tell::not_run(&target.spot(), reason, handed, detail));
+                response
             }
-            Err(_) => answer::refuse(&Refusal::new(Reason::TimedOut)),
+            Err(_) => not_run(Reason::TimedOut, None),
         };
         answer::with_load(response, target.load())
     }
@@ -93,7 +112,11 @@
         if prints.len() <= POISON_SUSPECTS {
             headers::set(response.headers_mut(), headers::DEATH, start);
         }
-        spdlog::warn!(logger: self.log, "[proxy] target {} died under a request", target.index);
+        let died = Event::new(Kind::TargetDied)
+            .with(Field::Service, &target.service)
+            .with(Field::Index, target.index)
+            .with(Field::Count, prints.len());
+        self.log.write(&died);
         response
     }
 
@@ -133,6 +156,40 @@
         self.dialect.request.as_ref().and_then(|header| map.get(header).cloned())
     }
 
+    /// Passes the response of a target on.
+    fn pass_on(
+        &self,
+        response: Response<Payload>,
+        target: &Arc<Beside>,
+        slot: Slot,
+        story: Story,
+        handed: Instant,
+    ) -> Response<Payload> {
+        target.responded();
+        let (status, target) = (answer::status_of(&response), target.clone());
+        let counters = self.counters.clone();
+        let mut response = response.map(|body| {
+            let tracked = Tracked::new(body, move |ended| {
+                if status >= 500 {
+                    story.mark();
+                }
+                counters.step(Step::Target, handed.elapsed());
+                story.end(|| tell::ran(&target.spot(), status, handed, ended));
+                match ended {
+                    Ended::Complete => slot.answered(status),
+                    Ended::Failed | Ended::Dropped => drop(slot),
+                }
+            });
+            tracked.boxed_unsync()
+        });
+        let map = response.headers_mut();
+        headers::strip_hop(map);
+        headers::strip_own(map);
+        map.remove(header::DATE);
+        answer::mark_run(&mut response);
+        response
+    }
+
     /// Whether the target states that it did not run the request.
     fn is_refusal(&self, response: &Response<Payload>) -> bool {
         let refused = |name| response.headers().contains_key(name);
@@ -177,24 +234,6 @@
         || map.contains_key(header::TRANSFER_ENCODING)
 }
 
-fn pass_on(response: Response<Payload>, target: &Arc<Beside>, slot: Slot) -> Response<Payload> {
-    target.responded();
-    let status = answer::status_of(&response);
-    let mut response = response.map(|body| {
-        let tracked = Tracked::new(body, move |ended| match ended {
-            Ended::Complete => slot.answered(status),
-            Ended::Failed | Ended::Dropped => drop(slot),
-        });
-        tracked.boxed_unsync()
-    });
-    let map = response.headers_mut();
-    headers::strip_hop(map);
-    headers::strip_own(map);
-    map.remove(header::DATE);
-    answer::mark_run(&mut response);
-    response
-}
-
 fn print_of(text: &str) -> Option<Fingerprint> {
     u128::from_str_radix(text, 16).ok().map(|value| Fingerprint::from_bytes(value.to_be_bytes()))
 }
--- a/crates/daemon/src/proxy/call.rs
+++ b/crates/daemon/src/proxy/call.rs
@@ -1,9 +1,10 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use dw_log::{Log, Story};
 use dw_request::{Attempt, Fingerprint, RequestInfo};
 use dw_tables::Name;
-use http::{HeaderMap, Request, Uri, header, request::Parts, uri::Authority};
+use http::{HeaderMap, HeaderValue, Request, Uri, header, request::Parts, uri::Authority};
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -26,6 +27,14 @@
     host: String,
     body: CallBody,
     digest: Option<[u8; 32]>,
+    /// The name of the request; `None` if callers give one and this one did not.
+    pub(crate) id: Option<HeaderValue>,
+    /// What happens to the request, for the log.
+    pub(crate) story: Story,
+    /// After this moment its answer is worth less.
+    pub(crate) late_at: Option<Instant>,
+    /// The route it takes, once an attempt was made.
+    pub(crate) route: Option<Name>,
     /// The caller's key.
     pub(crate) key: Option<Name>,
     /// The home failure domain, if the caller states it.
@@ -51,7 +60,7 @@
 
 impl Call {
     /// Takes the head of a request; `read` takes the body.
-    pub(crate) fn new(request: Request<Incoming>, dialect: &Dialect) -> Self {
+    pub(crate) fn new(request: Request<Incoming>, dialect: &Dialect, log: &Log) -> Self {
         let version = request.version();
         let (mut head, body) = request.into_parts();
         let host = host_of(&head).unwrap_or_else(|| NO_HOST.to_owned());
@@ -60,9 +69,11 @@
         map.remove(header::HOST);
         let timeout = headers::read(map, &dialect.timeout).map(Duration::from_millis);
         map.remove(&dialect.timeout);
-        if let Some(name) = &dialect.request {
-            headers::mark_unique(map, name);
+        if dialect.request.is_none() && !map.contains_key(dialect.id()) {
+            headers::set(map, dialect.id().clone(), format!("{:016x}", rand::random::<u64>()));
         }
+        headers::mark_unique(map, dialect.id());
+        let id = map.get(dialect.id()).cloned();
         if let Some((name, value)) = &dialect.origin {
             map.insert(name, value.clone());
         }
@@ -74,6 +85,10 @@
         // What else a caller sends under these names would be taken for a daemon's own.
         headers::strip_own(map);
         Self {
+            story: story_of(log, id.as_ref()),
+            id,
+            late_at: None,
+            route: None,
             key,
             home,
             first_sent_ms,
@@ -199,6 +214,9 @@
             head: self.head.clone(),
             host: self.host.clone(),
             body: std::mem::replace(&mut self.body, CallBody::Stream(None)),
+            id: self.id.clone(),
+            story: self.story.clone(),
+            route: self.route.clone(),
             key: self.key.clone(),
             home: self.home.clone(),
             ..*self
@@ -260,6 +278,11 @@
     }
 }
 
+/// Begins to collect what happens to the request of this name.
+pub(crate) fn story_of(log: &Log, id: Option<&HeaderValue>) -> Story {
+    id.and_then(|id| id.to_str().ok()).map(|id| log.story(id)).unwrap_or_default()
+}
+
 fn host_of(head: &Parts) -> Option<String> {
     if let Some(authority) = head.uri.authority() {
         return Some(authority.as_str().to_owned());
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -8,27 +8,42 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::{Proxy, answer, body::Payload, call::Call, fault::SendFault, headers};
+use super::{
+    Proxy, answer, body::Payload, call::Call, fault::SendFault, headers, tell, tell::Ending,
+};
+use crate::{counters::Step, notes::event_of_belief};
 
 /// What an attempt led to: for the dispatcher, and for the caller.
 type Tried = (AttemptOutcome, Option<Response<Payload>>);
 
 impl Proxy {
-    /// Responds to a request of a caller; also returns when the whole response is due.
+    /// Responds to a request of a caller; also returns when the whole response is due, and what is to
+    /// be logged at its end.
     pub(super) async fn enter(
         self: &Arc<Self>,
         request: Request<Incoming>,
         from: SocketAddr,
-    ) -> (Response<Payload>, Option<Instant>) {
+    ) -> (Response<Payload>, Option<Instant>, Ending) {
         let started = Instant::now();
-        let name = self.dialect.request.as_ref().and_then(|n| request.headers().get(n).cloned());
-        let mut call = Call::new(request, &self.dialect);
-        let mut response = match self.admit(&mut call, from).await {
-            Ok(response) => response,
+        let mut call = Call::new(request, &self.dialect, &self.log);
+        let result = self.admit(&mut call, from).await;
+        let mut response = match result {
+            Ok(response) => {
+                let outcome = answer::outcome_of(&response);
+                if outcome != Outcome::Run {
+                    // The keeper of the key, another daemon, refused.
+                    let reason = answer::reason_of(&response);
+                    let status = response.status().as_u16();
+                    let refusal = Refusal { outcome, status, ..Refusal::new(reason) };
+                    call.story.end(|| tell::refused(&refusal, call.deadline));
+                }
+                response
+            }
             Err(refusal) => {
                 if let Some(reason) = refusal.no_retry {
                     self.counters.not_retried(reason);
                 }
+                call.story.end(|| tell::refused(&refusal, call.deadline));
                 answer::refuse_in(&refusal, &self.dialect)
             }
         };
@@ -40,14 +55,18 @@
         let map = response.headers_mut();
         map.remove(headers::LOAD);
         map.remove(headers::DEATH);
-        if let (Some(header), Some(name)) = (&self.dialect.request, name) {
-            map.insert(header, name);
+        if let Some(id) = call.id {
+            map.insert(self.dialect.id(), id);
         }
         if self.is_draining() {
             // HTTP/1.1 callers connect elsewhere next; hyper drops the header for HTTP/2.
             map.insert(header::CONNECTION, http::HeaderValue::from_static("close"));
         }
-        (response, call.deadline)
+        let status = response.status().as_u16();
+        let (story, counters) = (call.story, self.counters.clone());
+        let (route, late_at) = (call.route, call.late_at);
+        let ending = Ending { story, counters, route, status, started, late_at };
+        (response, call.deadline, ending)
     }
 
     async fn admit(
@@ -94,7 +113,13 @@
             Decision::Forward(attempt) => attempt,
             Decision::Refuse(refusal) => return Err(refusal),
         };
+        call.late_at = Some(attempt.goal.late_at);
+        call.route = Some(attempt.route.name.clone());
         loop {
+            call.story.note(|| tell::placed(&attempt));
+            if let Some(age) = attempt.basis.age {
+                self.counters.load_age(age);
+            }
             let flight = Flight { proxy: self.clone(), id: Some(attempt.id) };
             let (outcome, response) = self.attempt(&attempt, call).await;
             match flight.settle(&outcome) {
@@ -109,6 +134,7 @@
                         let no_retry = Some(Reason::RetryLimit);
                         return Err(Refusal { no_retry, ..refusal_of(&outcome) });
                     }
+                    call.story.note(|| tell::again(&next, after));
                     sleep(after).await;
                     waiting.keep();
                     if let Some(cause) = next.cause {
@@ -130,10 +156,13 @@
         } else {
             timeout_at(deadline, self.hops.send(endpoint.addr, request, deadline)).await
         };
+        if matches!(response, Ok(Ok(_))) && endpoint.host != self.host {
+            self.counters.step(Step::Hop, sent.elapsed());
+        }
         match response {
             Ok(Ok(response)) => self.read_answer(attempt, call, response, sent),
             Ok(Err(SendFault::NotSent { reason, request })) => {
-                spdlog::debug!(logger: self.log, "[proxy] {}: {reason}", endpoint.host);
+                let detail = Some(reason);
                 let reason = match request {
                     Some(request) => {
                         call.restore(*request);
@@ -141,17 +170,23 @@
                     }
                     None => Reason::StreamRefused,
                 };
+                call.story.note(|| tell::failed(attempt, reason, Outcome::NotRun, sent, detail));
                 (AttemptOutcome::NotRun { reason, retry_after: None, load: None }, None)
             }
             Ok(Err(SendFault::Unknown { reason, unresponsive })) => {
-                spdlog::debug!(logger: self.log, "[proxy] {}: {reason}", endpoint.host);
+                let detail = Some(reason);
                 let reason = match unresponsive {
                     true => Reason::ConnectionUnresponsive,
                     false => Reason::ConnectionLost,
                 };
+                call.story.note(|| tell::failed(attempt, reason, Outcome::Unknown, sent, detail));
+                (AttemptOutcome::Unknown { reason }, None)
+            }
+            Err(_) => {
+                let reason = Reason::TimedOut;
+                call.story.note(|| tell::failed(attempt, reason, Outcome::Unknown, sent, None));
                 (AttemptOutcome::Unknown { reason }, None)
             }
-            Err(_) => (AttemptOutcome::Unknown { reason: Reason::TimedOut }, None),
         }
     }
 
@@ -174,6 +209,7 @@
                 let seconds = headers::read(map, &header::RETRY_AFTER);
                 let seconds = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
                 let reason = answer::reason_of(&response);
+                call.story.note(|| tell::failed(attempt, reason, Outcome::NotRun, sent, None));
                 (AttemptOutcome::NotRun { reason, retry_after: seconds, load }, None)
             }
             Outcome::Unknown => {
@@ -184,12 +220,28 @@
                     let host = endpoint.host.clone();
                     self.note_death(Death { host, target: endpoint.target, start }, print);
                 }
-                (AttemptOutcome::Unknown { reason: answer::reason_of(&response) }, None)
+                let reason = answer::reason_of(&response);
+                call.story.note(|| tell::failed(attempt, reason, Outcome::Unknown, sent, None));
+                (AttemptOutcome::Unknown { reason }, None)
             }
         }
     }
 }
 
+impl Proxy {
+    /// Ends an attempt, and logs what it changed in the view of the targets.
+    fn settle(&self, id: AttemptId, outcome: AttemptOutcome) -> Next {
+        let mut dispatcher = self.dispatcher();
+        let next = dispatcher.settle(id, outcome, Instant::now());
+        let beliefs = dispatcher.take_beliefs();
+        drop(dispatcher);
+        for belief in beliefs {
+            self.log.write(&event_of_belief(belief));
+        }
+        next
+    }
+}
+
 /// What an attempt alone says to the caller.
 fn refusal_of(outcome: &AttemptOutcome) -> Refusal {
     match *outcome {
@@ -210,7 +262,7 @@
 impl Flight {
     fn settle(mut self, outcome: &AttemptOutcome) -> Next {
         match self.id.take() {
-            Some(id) => self.proxy.dispatcher().settle(id, *outcome, Instant::now()),
+            Some(id) => self.proxy.settle(id, *outcome),
             None => Next::Deliver,
         }
     }
@@ -224,8 +276,7 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
-            let now = Instant::now();
-            self.proxy.dispatcher().settle(id, AttemptOutcome::Cancelled, now);
+            self.proxy.settle(id, AttemptOutcome::Cancelled);
         }
     }
 }
--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -1,6 +1,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use dw_log::{Event, Field, Kind};
 use dw_request::{
     ANSWER_LIMIT, Claim, HandOver, Held, KEEPER_HOLD, KeyOutcome, Outcome, Reason, Refusal,
 };
@@ -65,6 +66,7 @@
                 }
                 continue;
             }
+            call.story.note(|| Event::new(Kind::KeeperAsked).with(Field::Target, &keeper.host));
             let request = call.for_keeper(deadline);
             match timeout_at(deadline, self.hops.send(keeper.data, request, deadline)).await {
                 Ok(Ok(response)) => {
@@ -200,11 +202,13 @@
             let count: usize = parts.iter().map(|part| part.records.len()).sum();
             match self.send_parts(parts).await {
                 None => {
-                    spdlog::info!(logger: self.log, "[proxy] {count} records handed over");
+                    let moved = Event::new(Kind::RecordsMoved).with(Field::Count, count);
+                    self.log.write(&moved);
                     return;
                 }
                 Some(host) => {
-                    spdlog::warn!(logger: self.log, "[proxy] {host} takes no records");
+                    let refused = Event::new(Kind::RecordsRefused).with(Field::Target, host);
+                    self.log.write(&refused);
                     sleep(HAND_OVER_PAUSE).await;
                 }
             }
--- a/crates/daemon/src/proxy/slot.rs
+++ b/crates/daemon/src/proxy/slot.rs
@@ -19,7 +19,10 @@
     time::{Instant, sleep_until, timeout},
 };
 
-use super::target::TargetPool;
+use super::{
+    target::TargetPool,
+    tell::{Expected, Spot},
+};
 use crate::{TargetSettings, clock, tasks::Tasks};
 
 /// The longest wait for a connection that shows whether a target still runs.
@@ -126,9 +129,21 @@
         self.lock().gate.drain();
     }
 
-    /// Refuses new work, or takes it again, while the daemon stays.
-    pub(crate) fn set_draining(&self, draining: bool) {
-        self.draining.store(draining, Ordering::Relaxed);
+    /// Refuses new work, or takes it again, while the daemon stays; returns what held before.
+    pub(crate) fn set_draining(&self, draining: bool) -> bool {
+        self.draining.swap(draining, Ordering::Relaxed)
+    }
+
+    /// What the gate expects of an arrival now, for the log.
+    pub(crate) fn expected(&self, arrival: &Arrival) -> Expected {
+        let now = Instant::now();
+        let (wait, service) = self.lock().gate.expected(arrival, now);
+        Expected { wait, service, left: arrival.deadline.saturating_duration_since(now) }
+    }
+
+    /// Names the target in the log.
+    pub(crate) const fn spot(&self) -> Spot<'_> {
+        Spot { service: &self.service, index: self.index }
     }
 
     /// What is reported with each response.
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -8,17 +8,17 @@
     time::Duration,
 };
 
+use dw_log::{Event, Field, Kind, Log};
 use dw_mesh::{Input, LocalEvent, MemberTable, Status, Target};
 use dw_request::Resident;
-use dw_tables::{Millis, Version, VersionMark};
-use spdlog::Logger;
+use dw_tables::{Millis, Name, Version, VersionMark};
 use tokio::{
     sync::{mpsc, watch},
     time::{Instant, sleep, timeout, timeout_at},
 };
 
 use crate::{
-    Counts,
+    Counts, Ignored,
     counters::Counters,
     node::{ToNode, View, ask_status},
     proxy::{Proxy, Server},
@@ -64,7 +64,7 @@
     pub(crate) proxy: Arc<Proxy>,
     pub(crate) server: Server,
     pub(crate) counters: Counters,
-    pub(crate) log: Arc<Logger>,
+    pub(crate) log: Log,
     pub(crate) tasks: Tasks,
 }
 
@@ -161,18 +161,19 @@
         let linger = Duration::from(self.linger).min(self.grace);
         self.retiring.store(true, Ordering::Relaxed);
         if !linger.is_zero() {
-            spdlog::info!(logger: self.log, "[proxy] leaving in {} ms", linger.as_millis());
+            self.log.write(&Event::new(Kind::Stopping).with(Field::LeftMs, linger));
             sleep(linger).await;
         }
-        spdlog::info!(logger: self.log, "[proxy] leaving");
         self.proxy.drain();
+        let count = self.proxy.flights.len();
+        self.log.write(&Event::new(Kind::Draining).with(Field::Count, count));
         self.server.drain.cancel();
         self.tell(LocalEvent::StartDrain).await;
         sleep(NOTICE.min(self.grace)).await;
         self.proxy.flights.close();
         if timeout_at(until, self.proxy.flights.wait()).await.is_err() {
             let left = self.proxy.flights.len();
-            spdlog::warn!(logger: self.log, "[proxy] the grace ended with {left} requests in flight");
+            self.log.write(&Event::new(Kind::GraceEnded).with(Field::Count, left));
         }
         self.proxy.hand_over().await;
         self.server.stop.cancel();
@@ -184,7 +185,8 @@
         let _ = timeout(CLOSE_WAIT, self.server.open.wait()).await;
         self.tell(LocalEvent::Left).await;
         sleep(FLUSH).await;
-        spdlog::info!(logger: self.log, "[proxy] left");
+        self.log.write(&Event::new(Kind::Stopped));
+        self.log.flush();
     }
 
     /// Loses all control messages to these peers from now on, as a partition in one direction does;
@@ -201,6 +203,22 @@
         self.log.flush();
     }
 
+    /// Counts and logs a report of a target that was not used.
+    pub fn ignore_report(&self, instance: &str, reason: Ignored, detail: Option<String>) {
+        self.counters.ignored(reason);
+        let event = Event::new(Kind::ReportIgnored)
+            .with(Field::Instance, Name::new(instance))
+            .with(Field::Reason, reason.as_str())
+            .with_some(Field::Detail, detail);
+        self.log.write(&event);
+    }
+
+    /// The log of the daemon, for adapters that decide something themselves.
+    #[must_use]
+    pub const fn log(&self) -> &Log {
+        &self.log
+    }
+
     /// Ends all tasks at once without a goodbye, as a failed host does. For tests.
     pub async fn kill(self) {
         self.tasks.abort().await;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,6 +1,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use derive_more::{Display, FromStr};
+use dw_log::{LogLevel, LogSettings};
 use dw_request::Returns;
 use dw_tables::{Millis, Name};
 
@@ -93,45 +94,6 @@
     }
 }
 
-/// Level and format of the log, which goes to standard error.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LogSettings {
-    /// The least severe level that is written.
-    pub level: LogLevel,
-    /// The format of a line.
-    pub format: LogFormat,
-}
-
-/// Levels of the log.
-#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq)]
-#[display(rename_all = "lowercase")]
-#[from_str(rename_all = "lowercase")]
-pub enum LogLevel {
-    /// Nothing is written.
-    Off,
-    /// Faults that need an operator.
-    Error,
-    /// Faults that the daemon handles itself.
-    Warn,
-    /// Changes of state.
-    #[default]
-    Info,
-    /// Every decision.
-    Debug,
-}
-
-/// Formats of a log line.
-#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq)]
-#[display(rename_all = "lowercase")]
-#[from_str(rename_all = "lowercase")]
-pub enum LogFormat {
-    /// Time, level and sentence.
-    #[default]
-    Text,
-    /// One JSON object for each line.
-    Json,
-}
-
 /// The default of `grace`: 30 s.
 const GRACE: Millis = Millis::new(30_000);
 
--- /dev/null
+++ b/crates/daemon/tests/log.rs
@@ -0,0 +1,210 @@
+//! What the log says of requests and of the daemon, read back line by line.
+
+mod support;
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use dw_daemon::{Daemon, LogFormat, LogLevel, LogSettings, Running};
+use dw_log::Log;
+use googletest::prelude::*;
+use http::Request;
+use serde_json::Value as Json;
+use support::{Act, RawTarget, connect, get, header, publish, send, settings, tables, target};
+use tokio::time::{Instant, sleep};
+
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Lines {
+    /// The lines about a request, or those about none.
+    fn of(&self, running: &Running, request: Option<&str>) -> Result<Vec<Json>> {
+        running.log().flush();
+        let bytes = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut found = Vec::new();
+        for line in String::from_utf8(bytes)?.lines() {
+            let line: Json = serde_json::from_str(line)?;
+            if line["request"].as_str() == request {
+                found.push(line);
+            }
+        }
+        Ok(found)
+    }
+}
+
+fn events(lines: &[Json]) -> Vec<&str> {
+    lines.iter().filter_map(|line| line["event"].as_str()).collect()
+}
+
+/// Waits until the events of a request, or those of none, are as wanted, and returns their lines.
+async fn until(
+    lines: &Lines,
+    running: &Running,
+    request: Option<&str>,
+    good: impl Fn(&[&str]) -> bool,
+) -> Result<Vec<Json>> {
+    let deadline = Instant::now() + Duration::from_secs(20);
+    loop {
+        let told = lines.of(running, request)?;
+        if good(&events(&told)) || Instant::now() > deadline {
+            return Ok(told);
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A daemon with one target for each service, its log captured.
+async fn logged(act: Act) -> Result<(dw_fakes::RunningStandin, RawTarget, Running, Lines)> {
+    let standin = dw_fakes::Standin::new().start().await?;
+    publish(standin.addr(), 1, tables()).await;
+    let raw = RawTarget::start(act).await;
+    let lines = Lines::default();
+    let level = LogSettings { level: LogLevel::Info, format: LogFormat::Json };
+    let log = Log::with_output(level, "p1".into(), lines.clone())?;
+    let settings = settings("p1", "portland")
+        .with_platform(vec![standin.addr()])
+        .with_target(target("tally", raw.addr))
+        .with_target(target("ledger", raw.addr));
+    let running = Daemon::new(settings).with_log(log).start().await?;
+    running.wait_version(1).await;
+    Ok((standin, raw, running, lines))
+}
+
+fn named(path: &str, id: &str) -> Result<Request<http_body_util::Full<bytes::Bytes>>> {
+    let mut request = get(path);
+    request.headers_mut().insert("x-request-id", id.parse()?);
+    Ok(request)
+}
+
+/// Guards against a decision about a request that leaves no line, and a line without what decided it.
+#[gtest]
+#[tokio::test]
+async fn a_served_request_is_told_from_the_caller_to_the_target_and_back() -> Result<()> {
+    let (_standin, _raw, running, lines) = logged(Act::Echo).await?;
+    let response = send(running.addrs().callers, named("/lookup", "r-1")?).await;
+    expect_that!(header(&response, "x-request-id"), eq("r-1"));
+    let head = support::text(response).await?;
+    expect_that!(head, contains_substring("x-request-id: r-1"));
+
+    let told = lines.of(&running, Some("r-1"))?;
+    let mut seen = events(&told);
+    seen.sort_unstable();
+    expect_that!(seen, eq(&vec!["admitted", "answered", "placed", "ran"]));
+    let line = |event: &str| told.iter().find(|line| line["event"] == event).cloned();
+    let placed = line("placed").unwrap_or_default();
+    for (field, value) in [("route", "lookup"), ("service", "tally"), ("target", "p1")] {
+        expect_that!(placed[field].as_str(), some(eq(value)));
+    }
+    for field in ["version", "candidates", "in_flight", "slots", "left_ms", "attempt"] {
+        expect_that!(placed[field].as_u64(), some(anything()), "{field}");
+    }
+    let answered = line("answered").unwrap_or_default();
+    expect_that!(answered["status"].as_u64(), some(eq(200)));
+    expect_that!(answered["late"].as_bool(), some(eq(false)));
+    running.kill().await;
+    Ok(())
+}
+
+/// Guards against a refusal that nobody can explain: the reason, and how full the target was.
+#[gtest]
+#[tokio::test]
+async fn a_refusal_names_its_reason_and_the_load_that_led_to_it() -> Result<()> {
+    let (_standin, raw, running, lines) = logged(Act::Hold).await?;
+    let mut pending = Vec::new();
+    for number in 0..4 {
+        let mut caller = connect(running.addrs().callers).await;
+        let request = named("/lookup", &format!("held-{number}"))?;
+        pending.push(tokio::spawn(async move { caller.send_request(request).await }));
+        raw.arrived.notified().await;
+    }
+    let mut request = named("/lookup", "late-1")?;
+    request.headers_mut().insert("damaskwick-timeout-ms", "20".parse()?);
+    let response = send(running.addrs().callers, request).await;
+    expect_that!(response.status().as_u16(), eq(503));
+
+    let told = lines.of(&running, Some("late-1"))?;
+    let away = told.iter().find(|line| line["event"] == "turned-away").cloned().unwrap_or_default();
+    expect_that!(away["slots"].as_u64(), some(eq(4)));
+    expect_that!(away["in_flight"].as_u64(), some(eq(4)));
+    expect_that!(away["wait_ms"].as_u64(), some(anything()));
+    expect_that!(away["reason"].as_str(), some(eq(header(&response, "damaskwick-reason"))));
+    let refused = told.iter().find(|line| line["event"] == "refused").cloned().unwrap_or_default();
+    expect_that!(refused["reason"].as_str(), some(eq(header(&response, "damaskwick-reason"))));
+    expect_that!(refused["outcome"].as_str(), some(eq("not-run")));
+    pending.iter().for_each(tokio::task::JoinHandle::abort);
+    running.kill().await;
+    Ok(())
+}
+
+/// Guards against callers that leave without a trace.
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_leaves_is_told_on_both_sides() -> Result<()> {
+    let (_standin, raw, running, lines) = logged(Act::Hold).await?;
+    let mut caller = connect(running.addrs().callers).await;
+    let request = named("/lookup", "gone-1")?;
+    let pending = tokio::spawn(async move { caller.send_request(request).await });
+    raw.arrived.notified().await;
+    pending.abort();
+    raw.cancelled.notified().await;
+    let both = |seen: &[&str]| seen.iter().filter(|event| **event == "cancelled").count() == 2;
+    let told = until(&lines, &running, Some("gone-1"), both).await?;
+    expect_that!(events(&told), contains(eq(&"placed")));
+    expect_that!(events(&told), contains(eq(&"admitted")));
+    running.kill().await;
+    Ok(())
+}
+
+/// Guards against a lost store, a new version or an end of the process that the log does not tell.
+#[gtest]
+#[tokio::test]
+async fn the_daemon_tells_what_it_came_to_know() -> Result<()> {
+    let (standin, _raw, running, lines) = logged(Act::Echo).await?;
+    publish(standin.addr(), 2, tables()).await;
+    running.wait_version(2).await;
+    standin.close().await;
+    until(&lines, &running, None, |seen| seen.contains(&"store-lost")).await?;
+    running.drain().await;
+
+    let told = lines.of(&running, None)?;
+    let seen = events(&told);
+    for event in ["started", "member-changed", "version-served", "draining", "stopped"] {
+        expect_that!(seen, contains(eq(&event)), "{event}");
+    }
+    let versions: Vec<_> = told
+        .iter()
+        .filter(|line| line["event"] == "version-served")
+        .filter_map(|line| line["version"].as_u64())
+        .collect();
+    expect_that!(versions, eq(&vec![1, 2]));
+    running.kill().await;
+    Ok(())
+}
+
+/// Guards against a caller without an id whose request cannot be found again.
+#[gtest]
+#[tokio::test]
+async fn a_request_without_an_id_gets_one() -> Result<()> {
+    let (_standin, _raw, running, lines) = logged(Act::Echo).await?;
+    let response = send(running.addrs().callers, get("/lookup")).await;
+    let id = header(&response, "x-request-id").to_owned();
+    expect_that!(id.len(), eq(16));
+    expect_that!(support::text(response).await?, contains_substring(format!("x-request-id: {id}")));
+    expect_that!(lines.of(&running, Some(&id))?, len(eq(4)));
+    running.kill().await;
+    Ok(())
+}
--- a/crates/daemon/tests/operations_page.rs
+++ b/crates/daemon/tests/operations_page.rs
@@ -1,15 +1,16 @@
-//! The page `docs/operations.md` against the reasons and metrics of the code.
+//! The page `docs/OPERATIONS.md` against the reasons, metrics and log lines of the code.
 
 #![allow(clippy::expect_used)]
 
 mod support;
 
+use dw_log::{Field, Kind};
 use dw_mesh::Force;
 use dw_request::Reason;
 use googletest::prelude::*;
 use support::{fetch, get, settings, start};
 
-const PAGE: &str = include_str!("../../../docs/operations.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 /// The rows of the table below a heading, each as its cells without backticks.
 fn rows(heading: &str) -> Vec<Vec<String>> {
@@ -47,6 +48,29 @@
     Ok(())
 }
 
+/// Guards against a log line that the page does not explain, or an event of another level.
+#[gtest]
+fn page_lists_every_event_and_field() {
+    let listed: Vec<_> = rows("Log events").iter().map(|row| row.join("|")).collect();
+    let known: Vec<_> = Kind::ALL
+        .iter()
+        .map(|kind| format!("{}|{}|{}", kind.as_str(), kind.level(), text_of(kind.meaning())))
+        .collect();
+    expect_that!(listed, eq(&known));
+
+    let listed: Vec<_> = rows("Log fields").iter().map(|row| row.join("|")).collect();
+    let known: Vec<_> = Field::ALL
+        .iter()
+        .map(|field| format!("{}|{}", field.as_str(), text_of(field.meaning())))
+        .collect();
+    expect_that!(listed, eq(&known));
+}
+
+/// Documentation as a cell of a table holds it.
+fn text_of(doc: &str) -> String {
+    doc.replace('`', "").trim().to_owned()
+}
+
 /// Guards against a state of a version that operators meet and the page does not explain.
 #[gtest]
 fn page_lists_every_state() {
--- /dev/null
+++ b/crates/log/src/log.rs
@@ -0,0 +1,190 @@
+use std::{
+    io::{Write, stdout},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use derive_more::{Display, Error, From};
+use dw_tables::Name;
+use sha2::{Digest, Sha256};
+use spdlog::{Level, LevelFilter, Logger};
+use tokio::time::Instant;
+
+use crate::{
+    Class, Event, Field, Kind, LogLevel, LogSettings, Story, Thinner, line::line, output::Output,
+};
+
+/// Why a log cannot be set up.
+#[derive(Debug, Display, Error, From)]
+pub enum LogError {
+    /// The thread that writes cannot be started.
+    #[display("cannot start the thread that writes the log: {_0}")]
+    Thread(std::io::Error),
+    /// The logging library.
+    #[display("cannot set up the log: {_0}")]
+    Library(spdlog::Error),
+}
+
+/// What the log did not write since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogLosses {
+    /// Lines that the output did not take.
+    pub lines: u64,
+    /// Requests that were left out.
+    pub requests: u64,
+}
+
+/// The log of one daemon. Clones write to the same output.
+#[derive(Clone)]
+pub struct Log(Arc<Inner>);
+
+struct Inner {
+    host: Name,
+    settings: LogSettings,
+    logger: Logger,
+    output: Output,
+    thinning: Mutex<Thinning>,
+}
+
+struct Thinning {
+    thinner: Thinner,
+    left: u64,
+}
+
+impl Log {
+    /// A log on standard output.
+    ///
+    /// # Errors
+    /// What prevents the log from being set up.
+    pub fn new(settings: LogSettings, host: Name) -> Result<Self, LogError> {
+        Self::with_output(settings, host, stdout())
+    }
+
+    /// A log on another output.
+    ///
+    /// # Errors
+    /// What prevents the log from being set up.
+    pub fn with_output(
+        settings: LogSettings,
+        host: Name,
+        out: impl Write + Send + 'static,
+    ) -> Result<Self, LogError> {
+        let output = Output::new(out)?;
+        let level = match settings.level {
+            LogLevel::Off => LevelFilter::Off,
+            LogLevel::Error => LevelFilter::MoreSevereEqual(Level::Error),
+            LogLevel::Warn => LevelFilter::MoreSevereEqual(Level::Warn),
+            LogLevel::Info => LevelFilter::MoreSevereEqual(Level::Info),
+            LogLevel::Debug => LevelFilter::MoreSevereEqual(Level::Debug),
+        };
+        let logger =
+            Logger::builder().sink(Arc::new(output.clone())).level_filter(level).build()?;
+        let thinner = Thinner::new(Instant::now());
+        let thinning = Mutex::new(Thinning { thinner, left: 0 });
+        Ok(Self(Arc::new(Inner { host, settings, logger, output, thinning })))
+    }
+
+    /// Writes an event that belongs to no request, or to one that is logged in any case.
+    pub fn write(&self, event: &Event) {
+        self.0.emit(event, None);
+    }
+
+    /// Begins to collect what happens to a request at this host. Nothing is collected if the settings
+    /// leave such lines out.
+    #[must_use]
+    pub fn story(&self, request: &str) -> Story {
+        if self.0.settings.level < LogLevel::Warn {
+            return Story::default();
+        }
+        Story::new(self.clone(), Name::new(request))
+    }
+
+    /// Waits a moment for the output to take what was written.
+    pub fn flush(&self) {
+        self.0.logger.flush();
+    }
+
+    /// What was not written since the start.
+    #[must_use]
+    pub fn losses(&self) -> LogLosses {
+        LogLosses { lines: self.0.output.all_lost(), requests: self.0.thinning().left }
+    }
+
+    /// Writes the events of a request, or leaves all of them out.
+    pub(crate) fn tell(&self, request: &Name, events: &[Event], class: Class) {
+        let now = Instant::now();
+        let mut thinning = self.0.thinning();
+        let left = [Class::Plain, Class::Notable].map(|class| thinning.thinner.left(class, now));
+        let keep = thinning.thinner.keep(class, || hash(request), now);
+        thinning.left += u64::from(!keep);
+        drop(thinning);
+        for left in left.into_iter().flatten() {
+            let class = match left.class {
+                Class::Plain => "plain",
+                Class::Notable => "notable",
+            };
+            let event = Event::new(Kind::LinesThinned)
+                .with(Field::Reason, class)
+                .with(Field::Count, left.count)
+                .with(Field::Candidates, left.one_in);
+            self.0.emit(&event, None);
+        }
+        if keep {
+            events.iter().for_each(|event| self.0.emit(event, Some(request)));
+        }
+    }
+}
+
+impl Inner {
+    fn emit(&self, event: &Event, request: Option<&Name>) {
+        if !self.logger.should_log(level_of(event.kind)) {
+            return;
+        }
+        if let Some(count) = self.output.take_lost() {
+            let lost = Event::new(Kind::LinesLost).with(Field::Count, count);
+            self.hand_over(&lost, None);
+        }
+        self.hand_over(event, request);
+    }
+
+    fn hand_over(&self, event: &Event, request: Option<&Name>) {
+        let text = line(event, &self.host, request, self.settings.format);
+        let logger = &self.logger;
+        match level_of(event.kind) {
+            Level::Critical | Level::Error => spdlog::error!(logger: logger, "{text}"),
+            Level::Warn => spdlog::warn!(logger: logger, "{text}"),
+            Level::Info => spdlog::info!(logger: logger, "{text}"),
+            Level::Debug | Level::Trace => spdlog::debug!(logger: logger, "{text}"),
+        }
+    }
+
+    fn thinning(&self) -> MutexGuard<'_, Thinning> {
+        self.thinning.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        self.output.close();
+    }
+}
+
+impl std::fmt::Debug for Log {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Log").field("host", &self.0.host).finish_non_exhaustive()
+    }
+}
+
+const fn level_of(kind: Kind) -> Level {
+    match kind.level() {
+        LogLevel::Off | LogLevel::Error => Level::Error,
+        LogLevel::Warn => Level::Warn,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    }
+}
+
+/// The same at all hosts and in all releases.
+fn hash(request: &Name) -> u64 {
+    let digest: [u8; 32] = Sha256::digest(request.as_str()).into();
+    u64::from_be_bytes(digest[..8].try_into().unwrap_or_default())
+}
--- /dev/null
+++ b/crates/log/src/story.rs
@@ -0,0 +1,86 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use dw_tables::Name;
+
+use crate::{Class, Event, Kind, Log, LogLevel};
+
+/// What happens to one request at one host, written when the last clone is dropped: only then is known
+/// whether it was an ordinary request, of which many are left out under load.
+#[derive(Clone, Debug, Default)]
+pub struct Story(Option<Arc<Open>>);
+
+#[derive(Debug)]
+struct Open {
+    log: Log,
+    request: Name,
+    told: Mutex<Told>,
+}
+
+#[derive(Debug, Default)]
+struct Told {
+    events: Vec<Event>,
+    notable: bool,
+    ended: bool,
+}
+
+impl Story {
+    pub(crate) fn new(log: Log, request: Name) -> Self {
+        Self(Some(Arc::new(Open { log, request, told: Mutex::default() })))
+    }
+
+    /// Adds an event; `event` is made only if it may be written.
+    pub fn note(&self, event: impl FnOnce() -> Event) {
+        if let Some(open) = &self.0 {
+            open.lock().add(event());
+        }
+    }
+
+    /// Adds the event that ends the request; further ends are ignored.
+    pub fn end(&self, event: impl FnOnce() -> Event) {
+        let Some(open) = &self.0 else { return };
+        let mut told = open.lock();
+        if !std::mem::replace(&mut told.ended, true) {
+            told.add(event());
+        }
+    }
+
+    /// Whether nothing is collected.
+    #[must_use]
+    pub const fn is_off(&self) -> bool {
+        self.0.is_none()
+    }
+
+    /// Has the request kept although no event says that something went wrong.
+    pub fn mark(&self) {
+        if let Some(open) = &self.0 {
+            open.lock().notable = true;
+        }
+    }
+}
+
+impl Open {
+    fn lock(&self) -> MutexGuard<'_, Told> {
+        self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Told {
+    fn add(&mut self, event: Event) {
+        self.notable |= event.kind.level() <= LogLevel::Warn;
+        self.events.push(event);
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let told = self.told.get_mut().unwrap_or_else(PoisonError::into_inner);
+        if !told.ended && !told.events.is_empty() {
+            // Every other way to end is noted where it is decided.
+            told.add(Event::new(Kind::Cancelled));
+        }
+        if !told.events.is_empty() {
+            let class = if told.notable { Class::Notable } else { Class::Plain };
+            self.log.tell(&self.request, &told.events, class);
+        }
+    }
+}
--- /dev/null
+++ b/crates/log/src/thinner.rs
@@ -0,0 +1,119 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Requests a second whose lines are kept although nothing went wrong. At five lines of 250 bytes and
+/// 2 us each that is 0.02% of a core and 25 KB/s.
+const PLAIN: u32 = 20;
+
+/// Requests a second whose lines are kept because they were refused, failed, late or sent again. A host
+/// takes about 80 requests a second on the users' busiest days.
+const NOTABLE: u32 = 150;
+
+/// Time over which requests are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// How much the lines of a request matter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// It was served in time by the first target that was tried.
+    Plain,
+    /// Anything else.
+    Notable,
+}
+
+/// What was left out in the last second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Left {
+    /// Of which class.
+    pub class: Class,
+    /// How many requests.
+    pub count: u32,
+    /// One in this many is kept from now on.
+    pub one_in: u64,
+}
+
+/// Decides which requests are logged, so that a flood neither fills the log nor costs more than a fixed
+/// share of the processor.
+///
+/// A request is kept if its hash ends in enough zero bits. The number of bits follows the rate at this
+/// host, so that what a busier host keeps is kept by the others too, and the story of such a request
+/// is whole.
+#[derive(Debug)]
+pub struct Thinner {
+    plain: Rate,
+    notable: Rate,
+}
+
+#[derive(Debug)]
+struct Rate {
+    class: Class,
+    budget: u32,
+    bits: u32,
+    seen: u32,
+    kept: u32,
+    left: u32,
+    since: Instant,
+}
+
+impl Thinner {
+    /// Keeps everything until the rates are known.
+    #[must_use]
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            plain: Rate::new(Class::Plain, PLAIN, now),
+            notable: Rate::new(Class::Notable, NOTABLE, now),
+        }
+    }
+
+    /// Whether the lines of a request are written. `hash` is asked for only if requests are left out,
+    /// and must be the same at all hosts.
+    pub fn keep(&mut self, class: Class, hash: impl FnOnce() -> u64, now: Instant) -> bool {
+        self.rate(class).keep(hash, now)
+    }
+
+    /// What was left out in a window that has ended, once.
+    pub fn left(&mut self, class: Class, now: Instant) -> Option<Left> {
+        self.rate(class).turn(now)
+    }
+
+    const fn rate(&mut self, class: Class) -> &mut Rate {
+        match class {
+            Class::Plain => &mut self.plain,
+            Class::Notable => &mut self.notable,
+        }
+    }
+}
+
+impl Rate {
+    const fn new(class: Class, budget: u32, now: Instant) -> Self {
+        Self { class, budget, bits: 0, seen: 0, kept: 0, left: 0, since: now }
+    }
+
+    fn keep(&mut self, hash: impl FnOnce() -> u64, now: Instant) -> bool {
+        self.seen = self.seen.saturating_add(1);
+        // In the second in which a flood starts the number of bits is still that of the second before.
+        let over = self.kept >= self.budget.saturating_mul(2) && now < self.since + WINDOW;
+        let keep = !over && (self.bits == 0 || hash().trailing_zeros() >= self.bits);
+        if keep {
+            self.kept += 1;
+        } else {
+            self.left += 1;
+        }
+        keep
+    }
+
+    /// Ends the window if it is over, and chooses the number of bits for the next one.
+    fn turn(&mut self, now: Instant) -> Option<Left> {
+        if now < self.since + WINDOW {
+            return None;
+        }
+        let windows = now.saturating_duration_since(self.since).as_secs_f64().max(1.0);
+        let rate = f64::from(self.seen) / windows;
+        self.bits =
+            (0..32).find(|bits| rate / f64::from(*bits).exp2() <= f64::from(self.budget))?;
+        let left = Left { class: self.class, count: self.left, one_in: 1 << self.bits };
+        (self.seen, self.kept, self.left, self.since) = (0, 0, 0, now);
+        (left.count > 0).then_some(left)
+    }
+}
--- /dev/null
+++ b/crates/log/tests/log.rs
@@ -0,0 +1,211 @@
+//! What is written, what is left out, and that nothing waits for the output.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use dw_log::{Class, Event, Field, Kind, Log, LogFormat, LogLevel, LogSettings, Thinner};
+use googletest::prelude::*;
+use tokio::time::{Instant, advance};
+
+/// An output that can be read, and that can be stopped like a pipe which nobody reads.
+#[derive(Clone, Default)]
+struct Pipe(Arc<Shared>);
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    bytes: Vec<u8>,
+    stopped: bool,
+}
+
+impl Pipe {
+    fn stopped() -> Self {
+        let pipe = Self::default();
+        pipe.stop(true);
+        pipe
+    }
+
+    fn stop(&self, stop: bool) {
+        self.lock().stopped = stop;
+        self.0.changed.notify_all();
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8_lossy(&self.lock().bytes).into_owned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Write for Pipe {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let state = self.0.changed.wait_while(self.lock(), |state| state.stopped);
+        state.unwrap_or_else(PoisonError::into_inner).bytes.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn log(pipe: &Pipe) -> Result<Log> {
+    let settings = LogSettings { level: LogLevel::Info, format: LogFormat::Json };
+    Ok(Log::with_output(settings, "h1".into(), pipe.clone())?)
+}
+
+fn placed() -> Event {
+    Event::new(Kind::Placed).with(Field::Target, "h2").with(Field::Slots, 4_u32)
+}
+
+/// A reader of the log parses each line; text from outside must not break out of its field.
+#[gtest]
+#[tokio::test]
+async fn a_line_is_one_json_object_whatever_the_text_holds() -> Result<()> {
+    let pipe = Pipe::default();
+    let log = log(&pipe)?;
+    let detail = "a \"quoted\" line\nand \\ another, ä".to_owned();
+    log.write(&Event::new(Kind::StoreLost).with(Field::Detail, detail.clone()));
+    log.flush();
+
+    let text = pipe.text();
+    let lines: Vec<serde_json::Value> =
+        text.lines().map(serde_json::from_str).collect::<std::result::Result<_, _>>()?;
+    expect_that!(lines.len(), eq(1));
+    expect_that!(lines[0]["event"].as_str(), some(eq("store-lost")));
+    expect_that!(lines[0]["level"].as_str(), some(eq("warn")));
+    expect_that!(lines[0]["host"].as_str(), some(eq("h1")));
+    expect_that!(lines[0]["detail"].as_str(), some(eq(detail.as_str())));
+    expect_that!(lines[0]["time"].as_str().unwrap_or_default(), ends_with("Z"));
+    Ok(())
+}
+
+/// A request without an end was dropped by its caller; without a line nobody could tell that from one
+/// that is still at work.
+#[gtest]
+#[tokio::test]
+async fn a_story_without_an_end_says_that_the_caller_left() -> Result<()> {
+    let pipe = Pipe::default();
+    let log = log(&pipe)?;
+    let story = log.story("r1");
+    story.note(placed);
+    let other = story.clone();
+    drop(story);
+    log.flush();
+    expect_that!(pipe.text(), eq(""));
+    drop(other);
+    log.flush();
+
+    let text = pipe.text();
+    expect_that!(text.lines().count(), eq(2));
+    expect_that!(text, contains_substring(r#""event":"cancelled","request":"r1""#));
+    Ok(())
+}
+
+/// A pipe that nobody reads used to stop a process that logged to it.
+#[gtest]
+#[tokio::test]
+async fn a_stalled_output_loses_lines_and_stops_nobody() -> Result<()> {
+    let pipe = Pipe::stopped();
+    let log = log(&pipe)?;
+    let event = Event::new(Kind::StoreLost).with(Field::Detail, "x".repeat(1_000));
+    let started = std::time::Instant::now();
+    for _ in 0..2_000 {
+        log.write(&event);
+    }
+    expect_that!(started.elapsed(), lt(Duration::from_secs(2)));
+    let lost = log.losses().lines;
+    expect_that!(lost, gt(1_000));
+
+    pipe.stop(false);
+    log.flush();
+    log.write(&event);
+    log.flush();
+    expect_that!(
+        pipe.text(),
+        contains_substring(format!(r#""event":"lines-lost","count":{lost}"#))
+    );
+    Ok(())
+}
+
+/// A flood of refusals used to be able to fill the log; what is kept must be the same at each host.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_flood_is_thinned_and_what_is_kept_is_nested() -> Result<()> {
+    let (mut busy, mut calm) = (Thinner::new(Instant::now()), Thinner::new(Instant::now()));
+    let (mut first, mut flood, mut missing) = (0, 0, 0);
+    for second in 0..10 {
+        for number in 0..2_000_u64 {
+            // A multiplicative hash spreads the trailing bits as a digest does.
+            let hash = (number + second * 2_000).wrapping_mul(0x9e37_79b9_7f4a_7c15).swap_bytes();
+            let now = Instant::now();
+            let kept = busy.keep(Class::Notable, || hash, now);
+            let other = number % 8 == 0 && calm.keep(Class::Notable, || hash, now);
+            match second {
+                0 => first += u32::from(kept),
+                1 => {}
+                _ => {
+                    flood += u32::from(kept);
+                    missing += u32::from(number % 8 == 0 && kept && !other);
+                }
+            }
+        }
+        advance(Duration::from_secs(1)).await;
+        let left = busy.left(Class::Notable, Instant::now());
+        expect_that!(left.map(|left| left.count), some(gt(1_600)));
+        calm.left(Class::Notable, Instant::now());
+    }
+    expect_that!(first, le(300));
+    expect_that!(flood, all![ge(8 * 50), le(8 * 190)]);
+    expect_that!(missing, eq(0));
+    Ok(())
+}
+
+/// While there is little to log, everything is kept, failures or not.
+#[gtest]
+#[tokio::test]
+async fn a_calm_host_keeps_every_request() -> Result<()> {
+    let pipe = Pipe::default();
+    let log = log(&pipe)?;
+    for number in 0..15 {
+        let story = log.story(&format!("r{number}"));
+        story.note(placed);
+        story.end(|| Event::new(Kind::Answered).with(Field::Status, 200_u16));
+    }
+    log.flush();
+    expect_that!(pipe.text().lines().count(), eq(30));
+    expect_that!(log.losses().requests, eq(0));
+    Ok(())
+}
+
+/// Ordinary requests give way first: failures are what the log is read for.
+#[gtest]
+#[tokio::test]
+async fn failures_are_kept_while_ordinary_requests_are_left_out() -> Result<()> {
+    let pipe = Pipe::default();
+    let log = log(&pipe)?;
+    for number in 0..100 {
+        let story = log.story(&format!("r{number}"));
+        story.note(placed);
+        match number % 10 {
+            0 => story.end(|| Event::new(Kind::Refused).with(Field::Reason, "queue-full")),
+            _ => story.end(|| Event::new(Kind::Answered).with(Field::Status, 200_u16)),
+        }
+    }
+    log.flush();
+    let text = pipe.text();
+    expect_that!(text.matches(r#""event":"refused""#).count(), eq(10));
+    expect_that!(text.matches(r#""event":"answered""#).count(), eq(40));
+    expect_that!(log.losses().requests, eq(50));
+    Ok(())
+}
--- a/crates/mesh/src/io.rs
+++ b/crates/mesh/src/io.rs
@@ -5,7 +5,7 @@
 use dw_wire::{Frame, Packet};
 use serde::{Deserialize, Serialize};
 
-use crate::{Counter, MemberTable, Refused, Target};
+use crate::{Counter, MemberTable, Note, Refused, Target};
 
 /// What a node is told.
 #[derive(Clone, Debug)]
@@ -270,24 +270,6 @@
     Refused(Refused),
     /// Count an event.
     Count(Counter),
-    /// Log a sentence.
-    Log {
-        /// The severity.
-        level: Level,
-        /// The text with its component's prefix.
-        text: String,
-    },
-}
-
-/// The severity of a log line.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Level {
-    /// For tracing a single exchange.
-    Debug,
-    /// A normal change of state.
-    Info,
-    /// Something to look into.
-    Warn,
-    /// Something that needs an operator.
-    Error,
+    /// Tell the log.
+    Note(Note),
 }
--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    Counter, Level, MemberState, Node, NodeConfig, PlatformCall, RelayRecord,
+    Counter, MemberState, Node, NodeConfig, Note, PlatformCall, RelayRecord,
     bucket::{TokenBucket, backoff},
     convert::{mark_to_wire, member_from_wire, member_to_wire},
     learn::RECORDS_BYTES,
@@ -132,7 +132,7 @@
     /// No peer can be reached: the node acts on its own and keeps looking for peers.
     fn settle_alone(&mut self) {
         if !self.join.settled {
-            self.log(Level::Info, "[mesh] no peer reached, acting alone".to_owned());
+            self.note(Note::Alone);
             self.join.settled = true;
             self.timers.set(Timer::Claim, self.now);
             self.act_alone();
@@ -280,7 +280,7 @@
         self.join.settled = true;
         self.timers.clear(Timer::Join);
         self.timers.sooner(Timer::Claim, self.now + Duration::from_millis(200));
-        self.log(Level::Info, format!("[mesh] joined through {from}"));
+        self.note(Note::Joined { through: from });
         self.urge(&self.me.host.clone());
         let mut hosts: Vec<_> = self.roster.relays(&self.me.domain).cloned().collect();
         let domain = self.me.domain.clone();
--- a/crates/mesh/src/learn.rs
+++ b/crates/mesh/src/learn.rs
@@ -5,7 +5,7 @@
 use rand::seq::IteratorRandom;
 
 use crate::{
-    Counter, Level, Member, MemberState, Node,
+    Counter, Member, MemberState, Node, Note,
     convert::member_from_wire,
     roster::{BUCKETS, bucket_of},
     timer::Timer,
@@ -158,6 +158,6 @@
         for wire in &reply.members {
             self.learn_wire(wire);
         }
-        self.log(Level::Debug, format!("[mesh] compared {} member records", reply.members.len()));
+        self.note(Note::Detail(format!("compared {} member records", reply.members.len())));
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 mod learn;
 mod member;
 mod node;
+mod note;
 mod preset;
 mod probe;
 mod pull;
@@ -31,11 +32,12 @@
 pub use config::NodeConfig;
 pub use counter::Counter;
 pub use io::{
-    Action, Fingerprint, Input, Level, LocalEvent, PlatformCall, PlatformCallKind, PlatformEvent,
+    Action, Fingerprint, Input, LocalEvent, PlatformCall, PlatformCallKind, PlatformEvent,
     RelayRecord,
 };
 pub use member::{Member, MemberState, Target};
 pub use node::Node;
+pub use note::Note;
 pub use preset::{Preset, PresetName};
 pub use status::{DomainStatus, Force, Refused, Status};
 pub use table::{DomainMembers, MemberTable};
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    Action, Counter, Input, Level, LocalEvent, Member, MemberState, MemberTable, NodeConfig,
+    Action, Counter, Input, LocalEvent, Member, MemberState, MemberTable, NodeConfig, Note,
     PlatformCall,
     acks::Acks,
     broadcast::Urgent,
@@ -218,7 +218,6 @@
                 me.targets.iter_mut().for_each(|target| target.draining = true);
                 self.change_me(me);
                 self.release_slot();
-                self.log(Level::Info, "[mesh] leaving".to_owned());
             }
             LocalEvent::Left => self.leave(),
             LocalEvent::TargetDraining { index, draining } => {
@@ -267,6 +266,11 @@
     /// Stores a record, queues it for gossip, and schedules the publication of the table.
     pub(crate) fn store_member(&mut self, member: Member) {
         let host = member.host.clone();
+        if self.roster.get(&host).is_none_or(|old| old.state != member.state) {
+            let (domain, state) = (member.domain.clone(), member.state);
+            let incarnation = member.incarnation;
+            self.note(Note::Member { host: host.clone(), domain, state, incarnation });
+        }
         if member.domain == self.me.domain {
             self.recent.push_back((self.now, host.clone()));
             if self.recent.len() > 4_096 {
@@ -350,8 +354,8 @@
         self.out.push(Action::Count(counter));
     }
 
-    pub(crate) fn log(&mut self, level: Level, text: String) {
-        self.out.push(Action::Log { level, text });
+    pub(crate) fn note(&mut self, note: Note) {
+        self.out.push(Action::Note(note));
     }
 
     /// A uniformly random time below `bound`.
--- /dev/null
+++ b/crates/mesh/src/note.rs
@@ -0,0 +1,69 @@
+use std::net::SocketAddr;
+
+use dw_tables::{Name, VersionMark};
+
+use crate::{MemberState, PlatformCallKind};
+
+/// What a node did or came to believe, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A peer admitted the node.
+    Joined {
+        /// The peer.
+        through: SocketAddr,
+    },
+    /// No peer was reached; the node acts on its own.
+    Alone,
+    /// The state of a member changed.
+    Member {
+        /// The member.
+        host: Name,
+        /// Its domain.
+        domain: Name,
+        /// The new state.
+        state: MemberState,
+        /// The incarnation of the record that says so.
+        incarnation: u64,
+    },
+    /// The node begins or ends to distribute versions to its domain.
+    Relay(bool),
+    /// The lease of the slot has ended.
+    LeaseLost(u32),
+    /// A call to the platform failed.
+    CallFailed {
+        /// The call.
+        call: PlatformCallKind,
+        /// What was reported.
+        reason: String,
+        /// Calls that failed in a row, this one included.
+        count: u32,
+    },
+    /// The platform answers again.
+    Regained {
+        /// Calls that failed before.
+        count: u32,
+    },
+    /// The version is served from now on.
+    Served(VersionMark),
+    /// The version was refused.
+    Refused {
+        /// The version.
+        mark: VersionMark,
+        /// Why.
+        reason: String,
+    },
+    /// The version is lower than one that the host served before.
+    Held {
+        /// The version.
+        number: u64,
+        /// The one served before.
+        floor: u64,
+    },
+    /// The version served replaced a lower one at the platform.
+    Restored {
+        /// The version.
+        number: u64,
+    },
+    /// A detail of the exchange with peers.
+    Detail(String),
+}
--- a/crates/mesh/src/probe.rs
+++ b/crates/mesh/src/probe.rs
@@ -5,7 +5,7 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::time::Instant;
 
-use crate::{Counter, Level, Member, MemberState, Node, timer::Timer};
+use crate::{Counter, Member, MemberState, Node, timer::Timer};
 
 /// Members asked to probe indirectly.
 const INDIRECT: usize = 3;
@@ -184,7 +184,6 @@
             return;
         }
         self.count(Counter::Suspected);
-        self.log(Level::Info, format!("[mesh] {host} does not answer and is suspected"));
         let record = Member { state: MemberState::Suspect, ..(*member).clone() };
         self.store_member(record);
         self.start_suspicion(host, member.incarnation, true);
@@ -229,7 +228,6 @@
                 continue;
             }
             self.count(Counter::Died);
-            self.log(Level::Warn, format!("[mesh] {host} is declared dead"));
             self.store_member(Member { state: MemberState::Dead, ..(*member).clone() });
             self.member_gone(&member);
             if suspicion.mine {
--- a/crates/mesh/src/pull.rs
+++ b/crates/mesh/src/pull.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    Counter, Level, Node,
+    Counter, Node, Note,
     convert::{mark_from_wire, mark_to_wire},
     store::{Release, Rows},
     timer::Timer,
@@ -187,10 +187,7 @@
             delta.apply(base).ok()
         });
         let Some(version) = version else {
-            self.log(
-                Level::Debug,
-                format!("[dist] delta to version {} does not apply", mark.number),
-            );
+            self.note(Note::Detail(format!("delta to version {} does not apply", mark.number)));
             self.pull.whole = true;
             self.start_pull(from);
             return;
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -4,8 +4,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Counter, LEASE_RENEWAL, Level, MemberState, Node, PlatformCall, PlatformCallKind,
-    PlatformEvent, RELAY_SLOTS, RelayRecord, bucket::backoff, store::Release, timer::Timer,
+    Counter, LEASE_RENEWAL, MemberState, Node, Note, PlatformCall, PlatformCallKind, PlatformEvent,
+    RELAY_SLOTS, RelayRecord, bucket::backoff, store::Release, timer::Timer,
 };
 
 /// Wait of a candidate before it tries a taken slot again, before jitter. With the lease of 6 s a
@@ -93,7 +93,7 @@
         let mut me = self.me.clone();
         me.relay = relay;
         self.change_me(me);
-        self.log(Level::Info, format!("[dist] relay: {relay}"));
+        self.note(Note::Relay(relay));
         if relay {
             self.timers.set(Timer::Spread, self.now + self.cfg.preset.batch);
             self.timers.set(Timer::Summary, self.now);
@@ -178,7 +178,10 @@
 
     pub(crate) fn on_platform(&mut self, event: PlatformEvent) {
         if !matches!(event, PlatformEvent::Failed { .. }) {
-            self.relay.failures = 0;
+            let count = std::mem::take(&mut self.relay.failures);
+            if count > 0 {
+                self.note(Note::Regained { count });
+            }
         }
         match event {
             PlatformEvent::HeadRead { head, revision } => self.on_head(Some(head), revision),
@@ -208,7 +211,7 @@
             PlatformEvent::Republished { number, revision } => {
                 self.relay.republishing = None;
                 self.count(Counter::Republished);
-                self.log(Level::Warn, format!("[dist] version {number} republished"));
+                self.note(Note::Restored { number });
                 let head = self.store.served().map(Release::head);
                 if let Some(head) = head.filter(|head| head.number == number) {
                     self.on_head(Some(head), revision);
@@ -258,7 +261,7 @@
         if self.relay.held != Some(slot) {
             return;
         }
-        self.log(Level::Warn, format!("[dist] the lease of slot {slot} has ended"));
+        self.note(Note::LeaseLost(slot));
         self.relay.held = None;
         self.stop_watch();
         let wait = self.jitter(Duration::from_millis(500));
@@ -269,7 +272,8 @@
     fn on_call_failed(&mut self, call: PlatformCallKind, reason: &str) {
         self.relay.failures = self.relay.failures.saturating_add(1);
         self.count(Counter::PlatformFailed);
-        self.log(Level::Debug, format!("[dist] {call} failed: {reason}"));
+        let count = self.relay.failures;
+        self.note(Note::CallFailed { call, reason: reason.to_owned(), count });
         let wait = backoff(&mut self.rng, self.relay.failures);
         let timer = match call {
             PlatformCallKind::WatchHead => {
--- a/crates/mesh/src/store.rs
+++ b/crates/mesh/src/store.rs
@@ -10,7 +10,7 @@
 use dw_wire::{FRAME_LIMIT, Origin};
 use tokio::time::Instant;
 
-use crate::{Action, Counter, Level, Node, Refused, timer::Timer};
+use crate::{Action, Counter, Node, Note, Refused, timer::Timer};
 
 /// Versions kept as bases of deltas: a peer further behind takes a snapshot.
 const HISTORY: usize = 8;
@@ -271,7 +271,7 @@
             return;
         }
         self.count(counter);
-        self.log(Level::Error, format!("[dist] version {} refused: {reason}", mark.number));
+        self.note(Note::Refused { mark, reason: reason.to_owned() });
         if self.store.refused.len() == REFUSED_LIMIT {
             self.store.refused.pop_front();
         }
@@ -306,8 +306,7 @@
                 self.publish(release);
             } else {
                 let (number, floor) = (release.version.number, self.store.floor);
-                let text = format!("[dist] version {number} is below the floor {floor}");
-                self.log(Level::Warn, text);
+                self.note(Note::Held { number, floor });
             }
         }
     }
@@ -349,7 +348,7 @@
         }
         self.acks.note(&self.me.host, self.me.started, mark.number, mark.hash.prefix());
         self.count(Counter::Published);
-        self.log(Level::Info, format!("[dist] version {} in use", mark.number));
+        self.note(Note::Served(mark));
         self.out.push(Action::Publish(release.version));
         self.after_publish();
     }
--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -388,10 +388,10 @@
             Action::Publish(version) => self.check_published(id, &version),
             Action::Count(counter) => *self.hosts[id].counts.entry(counter).or_default() += 1,
             Action::Poison(fingerprint) => self.hosts[id].poison.push(fingerprint.0),
-            Action::Log { text, .. } => {
+            Action::Note(note) => {
                 if std::env::var_os("MESH_LOG").is_some() {
                     let at = self.now.duration_since(self.checked).as_millis();
-                    eprintln!("{:?} +{at} {}: {text}", self.now, self.hosts[id].cfg.host);
+                    eprintln!("{:?} +{at} {}: {note:?}", self.now, self.hosts[id].cfg.host);
                 }
             }
             Action::Members(_) | Action::Refused(_) => {}
--- a/crates/request/src/attempt.rs
+++ b/crates/request/src/attempt.rs
@@ -3,7 +3,7 @@
 use dw_tables::{Name, Repeat, Route};
 use tokio::time::Instant;
 
-use crate::{Endpoint, Fingerprint, Goal, Load, Reason, Refusal};
+use crate::{Basis, Endpoint, Fingerprint, Goal, Load, Reason, Refusal};
 
 /// What a caller's daemon knows of a request when it arrives.
 #[derive(Clone, Copy, Debug, Default)]
@@ -66,6 +66,12 @@
     pub depth: u8,
     /// For a retry, why the attempt before failed, for the metrics.
     pub cause: Option<Reason>,
+    /// The number of the version that the request began with.
+    pub version: u64,
+    /// The number of the attempt, from 1.
+    pub number: u32,
+    /// What the choice of the target was based on.
+    pub basis: Basis,
 }
 
 /// What to do with a new request.
--- a/crates/request/src/balancer.rs
+++ b/crates/request/src/balancer.rs
@@ -5,7 +5,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Endpoint, EndpointState, Load,
+    Avoidance, Basis, Belief, Endpoint, EndpointState, Load,
+    belief::Choice,
     locality::{Place, TIERS, Tier, choose_tier},
     outlier::Standing,
     target::{Seen, Target},
@@ -21,6 +22,9 @@
 /// Difference between two statements of the same start.
 const START_JITTER: Duration = Duration::from_secs(1);
 
+/// Changes of belief that are kept for the log until they are taken.
+const BELIEFS: usize = 64;
+
 /// Draws after which any target is accepted, which bounds the work where all are cold.
 const DRAWS: usize = 4;
 
@@ -53,6 +57,7 @@
     mean: Option<f64>,
     turn: usize,
     next: u64,
+    beliefs: Vec<Belief>,
 }
 
 impl Balancer {
@@ -65,6 +70,18 @@
             mean: None,
             turn: 0,
             next: 0,
+            beliefs: Vec::new(),
+        }
+    }
+
+    /// What changed since the last call.
+    pub(crate) fn take_beliefs(&mut self) -> Vec<Belief> {
+        std::mem::take(&mut self.beliefs)
+    }
+
+    fn note(&mut self, idx: usize, avoided: Option<Avoidance>) {
+        if self.beliefs.len() < BELIEFS {
+            self.beliefs.push(Belief::new(&self.targets[idx].endpoint, avoided));
         }
     }
 
@@ -100,7 +117,7 @@
         wish: Wish<'_>,
         rng: &mut SmallRng,
         now: Instant,
-    ) -> Option<(u64, Arc<Endpoint>)> {
+    ) -> Option<Choice> {
         self.sort_out(pool, wish, now);
         let tier = choose_tier(&self.tiers, rng)?;
         let list = &self.tiers[tier].list;
@@ -117,9 +134,8 @@
                 list[self.turn % list.len()]
             }
         };
-        let target = &mut self.targets[idx];
-        target.in_flight += 1;
-        Some((target.uid, Arc::clone(&target.endpoint)))
+        let candidates = list.len();
+        Some(take(&mut self.targets[idx], candidates, now))
     }
 
     /// Chooses a target that was not tried and has a free slot as far as is known, the nearest one
@@ -129,7 +145,7 @@
         pool: &Pool,
         wish: Wish<'_>,
         now: Instant,
-    ) -> Option<(u64, Arc<Endpoint>)> {
+    ) -> Option<Choice> {
         let free = |target: &Target| {
             let usable = classify(target, wish, &pool.ejection, now) == Some(Class::Usable);
             usable && target.busy(now) < f64::from(target.endpoint.slots) * target.warmth(now)
@@ -138,12 +154,14 @@
         let place = &self.place;
         let cost =
             |target: &Target| (place.tier(pool.prefer, &target.endpoint), target.score(mean, now));
-        let best = self.targets.iter_mut().filter(|target| free(target)).min_by(|a, b| {
+        let mut candidates = 0;
+        let counted = self.targets.iter_mut().filter(|target| free(target));
+        let counted = counted.inspect(|_| candidates += 1);
+        let best = counted.min_by(|a, b| {
             let ((near, a), (far, b)) = (cost(a), cost(b));
             near.cmp(&far).then(a.total_cmp(&b))
         })?;
-        best.in_flight += 1;
-        Some((best.uid, Arc::clone(&best.endpoint)))
+        Some(take(best, candidates, now))
     }
 
     /// Ends an attempt.
@@ -165,13 +183,19 @@
         }
         match seen {
             Seen::Success(latency) => {
-                if target.outlier.succeeded(now) {
+                let recovered = target.outlier.succeeded(now);
+                if recovered {
                     target.recover(now);
+                    self.note(idx, None);
                 }
                 let ms = latency.as_secs_f64() * 1000.0;
                 self.mean = Some(self.mean.map_or(ms, |mean| mean + ALPHA * (ms - mean)));
             }
-            Seen::Failure => target.outlier.failed(policy, room, now),
+            Seen::Failure => {
+                if target.outlier.failed(policy, room, now) {
+                    self.note(idx, Some(Avoidance::Failing));
+                }
+            }
             Seen::Shed | Seen::Neutral => {}
         }
     }
@@ -179,6 +203,9 @@
     /// The target said that it is leaving.
     pub(crate) fn mark_leaving(&mut self, uid: u64, now: Instant) {
         if let Some(&idx) = self.index.get(&uid) {
+            if self.targets[idx].state(now) != EndpointState::Leaving {
+                self.note(idx, Some(Avoidance::Leaving));
+            }
             self.targets[idx].mark_leaving(now);
         }
     }
@@ -186,6 +213,9 @@
     /// The target could not be reached.
     pub(crate) fn mark_unreachable(&mut self, uid: u64, now: Instant) {
         if let Some(&idx) = self.index.get(&uid) {
+            if !self.targets[idx].is_unreachable(now) {
+                self.note(idx, Some(Avoidance::Unreachable));
+            }
             self.targets[idx].mark_unreachable(now);
         }
     }
@@ -209,11 +239,11 @@
             if out * 100 <= policy.share as usize * all {
                 return;
             }
-            let listed = self.targets.iter_mut().filter(|t| is_listed(t) && t.outlier.is_out());
-            match listed.min_by_key(|t| t.outlier.until()) {
-                Some(target) => target.outlier.restore(),
-                None => return,
-            }
+            let listed = self.targets.iter().enumerate();
+            let listed = listed.filter(|(_, t)| is_listed(t) && t.outlier.is_out());
+            let Some((idx, _)) = listed.min_by_key(|(_, t)| t.outlier.until()) else { return };
+            self.targets[idx].outlier.restore();
+            self.note(idx, None);
         }
     }
 
@@ -258,6 +288,20 @@
     }
 }
 
+/// Counts a request as in flight at the target.
+fn take(target: &mut Target, candidates: usize, now: Instant) -> Choice {
+    target.in_flight += 1;
+    let in_flight = target.busy(now).round().clamp(0.0, f64::from(u32::MAX));
+    let basis = Basis {
+        candidates: u32::try_from(candidates).unwrap_or(u32::MAX),
+        // Clamped to the range of the type.
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        in_flight: in_flight as u32,
+        age: target.load_age(now),
+    };
+    Choice { uid: target.uid, endpoint: Arc::clone(&target.endpoint), basis }
+}
+
 /// Whether the target was not restarted; times of its start that were computed from a wall clock
 /// differ a little.
 fn is_same_life(old: &Endpoint, new: &Endpoint) -> bool {
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -9,9 +9,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, Fingerprint, Goal, Next, Poison,
-    Reason, Refusal, RequestInfo, Router, backoff,
+    Attempt, AttemptId, AttemptOutcome, Belief, Decision, Endpoint, Fingerprint, Goal, Next,
+    Poison, Reason, Refusal, RequestInfo, Router, backoff,
     balancer::Wish,
+    belief::Choice,
     flight::{Flight, LostAttempts},
     locality::Place,
     patience::Patience,
@@ -212,6 +213,11 @@
         self.flights.len()
     }
 
+    /// What changed in the view of targets since the last call, for the log.
+    pub fn take_beliefs(&mut self) -> Vec<Belief> {
+        self.upstreams.values_mut().flat_map(|u| u.balancer.take_beliefs()).collect()
+    }
+
     /// Targets that are ejected or on probation, and all targets, of a pool.
     #[must_use]
     pub fn ejected(&self, pool: &str) -> Option<(usize, usize)> {
@@ -255,7 +261,7 @@
             return Err(Reason::PoolLimit);
         }
         let wish = Wish { tried: &[], idempotent: entry.route.repeat == Repeat::Idempotent };
-        let (uid, endpoint) = upstream
+        let Choice { uid, endpoint, basis } = upstream
             .balancer
             .choose(&upstream.pool, wish, &mut self.rng, now)
             .ok_or(Reason::NoTarget)?;
@@ -266,6 +272,8 @@
             route: entry.route,
             endpoint,
             uid,
+            basis,
+            version: self.version.number,
             tried: Vec::new(),
             moves: 0,
             deadline: now + timeout,
@@ -292,6 +300,9 @@
             retried: flight.retried || cause.is_some(),
             depth: flight.depth,
             cause,
+            version: flight.version,
+            number: u32::try_from(flight.tried.len()).unwrap_or(u32::MAX).saturating_add(1),
+            basis: flight.basis,
         };
         self.flights.insert(self.next, flight);
         attempt
@@ -348,14 +359,14 @@
             true => upstream.balancer.choose_free(&upstream.pool, wish, now),
             false => upstream.balancer.choose(&upstream.pool, wish, &mut self.rng, now),
         };
-        let (uid, endpoint) = chosen?;
+        let Choice { uid, endpoint, basis } = chosen?;
         if tried.contains(&uid) {
             upstream.balancer.finish(uid, Seen::Neutral, None, &upstream.pool.ejection, now);
             return None;
         }
         flight.moves += 1;
         flight.tried = tried;
-        (flight.uid, flight.endpoint) = (uid, endpoint);
+        (flight.uid, flight.endpoint, flight.basis) = (uid, endpoint, basis);
         flight.timeout = flight.deadline.saturating_duration_since(now);
         let attempt = self.launch(flight.clone(), Some(cause));
         Some(Attempt { retried: flight.retried, ..attempt })
@@ -387,7 +398,7 @@
         let idempotent = flight.route.repeat == Repeat::Idempotent;
         let wish = Wish { tried: &flight.tried, idempotent };
         let chosen = upstream.balancer.choose(&upstream.pool, wish, &mut self.rng, now);
-        let (uid, endpoint) = chosen.ok_or(Reason::NoTarget)?;
+        let Choice { uid, endpoint, basis } = chosen.ok_or(Reason::NoTarget)?;
         // The time that a target asked for matters only if there is no other target.
         let again = flight.tried.contains(&uid);
         let after =
@@ -401,8 +412,7 @@
             upstream.balancer.finish(uid, Seen::Neutral, None, &upstream.pool.ejection, now);
             return Err(denied);
         }
-        flight.uid = uid;
-        flight.endpoint = endpoint;
+        (flight.uid, flight.endpoint, flight.basis) = (uid, endpoint, basis);
         flight.timeout = left;
         flight.unknown |= unknown;
         let attempt = self.launch(flight.clone(), Some(cause));
--- a/crates/request/src/flight.rs
+++ b/crates/request/src/flight.rs
@@ -3,7 +3,7 @@
 use dw_tables::{Name, Route};
 use tokio::time::Instant;
 
-use crate::{Endpoint, Fingerprint, Goal};
+use crate::{Basis, Endpoint, Fingerprint, Goal};
 
 /// Attempts whose end was not seen that are remembered for a report of a death.
 const LOST: usize = 1024;
@@ -21,6 +21,9 @@
     pub(crate) endpoint: Arc<Endpoint>,
     /// The target of the current attempt.
     pub(crate) uid: u64,
+    pub(crate) basis: Basis,
+    /// The version that the request began with.
+    pub(crate) version: u64,
     /// The targets of earlier attempts.
     pub(crate) tried: Vec<u64>,
     /// Those of `tried` that refused before the target was contacted and were replaced.
--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -184,6 +184,23 @@
         lost.chain(self.running.values().filter_map(|running| running.print)).collect()
     }
 
+    /// The wait for a slot and the time at the target that are expected of an arrival.
+    #[must_use]
+    pub fn expected(&self, arrival: &Arrival, now: Instant) -> (Duration, Duration) {
+        let service = self.service.of(arrival.goal.as_ref().map(kind_of));
+        let wait = match self.queue.is_empty() && self.has_slot() {
+            true => Duration::ZERO,
+            false => self.wait(rank(arrival, service, now)),
+        };
+        (wait, service)
+    }
+
+    /// The wait of a request of this rank while no slot is free.
+    fn wait(&self, rank: Rank) -> Duration {
+        let ahead: Duration = self.queue.ahead(rank).map(|queued| queued.service).sum();
+        (ahead + self.service.mean()) / self.limiter.limit().max(1)
+    }
+
     /// What the daemon reports with each response.
     #[must_use]
     pub fn load(&self) -> Load {
@@ -241,9 +258,7 @@
         let kind = arrival.goal.as_ref().map(kind_of);
         let service = self.service.of(kind);
         let rank = rank(&arrival, service, now);
-        let slots = self.limiter.limit().max(1);
-        let ahead: Duration = self.queue.ahead(rank).map(|queued| queued.service).sum();
-        let wait = (ahead + self.service.mean()) / slots;
+        let wait = self.wait(rank);
         if now + wait + service > arrival.deadline {
             return Err(Reason::DeadlineUnmet);
         }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod backoff;
 mod balancer;
+mod belief;
 mod budget;
 mod claim;
 mod dispatcher;
@@ -41,6 +42,7 @@
 
 pub use admission::{Admission, Arrival, GateConfig, Permit, RunOutcome, Ticket, Wake};
 pub use attempt::{Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo};
+pub use belief::{Avoidance, Basis, Belief};
 pub use budget::RetryBudget;
 pub use claim::{
     ANSWER_LIMIT, CLOCK_SKEW, Claim, HandOver, Held, KEEPER_HOLD, KeeperConfig, RECORD_WINDOW,
--- a/crates/request/src/outlier.rs
+++ b/crates/request/src/outlier.rs
@@ -57,8 +57,10 @@
         done
     }
 
-    /// A request failed; `room` tells whether another target may be ejected.
-    pub(crate) fn failed(&mut self, policy: &Ejection, room: bool, now: Instant) {
+    /// A request failed; `room` tells whether another target may be ejected. Returns whether this
+    /// one is ejected now and was not before.
+    pub(crate) fn failed(&mut self, policy: &Ejection, room: bool, now: Instant) -> bool {
+        let before = self.is_out();
         self.failures = self.failures.saturating_add(1);
         match self.standing(now) {
             Standing::Probation { .. } => self.eject(policy, now),
@@ -67,6 +69,7 @@
             }
             Standing::Good | Standing::Ejected => {}
         }
+        self.is_out() && !before
     }
 
     /// Ends the ejection because too large a share of the pool is ejected.
--- a/crates/request/src/target.rs
+++ b/crates/request/src/target.rs
@@ -94,10 +94,15 @@
     }
 
     /// Whether it could not be reached a moment ago.
-    fn is_unreachable(&self, now: Instant) -> bool {
+    pub(crate) fn is_unreachable(&self, now: Instant) -> bool {
         self.unreachable.is_some_and(|at| now.saturating_duration_since(at) < UNREACHABLE)
     }
 
+    /// The age of its last report.
+    pub(crate) fn load_age(&self, now: Instant) -> Option<Duration> {
+        self.load.map(|(_, at)| now.saturating_duration_since(at))
+    }
+
     /// No connection reached the target.
     pub(crate) const fn mark_unreachable(&mut self, now: Instant) {
         self.unreachable = Some(now);
