Find hosts that restart while the store turns them away

The store was the only thing that named their peers, so they served no version for up to 3.8 s (`not-ready`); with two such hosts less than half of a domain was ready, so callers were sent there all the same. One that joined through another newcomer knew two hosts for 1.9 s and refused as `no-target`. Ruled out: slow daemons (version served 10 ms after the join), the targets (ready within 0.4 s). Change: members probe, each period, one member that went within the last 10 s, and relays do so for domains without a live member; a node that nobody has admitted asks whoever it hears; a node in its first 10 s compares member tables at once when they differ or the sender is unknown, five times at most. Three tests, each failed before.

--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -63,6 +63,8 @@
     floor_rounds: u32,
     /// Whether a peer that serves a version has told the floor.
     floor_heard: bool,
+    /// Peers that were asked because they were heard, since the contacts were tried last.
+    met: BTreeSet<SocketAddr>,
     /// Configured addresses and those of relay records of which nothing is known: a daemon there
     /// may be serving.
     pub(crate) unheard: BTreeSet<SocketAddr>,
@@ -93,6 +95,7 @@
             floor_asked: BTreeSet::new(),
             floor_rounds: 0,
             floor_heard: false,
+            met: BTreeSet::new(),
             admitted: false,
             settled: false,
         }
@@ -138,12 +141,22 @@
             self.act_alone();
         }
         self.join.asked_relays = false;
+        self.join.met.clear();
         self.join.next = 0;
         self.join.failures += 1;
         let wait = backoff(&mut self.rng, self.join.failures) + ANSWER_WAIT;
         self.timers.set(Timer::Join, self.now + wait);
     }
 
+    /// A peer was heard: a node that nobody has admitted yet asks it at once.
+    pub(crate) fn meet(&mut self, from: SocketAddr) {
+        let wanted = !self.join.admitted && from != self.me.peer;
+        if wanted && self.join.met.len() < JOIN_WIDTH && self.join.met.insert(from) {
+            self.join.add(from);
+            self.send_join(from);
+        }
+    }
+
     /// Asks a peer for members and the floor.
     pub(crate) fn send_join(&mut self, to: SocketAddr) {
         let member = Some(member_to_wire(&self.me));
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -171,6 +171,7 @@
 
     fn on_packet(&mut self, from: SocketAddr, packet: Packet) {
         self.join.unheard.remove(&from);
+        self.meet(from);
         let Some(body) = packet.body else {
             self.count(Counter::BadMessage);
             return;
@@ -186,6 +187,7 @@
 
     fn on_frame(&mut self, from: SocketAddr, frame: Frame) {
         self.join.unheard.remove(&from);
+        self.meet(from);
         let Some(body) = frame.body else {
             self.count(Counter::BadMessage);
             return;
--- a/crates/mesh/src/probe.rs
+++ b/crates/mesh/src/probe.rs
@@ -17,6 +17,18 @@
 /// domain that declared each other dead find together again.
 const HEAL_PERIODS: u64 = 4;
 
+/// Time after a member went in which each period one such member is probed, because it may be starting
+/// again: a process that is stopped or killed is back within seconds.
+const RETURN: Duration = Duration::from_secs(10);
+
+/// Time after its start in which a node compares tables at once when they differ: it may have joined
+/// through a peer that knew hardly anybody.
+const NEW: Duration = Duration::from_secs(10);
+
+/// The shortest time between two such comparisons, and the most of them.
+const NEW_PAUSE: Duration = Duration::from_millis(200);
+const NEW_SYNCS: u32 = 5;
+
 /// Probe periods for which tables must differ before they are compared in full. Broadcasts and the
 /// gossip of a small domain end differences sooner.
 const SYNC_PERIODS: u32 = 3;
@@ -57,6 +69,8 @@
     periods: u64,
     /// Since when the peers' table digests differ from the own one.
     pub(crate) differs: Option<Instant>,
+    /// Comparisons made at once after the start, and the time of the last one.
+    early: (u32, Option<Instant>),
 }
 
 impl Probe {
@@ -78,6 +92,7 @@
             self.suspect(&missed.host);
         }
         self.probe.periods += 1;
+        self.probe_gone();
         if self.probe.periods.is_multiple_of(HEAL_PERIODS) {
             self.probe_lost();
         }
@@ -106,20 +121,29 @@
         None
     }
 
-    /// Probes a dead member of the domain and a join address that no live member has.
-    fn probe_lost(&mut self) {
-        let dead: Vec<_> = self
-            .roster
-            .gone
-            .keys()
-            .filter_map(|host| self.roster.get(host))
-            .filter(|m| m.state == MemberState::Dead && m.domain == self.me.domain)
-            .cloned()
-            .collect();
-        if let Some(member) = dead.choose(&mut self.rng) {
+    /// Probes a member that is gone. One that went a moment ago may be starting again, and may have no
+    /// other way to find its peers than to hear from one; a dead one may have been cut off.
+    fn probe_gone(&mut self) {
+        let heal = self.probe.periods.is_multiple_of(HEAL_PERIODS);
+        let near = |member: &Member| {
+            // A domain without a live member has nobody else who could do it.
+            member.domain == self.me.domain
+                || (self.me.relay && self.roster.live_count(&member.domain) == 0)
+        };
+        let gone = self.roster.gone.iter().filter_map(|(host, at)| {
+            let member = self.roster.get(host).filter(|member| near(member))?;
+            let due = self.now < *at + RETURN || (heal && member.state == MemberState::Dead);
+            due.then(|| Arc::clone(member))
+        });
+        let gone: Vec<_> = gone.collect();
+        if let Some(member) = gone.choose(&mut self.rng) {
             let seq = self.next_seq();
             self.ping(member, seq);
         }
+    }
+
+    /// Probes a join address that no live member has.
+    fn probe_lost(&mut self) {
         let lost: Vec<_> = self
             .cfg
             .join
@@ -256,8 +280,15 @@
         }
         self.acks.note(&packet.host, packet.started, packet.number, packet.prefix);
         self.compare_mark(from, packet.number, packet.prefix);
-        if sender.is_some_and(|m| m.domain == self.me.domain) {
-            self.compare_digest(from, packet.digest);
+        match sender {
+            Some(sender) if sender.domain == self.me.domain => {
+                self.compare_digest(from, packet.digest);
+            }
+            Some(_) => {}
+            // A node that has just started does not know who that is.
+            None => {
+                self.sync_early(from);
+            }
         }
     }
 
@@ -266,6 +297,9 @@
             self.probe.differs = None;
             return;
         }
+        if self.sync_early(from) {
+            return;
+        }
         let since = *self.probe.differs.get_or_insert(self.now);
         if self.now < since + self.cfg.preset.probe * SYNC_PERIODS {
             return;
@@ -274,6 +308,18 @@
         self.sync_with(from, None);
     }
 
+    /// Compares tables at once if the node has just started; returns whether it does.
+    fn sync_early(&mut self, from: SocketAddr) -> bool {
+        let (count, last) = self.probe.early;
+        let paused = last.is_some_and(|at| self.now < at + NEW_PAUSE);
+        let due = self.now < self.join.since + NEW && count < NEW_SYNCS && !paused;
+        if due {
+            self.probe.early = (count + 1, Some(self.now));
+            self.sync_with(from, None);
+        }
+        due
+    }
+
     /// Asks a peer for the records in which its table differs, of one domain or of all.
     pub(crate) fn sync_with(&mut self, to: SocketAddr, only: Option<&Name>) {
         self.count(Counter::MembersSynced);
--- a/crates/mesh/tests/durable.rs
+++ b/crates/mesh/tests/durable.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dw_mesh::PresetName;
+use dw_mesh::{LocalEvent, PresetName};
 use dw_tables::Hash;
 use harness::{World, version};
 
@@ -110,3 +110,69 @@
     let newest = world.accepted.last().expect("version").number;
     assert_eq!(world.hosts[5].served.number, newest);
 }
+
+/// Members that a host takes for live.
+fn live(world: &World, id: usize) -> usize {
+    let node = world.hosts[id].node.as_ref().expect("a running node");
+    node.members().iter().filter(|member| member.state.is_live()).count()
+}
+
+/// Guards against a host that restarts while the platform turns it away, and that is not ready until
+/// the platform takes its calls again, because the relay records there are all that names its peers.
+#[test]
+fn a_host_that_the_platform_turns_away_is_found_by_its_peers() {
+    for planned in [true, false] {
+        let mut world = world(6, &[4, 4]);
+        if planned {
+            world.local(3, LocalEvent::StartDrain);
+            world.run(ms(300));
+            world.local(3, LocalEvent::Left);
+            world.run(ms(50));
+        }
+        world.crash(3);
+        world.cut_platform(&[3]);
+        world.run(ms(700));
+        world.start(3);
+        world.run(ms(2000));
+        let newest = world.accepted.last().expect("version").number;
+        assert_eq!(world.hosts[3].served.number, newest, "planned: {planned}");
+        assert_eq!(live(&world, 3), 8, "planned: {planned}");
+    }
+}
+
+/// Guards against a whole domain that waits for the platform, although other domains know its hosts.
+#[test]
+fn a_domain_that_the_platform_turns_away_is_found_by_the_others() {
+    let mut world = world(7, &[4, 4]);
+    (4..8).for_each(|id| world.crash(id));
+    world.cut_platform(&[4, 5, 6, 7]);
+    world.run(ms(500));
+    (4..8).for_each(|id| world.start(id));
+    world.run(ms(4000));
+    let newest = world.accepted.last().expect("version").number;
+    for id in 4..8 {
+        assert_eq!(world.hosts[id].served.number, newest, "host {id}");
+        assert_eq!(live(&world, id), 8, "host {id}");
+    }
+}
+
+/// Guards against a host that joins through one that has just started too, and that knows none of the
+/// others for seconds: it refused requests because it had no targets.
+#[test]
+fn a_host_that_joins_through_a_newcomer_soon_knows_the_others() {
+    let mut world = world(8, &[4, 4]);
+    [6, 7].into_iter().for_each(|id| world.crash(id));
+    world.cut_platform(&[6, 7]);
+    let others = [0, 1, 2, 3, 4, 5];
+    world.cut(&[6, 7], &others);
+    world.cut(&others, &[6, 7]);
+    world.start(6);
+    world.run(ms(2000));
+    world.hosts[7].cfg.join = vec![world.hosts[6].cfg.peer];
+    world.start(7);
+    world.run(ms(1000));
+    assert_eq!(live(&world, 7), 2);
+    world.cuts.clear();
+    world.run(ms(1500));
+    assert_eq!(live(&world, 7), 8);
+}
