--- a/crates/daemon/tests/program.rs
+++ b/crates/daemon/tests/program.rs
@@ -11,7 +11,7 @@
 use support::{Act, RawTarget, get, header, publish, send};
 use tokio::{
     io::{AsyncBufReadExt, BufReader},
-    process::{Child, ChildStderr, Command},
+    process::{Child, ChildStdout, Command},
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_damaskwickd");
@@ -31,7 +31,7 @@
 /// A process that listens on free ports, with its log and the addresses it logged.
 struct Process {
     child: Child,
-    log: BufReader<ChildStderr>,
+    log: BufReader<ChildStdout>,
     callers: SocketAddr,
     peers: SocketAddr,
 }
@@ -49,21 +49,21 @@
     );
     let mut child = Command::new(PROGRAM)
         .args(["--config", &file])
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .kill_on_drop(true)
         .spawn()
         .expect("the program must start");
-    let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
+    let mut log = BufReader::new(child.stdout.take().expect("a pipe"));
     let line = wait_line(&mut log, "callers ").await;
     let addr = |name: &str| {
         let (_, rest) = line.split_once(name).expect("an address");
-        rest.split([',', '\n']).next().and_then(|text| text.parse().ok()).expect("an address")
+        rest.split([',', '"', '\n']).next().and_then(|text| text.parse().ok()).expect("an address")
     };
     Process { callers: addr("callers "), peers: addr("peers "), child, log }
 }
 
 /// The next line of the log that contains `text`.
-async fn wait_line(log: &mut BufReader<ChildStderr>, text: &str) -> String {
+async fn wait_line(log: &mut BufReader<ChildStdout>, text: &str) -> String {
     loop {
         let mut line = String::new();
         let size = log.read_line(&mut line).await.expect("the log must be readable");
@@ -125,12 +125,12 @@
         raw.addr
     );
     let Process { mut child, mut log, callers, .. } = spawn("p1", "leaving", &fields).await;
-    wait_line(&mut log, "version 1 is served").await;
+    wait_line(&mut log, "version-served version=1").await;
     let pending = tokio::spawn(send(callers, get("/lookup")));
     raw.arrived.notified().await;
     let pid = child.id().or_fail()?.to_string();
     Command::new("kill").args(["-TERM", &pid]).status().await?;
-    wait_line(&mut log, "leaving").await;
+    wait_line(&mut log, " draining ").await;
     Command::new("kill").args(["-TERM", &pid]).status().await?;
     raw.release.notify_one();
     let response = pending.await?;
@@ -155,8 +155,8 @@
         near.peers, raw.addr
     );
     let mut far = spawn("w1", "worcester", &fields).await;
-    wait_line(&mut near.log, "version 1 is served").await;
-    wait_line(&mut far.log, "version 1 is served").await;
+    wait_line(&mut near.log, "version-served version=1").await;
+    wait_line(&mut far.log, "version-served version=1").await;
     let response = loop {
         let response = send(near.callers, get("/lookup")).await;
         // Membership reaches the caller's daemon shortly after the version.
