Remember the end of a target that the daemon did not know yet

The target's DELETE arrived before any report of it, was acknowledged and forgotten; 2.1 s later a late report said `ready`, and requests reached the target 2.2 s after its end was acknowledged. Ruled out: the order of gate and acknowledgement (the acknowledging daemon sent no request until the late report). Change: an end of an unknown name closes all incarnations of that name which started by then; a repeat of an end that was taken changes nothing.

--- a/crates/request/src/residents.rs
+++ b/crates/request/src/residents.rs
@@ -60,12 +60,19 @@
     Stale,
 }
 
+/// Incarnations of which no report is taken any more.
+#[derive(Debug)]
+struct Ended {
+    name: Name,
+    /// The latest start that is meant, in ms since the Unix epoch.
+    started: u64,
+}
+
 /// The targets beside a daemon, from their own reports.
 #[derive(Debug)]
 pub struct Residents {
     list: Vec<Resident>,
-    /// Ended incarnations: name and start.
-    ended: Vec<(Name, u64)>,
+    ended: Vec<Ended>,
     silence: Duration,
     next: u16,
 }
@@ -86,7 +93,8 @@
     /// Takes a report. A later incarnation under the same name or at the same address replaces the
     /// one before, of which no report is taken any more.
     pub fn hear(&mut self, report: Report, now: Instant) -> Heard {
-        if self.ended.iter().any(|(name, at)| *name == report.name && *at == report.started) {
+        let over = |e: &Ended| e.name == report.name && report.started <= e.started;
+        if self.ended.iter().any(over) {
             return Heard::Stale;
         }
         let known =
@@ -116,12 +124,18 @@
         Heard::Changed
     }
 
-    /// The target of this name is gone, or will be in a moment; `false` if it is not known.
-    pub fn leave(&mut self, name: &str) -> bool {
+    /// The target of this name is gone, or will be in a moment; `false` if it is not known. Then the
+    /// daemon may have started a moment ago, and no report is taken of any incarnation that started by
+    /// `unix_ms`, the time of day.
+    pub fn leave(&mut self, name: &str, unix_ms: u64) -> bool {
         let gone: Vec<_> =
             self.list.iter().filter(|r| r.report.name.as_str() == name).map(life).collect();
         self.list.retain(|r| r.report.name.as_str() != name);
         let known = !gone.is_empty();
+        // A repeat of an announcement that was taken may come after the next start.
+        if !known && !self.ended.iter().any(|e| e.name.as_str() == name) {
+            self.end(Ended { name: name.into(), started: unix_ms });
+        }
         gone.into_iter().for_each(|life| self.end(life));
         known
     }
@@ -139,7 +153,7 @@
         changed
     }
 
-    fn end(&mut self, life: (Name, u64)) {
+    fn end(&mut self, life: Ended) {
         if self.ended.len() >= ENDED {
             self.ended.remove(0);
         }
@@ -147,6 +161,6 @@
     }
 }
 
-fn life(resident: &Resident) -> (Name, u64) {
-    (resident.report.name.clone(), resident.report.started)
+fn life(resident: &Resident) -> Ended {
+    Ended { name: resident.report.name.clone(), started: resident.report.started }
 }
--- a/crates/request/tests/domains.rs
+++ b/crates/request/tests/domains.rs
@@ -8,7 +8,7 @@
 
 use dw_request::{
     Admission, Arrival, Attempt, AttemptOutcome, Decision, Dispatcher, DispatcherConfig, Endpoint,
-    Gate, GateConfig, Next, Permit, Refusal, RequestInfo, Returns, RunOutcome, Ticket, Wake,
+    Gate, GateConfig, Next, Permit, Reason, RequestInfo, Returns, RunOutcome, Ticket, Wake,
 };
 use dw_tables::Name;
 use googletest::prelude::*;
@@ -177,7 +177,7 @@
             Admission::Wait(ticket) => {
                 self.targets[index].waiting.insert(ticket, sent);
             }
-            Admission::Refuse(refusal) => self.refuse(index, sent, refusal, now),
+            Admission::Refuse(refusal) => self.refuse(index, sent, refusal.reason, now),
         }
     }
 
@@ -202,11 +202,12 @@
         self.wake(target, wakes, now);
     }
 
-    fn refuse(&mut self, target: usize, sent: Sent, refusal: Refusal, now: Instant) {
-        let (reason, load) = (refusal.reason, Some(self.targets[target].gate.load()));
+    fn refuse(&mut self, target: usize, sent: Sent, reason: Reason, now: Instant) {
+        let Sent { daemon, attempt, since } = sent;
+        let load = Some(self.targets[target].gate.load());
         let outcome = AttemptOutcome::NotRun { reason, retry_after: None, load };
-        match self.daemons[sent.daemon].settle(sent.attempt.id, outcome, now) {
-            Next::Retry { attempt, .. } => self.send(Sent { attempt, ..sent }, now),
+        match self.daemons[daemon].settle(attempt.id, outcome, now) {
+            Next::Retry { attempt, .. } => self.send(Sent { daemon, attempt, since }, now),
             Next::Refuse(_) | Next::Deliver => self.got.refused += 1,
         }
     }
@@ -215,12 +216,12 @@
         for wake in wakes {
             let (ticket, turn) = match wake {
                 Wake::Run { ticket, permit } => (ticket, Ok(permit)),
-                Wake::Refuse { ticket, refusal } => (ticket, Err(refusal)),
+                Wake::Refuse { ticket, refusal } => (ticket, Err(refusal.reason)),
             };
             let Some(sent) = self.targets[target].waiting.remove(&ticket) else { continue };
             match turn {
                 Ok(permit) => self.run(target, permit, sent, now),
-                Err(refusal) => self.refuse(target, sent, refusal, now),
+                Err(reason) => self.refuse(target, sent, reason, now),
             }
         }
     }
--- a/crates/request/tests/residents.rs
+++ b/crates/request/tests/residents.rs
@@ -60,8 +60,8 @@
     let now = Instant::now();
     let mut residents = Residents::new(SILENCE);
     residents.hear(report("a", 100, 1), now);
-    expect_that!(residents.leave("a"), eq(true));
-    expect_that!(residents.leave("a"), eq(false));
+    expect_that!(residents.leave("a", 500), eq(true));
+    expect_that!(residents.leave("a", 500), eq(false));
     expect_that!(residents.hear(report("a", 100, 2), now), eq(Heard::Stale));
     expect_that!(residents.hear(report("a", 101, 1), now), eq(Heard::Changed));
 }
@@ -79,3 +79,20 @@
     expect_that!(names(&residents), eq(&vec![(0, "a".to_owned())]));
     expect_that!(residents.list()[0].is_open(), eq(true));
 }
+
+/// Guards against a target that announced its end to a daemon which had just started and did not know
+/// it yet, and that is taken back by a report which was under way: requests reached it seconds after
+/// its end was acknowledged.
+#[gtest]
+fn a_target_that_left_before_it_was_known_stays_away() {
+    let now = Instant::now();
+    let mut residents = Residents::new(SILENCE);
+    expect_that!(residents.leave("a", 500), eq(false));
+    expect_that!(residents.hear(report("a", 100, 9), now), eq(Heard::Stale));
+    expect_that!(residents.list().is_empty(), eq(true));
+    // A later start under the same name is another target.
+    expect_that!(residents.hear(report("a", 501, 1), now), eq(Heard::Changed));
+    // Another target is not concerned.
+    let other = Report { address: ([127, 0, 0, 1], 8001).into(), ..report("b", 100, 1) };
+    expect_that!(residents.hear(other, now), eq(Heard::Changed));
+}
