--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -13,7 +13,7 @@
         ends && line.host == entry
     });
     let Some(end) = end else {
-        return format!("no line says how it ended at {entry}");
+        return unfinished(story);
     };
     match end.kind {
         Some(Kind::Refused) => refused(story, end),
@@ -31,6 +31,42 @@
     }
 }
 
+/// The lines of the daemon that took the request are missing.
+fn unfinished(story: &Story) -> String {
+    let told = "no line says what its caller was told";
+    let away = story.last(Kind::TurnedAway);
+    match away.or_else(|| story.last(Kind::NotRun)).or_else(|| story.last(Kind::Ran)) {
+        Some(line) if line.kind == Some(Kind::Ran) => format!(
+            "{told}; the target on {} answered {} after {} ms",
+            line.host,
+            number(line, Field::Status),
+            number(line, Field::TookMs)
+        ),
+        Some(line) => format!("{told}; {}", at_target(line)),
+        None => told.to_owned(),
+    }
+}
+
+/// What the daemon beside a target says of a request that the target did not answer.
+fn at_target(line: &Line) -> String {
+    let host = &line.host;
+    if line.kind == Some(Kind::TurnedAway) {
+        return format!(
+            "{host} turned it away, {}: {} of {} slots taken and {} waiting, {} ms of waiting and \
+             {} ms of service expected, {} ms left",
+            line.text(Field::Reason),
+            number(line, Field::InFlight),
+            number(line, Field::Slots),
+            number(line, Field::Queued),
+            number(line, Field::WaitMs),
+            number(line, Field::ServiceMs),
+            number(line, Field::LeftMs)
+        );
+    }
+    let (reason, took) = (line.text(Field::Reason), number(line, Field::TookMs));
+    format!("{host} handed it to the target, {reason} after {took} ms{}", detail(line))
+}
+
 fn answered(story: &Story, end: &Line) -> String {
     let (status, took) = (number(end, Field::Status), number(end, Field::TookMs));
     let retries = story.lines.iter().filter(|line| line.kind == Some(Kind::AttemptFailed)).count();
@@ -64,20 +100,12 @@
         matches!(line.kind, Some(Kind::TurnedAway | Kind::NotRun)) && line.host == target
     });
     let why = match turned {
-        Some(line) if line.kind == Some(Kind::TurnedAway) => format!(
-            "{target} turned it away: {} of {} slots taken and {} waiting, {} ms of waiting \
-             expected, {} ms left",
-            number(line, Field::InFlight),
-            number(line, Field::Slots),
-            number(line, Field::Queued),
-            number(line, Field::WaitMs),
-            number(line, Field::LeftMs)
-        ),
-        Some(line) => format!(
-            "{target} handed it to the target, which {} after {} ms{}",
-            line.text(Field::Reason),
-            number(line, Field::TookMs),
-            detail(line)
+        Some(line) => at_target(line),
+        None if failed.text(Field::Outcome) == "not-run" => format!(
+            "{target} did not take it: {}{}{}",
+            failed.text(Field::Reason),
+            detail(failed),
+            fate(story, target)
         ),
         None => format!(
             "{target} gave no answer within {} ms{}{}",
@@ -87,7 +115,8 @@
         ),
     };
     let tried = story.lines.iter().filter(|line| line.kind == Some(Kind::Placed)).count();
-    format!("{answer}; {why}; {tried} of the targets tried")
+    let tried = if tried > 1 { format!("; {tried} targets were tried") } else { String::new() };
+    format!("{answer}; {why}{tried}")
 }
 
 /// What became known of a host that did not answer.
@@ -95,6 +124,7 @@
     let about = |line: &&Line| {
         line.kind == Some(Kind::MemberChanged)
             && line.text(Field::Target) == target
+            && line.text(Field::State) != "alive"
             && line.time >= story.start
     };
     let Some(line) = story.context.iter().find(about) else { return String::new() };
--- a/crates/cli/src/explain/gaps.rs
+++ b/crates/cli/src/explain/gaps.rs
@@ -20,7 +20,23 @@
         .map(|line| line.host.as_str())
         .collect();
     let silent = reached.difference(&heard).filter(|host| !host.is_empty());
-    silent.map(|host| format!("{host} says nothing of it: {}", why(story, host))).collect()
+    let silent = silent.map(|host| format!("{host} says nothing of it: {}", why(story, host)));
+    let entered =
+        |line: &Line| matches!(line.kind, Some(Kind::Placed | Kind::Refused | Kind::KeeperAsked));
+    let entry = (!story.lines.iter().any(entered)).then(|| {
+        let left: BTreeSet<&str> = story
+            .marks
+            .iter()
+            .filter(|line| matches!(line.kind, Some(Kind::LinesThinned | Kind::LinesLost)))
+            .map(|line| line.host.as_str())
+            .collect();
+        let why = match left.is_empty() {
+            true => "its log was not given, or it was killed".to_owned(),
+            false => format!("hosts that left requests out: {}", Vec::from_iter(left).join(", ")),
+        };
+        format!("the daemon that took it from its caller says nothing of it: {why}")
+    });
+    entry.into_iter().chain(silent).collect()
 }
 
 /// Why no line names the request at all.
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -59,7 +59,7 @@
     expect_that!(first, contains_substring("told to return after 90 ms"));
     expect_that!(
         first,
-        contains_substring("h2 turned it away: 12 of 12 slots taken and 9 waiting")
+        contains_substring("h2 turned it away, queue-full: 12 of 12 slots taken and 9 waiting")
     );
     expect_that!(text, not(contains_substring("missing:")));
     expect_that!(text, contains_substring("+2 ms  h2  turned-away"));
@@ -145,6 +145,22 @@
     let (_, text) = explain(&format!("r1 {entry} {lost}")).await;
     expect_that!(text, contains_substring("missing: h2 says nothing of it: its output lost lines"));
 
+    let away = log(
+        &dir,
+        "h3",
+        &[
+            r#"01.002 "event":"turned-away","request":"r3","reason":"deadline-unmet","in_flight":12,"slots":12,"queued":9,"wait_ms":61,"left_ms":40"#,
+        ],
+    );
+    let (exit, text) = explain(&format!("r3 {away} {lost}")).await;
+    expect_that!(exit, eq(Exit::Ok));
+    expect_that!(
+        text,
+        contains_substring("no line says what its caller was told; h3 turned it away")
+    );
+    expect_that!(text, contains_substring("missing: the daemon that took it from its caller"));
+    expect_that!(text, contains_substring("hosts that left requests out: h2"));
+
     let (exit, text) = explain(&format!("r2 {entry} {lost}")).await;
     expect_that!(exit, eq(Exit::Failed));
     expect_that!(text, contains_substring("no line names request r2 among 3 log lines"));
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -230,6 +230,7 @@
             self.dispatcher().poison_mut().expire(now);
             lock(&self.prints).retain(|_, until| now < *until);
             self.hops.prune();
+            self.log.tick();
         }
     }
 
--- a/crates/log/src/log.rs
+++ b/crates/log/src/log.rs
@@ -10,7 +10,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Class, Event, Field, Kind, LogLevel, LogSettings, Story, Thinner, line::line, output::Output,
+    Class, Event, Field, Kind, Left, LogLevel, LogSettings, Story, Thinner, line::line,
+    output::Output,
 };
 
 /// Why a log cannot be set up.
@@ -109,6 +110,13 @@
         LogLosses { lines: self.0.output.all_lost(), requests: self.0.thinning().left }
     }
 
+    /// Says what was left out, if it was not said yet.
+    pub fn tick(&self) {
+        let now = Instant::now();
+        let left = Class::ALL.map(|class| self.0.thinning().thinner.left(class, now));
+        self.say_left(left);
+    }
+
     /// Writes the events of a request, or leaves all of them out.
     pub(crate) fn tell(&self, request: &Name, events: &[Event], class: Class) {
         let now = Instant::now();
@@ -117,6 +125,13 @@
         let keep = thinning.thinner.keep(class, || hash(request), now);
         thinning.left += u64::from(!keep);
         drop(thinning);
+        self.say_left(left);
+        if keep {
+            events.iter().for_each(|event| self.0.emit(event, Some(request)));
+        }
+    }
+
+    fn say_left(&self, left: [Option<Left>; 3]) {
         for left in left.into_iter().flatten() {
             let event = Event::new(Kind::LinesThinned)
                 .with(Field::Reason, left.class.as_str())
@@ -124,9 +139,6 @@
                 .with(Field::Candidates, left.one_in);
             self.0.emit(&event, None);
         }
-        if keep {
-            events.iter().for_each(|event| self.0.emit(event, Some(request)));
-        }
     }
 }
 
