Wait longer for pings between daemons where links are narrow

Cause: on the grown sites most hosts have 5 Mbit/s. Ruled out: the targets (the same requests ran there), the daemons' processor (0.014 of 0.1 cores).

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -135,7 +135,7 @@
             prints: Mutex::default(),
             targets: Mutex::new(targets),
             dialect,
-            hops: HopPool::new(tasks.clone()),
+            hops: HopPool::new(tasks.clone(), settings.silence.into()),
             node: OnceLock::new(),
             room: Arc::new(Semaphore::new(settings.limits.requests as usize)),
             draining: AtomicBool::new(false),
--- a/crates/daemon/src/proxy/hop.rs
+++ b/crates/daemon/src/proxy/hop.rs
@@ -21,15 +21,18 @@
     body::{Checked, Payload, Tracked},
     fault::SendFault,
 };
-use crate::{detect_silence, tasks::Tasks};
+use crate::{
+    socket::{UNACKED, detect_silence_within},
+    tasks::Tasks,
+};
 
 /// Time without a byte from the other daemon, while requests wait for it, after which it is pinged.
 /// Failure domains are about 1 ms apart.
 pub(crate) const PING_AFTER: Duration = Duration::from_millis(150);
 
-/// The wait for the answer to a ping; a host whose share of the processor is used up stands still for
-/// up to 100 ms.
-pub(crate) const PING_WAIT: Duration = Duration::from_millis(350);
+/// Time beyond the wait for a ping after which unacknowledged bytes end a connection. The ping says so
+/// first where it can; it cannot while the other daemon stands still and its system acknowledges.
+const UNACKED_MORE: Duration = Duration::from_secs(1);
 
 /// The longest wait for a connection to another daemon. Domains are about 1 ms apart, and a lost first
 /// packet is sent again only after a second, so that longer waits do not help.
@@ -59,6 +62,8 @@
     // A lock and not a task, for the same reason as in the pool of a target.
     peers: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
     tasks: Tasks,
+    /// The wait for the answer to a ping.
+    silence: Duration,
 }
 
 #[derive(Default)]
@@ -77,9 +82,9 @@
 }
 
 impl HopPool {
-    /// An empty pool.
-    pub(crate) fn new(tasks: Tasks) -> Self {
-        Self(Arc::new(Inner { peers: Mutex::default(), tasks }))
+    /// An empty pool. A connection on which a ping is not answered within `silence` counts as lost.
+    pub(crate) fn new(tasks: Tasks, silence: Duration) -> Self {
+        Self(Arc::new(Inner { peers: Mutex::default(), tasks, silence }))
     }
 
     /// Sends a request to the daemon at `addr` and returns the response head. Only the wait for a
@@ -143,11 +148,12 @@
 
     async fn connect(&self, peer: &Arc<Peer>, addr: SocketAddr) -> Result<Conn, String> {
         let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
-        detect_silence(&stream);
+        let silence = self.0.silence;
+        detect_silence_within(&stream, UNACKED.max(silence + UNACKED_MORE));
         let (sender, link) = Builder::new(self.0.tasks.clone())
             .timer(TokioTimer::new())
             .keep_alive_interval(PING_AFTER)
-            .keep_alive_timeout(PING_WAIT)
+            .keep_alive_timeout(silence)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| e.to_string())?;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -46,6 +46,9 @@
     pub linger: Millis,
     /// When refused callers are asked to come back.
     pub returns: Returns,
+    /// Time without an answer to a ping after which a connection to another daemon counts as lost, with
+    /// the requests on it.
+    pub silence: Millis,
 }
 
 /// One target on the daemon's host.
@@ -94,6 +97,9 @@
     }
 }
 
+/// The default of `silence`. A host whose share of the processor is used up stands still for up to 100 ms.
+const SILENCE: Millis = Millis::new(350);
+
 /// The default of `grace`: 30 s.
 const GRACE: Millis = Millis::new(30_000);
 
@@ -119,6 +125,7 @@
             grace: GRACE,
             linger: Millis::new(0),
             returns: Returns::default(),
+            silence: SILENCE,
         }
     }
 
