--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,10 +1,12 @@
 //! The benches: `distribution` measures how a version reaches a fleet and what that costs, and
-//! `requests` what the request path costs and what becomes of requests under load and faults. Each
-//! run prints a table and, with `--json FILE`, writes the same figures as JSON.
+//! `requests` what the request path costs and what becomes of requests under load and faults; `log`
+//! what the log costs. Each of the first two prints a table and, with `--json FILE`, writes the same
+//! figures as JSON.
 
 mod distribution;
 mod fit;
 mod fleet;
+mod logs;
 mod publish;
 mod requests;
 mod usage;
@@ -29,6 +31,9 @@
     /// Cost of the request path, and the fate of requests, with a baseline.
     #[options(help = "cost of the request path, and the fate of requests under faults")]
     Requests(requests::Args),
+    /// Price of the log.
+    #[options(help = "processor time of a request with the log and without")]
+    Log(logs::Args),
 }
 
 #[allow(clippy::print_stderr)]
@@ -38,7 +43,8 @@
     let done = match args.command {
         Some(Command::Distribution(args)) => distribution::run(args).await,
         Some(Command::Requests(args)) => requests::run(args).await,
-        None => Err("name a bench: distribution or requests".into()),
+        Some(Command::Log(args)) => logs::run(args).await,
+        None => Err("name a bench: distribution, requests or log".into()),
     };
     match done {
         Ok(true) => std::process::ExitCode::SUCCESS,
--- a/crates/bench/src/requests.rs
+++ b/crates/bench/src/requests.rs
@@ -14,6 +14,7 @@
 use gumdrop::Options;
 use serde::Serialize;
 
+pub(crate) use self::wire::{Reply, Wire};
 use self::{account::Account, latency::Cost, scenario::Scenario, world::Side};
 use crate::fleet::Failure;
 
