--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -4,14 +4,21 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use dw_daemon::detect_silence;
-use dw_wire::{Frame, FrameBody, FrameCodec, Hello, Join, Member};
+use dw_fakes::Standin;
+use dw_tables::Millis;
+use dw_wire::{Frame, FrameBody, FrameCodec, Hello, Join, Member, Target};
 use futures_util::{SinkExt, StreamExt};
 use googletest::prelude::*;
+use http::Response;
+use http_body_util::Full;
+use hyper::{server::conn::http2, service::service_fn};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{sleep, timeout},
 };
 use tokio_util::codec::Framed;
 
@@ -20,8 +27,31 @@
 /// Above the time of an answer over loopback on a busy machine.
 const ANSWER: Duration = Duration::from_secs(5);
 
+/// A target of the service that the tests ask.
+fn tally() -> Target {
+    Target {
+        index: 0,
+        service: "tally".into(),
+        slots: 4,
+        connections: 8,
+        draining: false,
+        started: 1,
+    }
+}
+
 /// Opens a connection of the host, which listens for peers at `peer`, and asks to be admitted.
 async fn join(daemon: SocketAddr, host: &str, peer: SocketAddr) -> Result<Link> {
+    join_with(daemon, host, peer, peer, Vec::new()).await
+}
+
+/// The same with targets, requests for which go to `data`.
+async fn join_with(
+    daemon: SocketAddr,
+    host: &str,
+    peer: SocketAddr,
+    data: SocketAddr,
+    targets: Vec<Target>,
+) -> Result<Link> {
     let mut link = Framed::new(TcpStream::connect(daemon).await?, FrameCodec::default());
     let (host, peer) = (host.to_owned(), peer.to_string());
     let hello = Hello { host: host.clone(), peer: peer.clone() };
@@ -32,8 +62,9 @@
         started: 1,
         domain: "portland".into(),
         region: "region".into(),
-        data: peer.clone(),
+        data: data.to_string(),
         peer,
+        targets,
         ..Member::default()
     };
     let join = Join { member: Some(member), floor_only: false };
@@ -88,3 +119,49 @@
     expect_that!(probes.max(unacked), le(Duration::from_secs(2)));
     Ok(())
 }
+
+/// The status of a request that goes to a host which stands still for a while, although its connection
+/// is open, and answers then; `silence` is what the daemon allows.
+async fn status_of_a_slow_host(silence: u64, stall: Duration) -> Result<u16> {
+    let standin = Standin::new().start().await?;
+    support::publish(standin.addr(), 1, support::tables()).await;
+    let mut settings = support::settings("p1", "portland").with_platform(vec![standin.addr()]);
+    settings.silence = Millis::new(silence);
+    let running = support::start(settings).await;
+    running.wait_version(1).await;
+
+    let (peer, data) =
+        (TcpListener::bind("127.0.0.1:0").await?, TcpListener::bind("127.0.0.1:0").await?);
+    let (peer, addr) = (peer.local_addr()?, data.local_addr()?);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = data.accept().await {
+            tokio::spawn(async move {
+                sleep(stall).await;
+                let answer = service_fn(|_| async {
+                    let run = Response::builder().header("damaskwick-outcome", "run");
+                    run.body(Full::<Bytes>::default())
+                });
+                let server = http2::Builder::new(TokioExecutor::new());
+                // The caller gives up the connection in one of the two tests.
+                let _ = server.serve_connection(TokioIo::new(stream), answer).await;
+            });
+        }
+    });
+    let link = join_with(running.addrs().peers, "p2", peer, addr, vec![tally()]).await?;
+    running.wait_members(|members| members.len() == 2).await;
+    let response = support::send(running.addrs().callers, support::get("/lookup")).await;
+    drop(link);
+    running.kill().await;
+    standin.close().await;
+    Ok(response.status().as_u16())
+}
+
+/// Guards against a wait for pings that is not the one of the settings: on narrow links 350 ms gave up
+/// connections that were only slow, with all requests on them.
+#[gtest]
+#[tokio::test]
+async fn a_host_that_stands_still_is_given_up_after_the_silence_of_the_settings() -> Result<()> {
+    expect_that!(status_of_a_slow_host(3_000, Duration::from_millis(900)).await?, eq(200));
+    expect_that!(status_of_a_slow_host(200, Duration::from_secs(8)).await?, eq(504));
+    Ok(())
+}
