Use the usual terms in the log: trace, sampler, timeline

Read as a newcomer: "story", "thinner", "belief" and "tell" are no terms of the field. They are traces, a sampler, changes of a target and events now; the events `lines-thinned` and `lines-lost` are `requests-sampled` and `lines-dropped`.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -168,7 +168,7 @@
     pub limit: Millis,
 }
 
-/// `explain` joins the log lines of several processes into the story of one request.
+/// `explain` joins the log lines of several processes into the timeline of one request.
 #[derive(Debug, Options)]
 pub struct ExplainArgs {
     /// show this text
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -5,13 +5,13 @@
 mod cause;
 mod gaps;
 mod line;
-mod story;
+mod timeline;
 
-use story::Story;
+use timeline::Timeline;
 
 use crate::{Console, Exit, ExplainArgs, Failure};
 
-/// Joins the log lines of several processes into the story of one request, the cause first.
+/// Joins the log lines of several processes into the timeline of one request, with the cause first.
 ///
 /// # Errors
 /// A log that cannot be read, or no line about the request.
@@ -28,33 +28,33 @@
         lines.extend(text.lines().filter_map(line::Line::parse));
     }
     let read = lines.len();
-    let story = Story::new(&args.request, lines, args.around.into());
-    if story.lines.is_empty() {
+    let timeline = Timeline::new(&args.request, lines, args.around.into());
+    if timeline.lines.is_empty() {
         let message = format!(
             "no line names request {} among {read} log lines; {}",
             args.request,
-            gaps::why_absent(&story)
+            gaps::why_absent(&timeline)
         );
         return Err(Failure::new(Exit::Failed, message));
     }
-    let cause = cause::cause_of(&story);
-    let gaps = gaps::gaps(&story);
+    let cause = cause::cause_of(&timeline);
+    let gaps = gaps::gaps(&timeline);
     console.say(&format!("request {}: {cause}", args.request));
     console.say("");
-    story.lines.iter().for_each(|line| console.say(&line.show(story.start)));
+    timeline.lines.iter().for_each(|line| console.say(&line.show(timeline.start)));
     for gap in &gaps {
         console.say(&format!("missing: {gap}"));
     }
-    if !story.context.is_empty() {
+    if !timeline.context.is_empty() {
         console.say("");
         console.say("what the hosts above came to know meanwhile:");
-        story.context.iter().for_each(|line| console.say(&line.show(story.start)));
+        timeline.context.iter().for_each(|line| console.say(&line.show(timeline.start)));
     }
     Ok(json!({
         "request": args.request,
         "cause": cause,
-        "lines": story.lines.iter().map(line::Line::json).collect::<Vec<_>>(),
-        "context": story.context.iter().map(line::Line::json).collect::<Vec<_>>(),
+        "lines": timeline.lines.iter().map(line::Line::json).collect::<Vec<_>>(),
+        "context": timeline.context.iter().map(line::Line::json).collect::<Vec<_>>(),
         "missing": gaps,
     }))
 }
--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -1,11 +1,11 @@
 use dw_log::{Field, Kind};
 
-use super::{line::Line, story::Story};
+use super::{line::Line, timeline::Timeline};
 
 /// Why the request ended as it did, in one sentence.
-pub(super) fn cause_of(story: &Story) -> String {
-    let entry = story.entry();
-    let end = story.lines.iter().rfind(|line| {
+pub(super) fn cause_of(timeline: &Timeline) -> String {
+    let entry = timeline.entry();
+    let end = timeline.lines.iter().rfind(|line| {
         let ends = matches!(
             line.kind,
             Some(Kind::Refused | Kind::Answered | Kind::Truncated | Kind::Cancelled)
@@ -13,29 +13,29 @@
         ends && line.host == entry
     });
     let Some(end) = end else {
-        return unfinished(story);
+        return unfinished(timeline);
     };
     match end.kind {
-        Some(Kind::Refused) => refused(story, end),
+        Some(Kind::Refused) => refused(timeline, end),
         Some(Kind::Truncated) => format!(
             "the response with status {} ended early after {} ms{}",
             number(end, Field::Status),
             number(end, Field::TookMs),
-            longest(story)
+            longest(timeline)
         ),
         Some(Kind::Cancelled) => {
-            let after = end.time.duration_since(story.start).unwrap_or_default();
-            format!("the caller went away after {} ms{}", after.as_millis(), longest(story))
+            let after = end.time.duration_since(timeline.start).unwrap_or_default();
+            format!("the caller went away after {} ms{}", after.as_millis(), longest(timeline))
         }
-        _ => answered(story, end),
+        _ => answered(timeline, end),
     }
 }
 
 /// The lines of the daemon that took the request are missing.
-fn unfinished(story: &Story) -> String {
+fn unfinished(timeline: &Timeline) -> String {
     let told = "no line says what its caller was told";
-    let away = story.last(Kind::TurnedAway);
-    match away.or_else(|| story.last(Kind::NotRun)).or_else(|| story.last(Kind::Ran)) {
+    let away = timeline.last(Kind::TurnedAway);
+    match away.or_else(|| timeline.last(Kind::NotRun)).or_else(|| timeline.last(Kind::Ran)) {
         Some(line) if line.kind == Some(Kind::Ran) => format!(
             "{told}; the target on {} answered {} after {} ms",
             line.host,
@@ -67,24 +67,28 @@
     format!("{host} handed it to the target, {reason} after {took} ms{}", detail(line))
 }
 
-fn answered(story: &Story, end: &Line) -> String {
+fn answered(timeline: &Timeline, end: &Line) -> String {
     let (status, took) = (number(end, Field::Status), number(end, Field::TookMs));
-    let retries = story.lines.iter().filter(|line| line.kind == Some(Kind::AttemptFailed)).count();
+    let retries =
+        timeline.lines.iter().filter(|line| line.kind == Some(Kind::AttemptFailed)).count();
     let again = match retries {
         0 => String::new(),
         1 => ", after one failed attempt".to_owned(),
         many => format!(", after {many} failed attempts"),
     };
     if end.flag(Field::Late) {
-        return format!("answered late, status {status} after {took} ms{again}{}", longest(story));
+        return format!(
+            "answered late, status {status} after {took} ms{again}{}",
+            longest(timeline)
+        );
     }
     if end.number(Field::Status).is_some_and(|status| status >= 500) {
-        return format!("the target answered {status} after {took} ms{again}{}", longest(story));
+        return format!("the target answered {status} after {took} ms{again}{}", longest(timeline));
     }
     format!("answered in time, status {status} after {took} ms{again}")
 }
 
-fn refused(story: &Story, end: &Line) -> String {
+fn refused(timeline: &Timeline, end: &Line) -> String {
     let (reason, outcome) = (end.text(Field::Reason), end.text(Field::Outcome));
     let told = end.number(Field::RetryMs).unwrap_or_default();
     let answer = format!(
@@ -92,11 +96,11 @@
         number(end, Field::Status),
         end.host
     );
-    let Some(failed) = story.last(Kind::AttemptFailed) else {
+    let Some(failed) = timeline.last(Kind::AttemptFailed) else {
         return format!("{answer}; no target was tried");
     };
     let target = failed.text(Field::Target);
-    let turned = story.lines.iter().rfind(|line| {
+    let turned = timeline.lines.iter().rfind(|line| {
         matches!(line.kind, Some(Kind::TurnedAway | Kind::NotRun)) && line.host == target
     });
     let why = match turned {
@@ -105,30 +109,30 @@
             "{target} did not take it: {}{}{}",
             failed.text(Field::Reason),
             detail(failed),
-            fate(story, target)
+            fate(timeline, target)
         ),
         None => format!(
             "{target} gave no answer within {} ms{}{}",
             number(failed, Field::TookMs),
             detail(failed),
-            fate(story, target)
+            fate(timeline, target)
         ),
     };
-    let tried = story.lines.iter().filter(|line| line.kind == Some(Kind::Placed)).count();
+    let tried = timeline.lines.iter().filter(|line| line.kind == Some(Kind::Placed)).count();
     let tried = if tried > 1 { format!("; {tried} targets were tried") } else { String::new() };
     format!("{answer}; {why}{tried}")
 }
 
 /// What became known of a host that did not answer.
-fn fate(story: &Story, target: &str) -> String {
+fn fate(timeline: &Timeline, target: &str) -> String {
     let about = |line: &&Line| {
         line.kind == Some(Kind::MemberChanged)
             && line.text(Field::Target) == target
             && line.text(Field::State) != "alive"
-            && line.time >= story.start
+            && line.time >= timeline.start
     };
-    let Some(line) = story.context.iter().find(about) else { return String::new() };
-    let after = line.time.duration_since(story.start).unwrap_or_default().as_millis();
+    let Some(line) = timeline.context.iter().find(about) else { return String::new() };
+    let after = line.time.duration_since(timeline.start).unwrap_or_default().as_millis();
     format!(
         "; {} held it for {} {after} ms after the request came",
         line.host,
@@ -137,8 +141,8 @@
 }
 
 /// The step that took the longest, if one took half of the time or more.
-fn longest(story: &Story) -> String {
-    let steps = story.lines.iter().filter_map(|line| {
+fn longest(timeline: &Timeline) -> String {
+    let steps = timeline.lines.iter().filter_map(|line| {
         let (field, what) = match line.kind? {
             Kind::Admitted => (Field::WaitMs, "in the queue at"),
             Kind::Ran | Kind::NotRun => (Field::TookMs, "at the target on"),
@@ -152,10 +156,10 @@
         };
         Some((line.number(field)?, what, host.to_owned()))
     });
-    let total = story
+    let total = timeline
         .lines
         .last()
-        .map_or(0, |line| line.time.duration_since(story.start).unwrap_or_default().as_millis());
+        .map_or(0, |line| line.time.duration_since(timeline.start).unwrap_or_default().as_millis());
     match steps.max_by_key(|(time, ..)| *time) {
         Some((time, what, host)) if u128::from(time) * 2 >= total && time > 0 => {
             format!("; {time} ms of it {what} {host}")
--- a/crates/cli/src/explain/gaps.rs
+++ b/crates/cli/src/explain/gaps.rs
@@ -2,32 +2,32 @@
 
 use dw_log::{Field, Kind};
 
-use super::{line::Line, story::Story};
+use super::{line::Line, timeline::Timeline};
 
 /// How long after a request a line about what was left out may still concern it; such lines come once a
 /// second.
 const LEFT_OUT: Duration = Duration::from_secs(2);
 
 /// The hosts that the request went to and that say nothing of it, each with what is known of why.
-pub(super) fn gaps(story: &Story) -> Vec<String> {
+pub(super) fn gaps(timeline: &Timeline) -> Vec<String> {
     let reached = |line: &&Line| matches!(line.kind, Some(Kind::Placed | Kind::KeeperAsked));
     let reached: BTreeSet<&str> =
-        story.lines.iter().filter(reached).map(|line| line.text(Field::Target)).collect();
-    let heard: BTreeSet<&str> = story
+        timeline.lines.iter().filter(reached).map(|line| line.text(Field::Target)).collect();
+    let heard: BTreeSet<&str> = timeline
         .lines
         .iter()
         .filter(|line| !matches!(line.kind, Some(Kind::Placed | Kind::KeeperAsked)))
         .map(|line| line.host.as_str())
         .collect();
     let silent = reached.difference(&heard).filter(|host| !host.is_empty());
-    let silent = silent.map(|host| format!("{host} says nothing of it: {}", why(story, host)));
+    let silent = silent.map(|host| format!("{host} says nothing of it: {}", why(timeline, host)));
     let entered =
         |line: &Line| matches!(line.kind, Some(Kind::Placed | Kind::Refused | Kind::KeeperAsked));
-    let entry = (!story.lines.iter().any(entered)).then(|| {
-        let left: BTreeSet<&str> = story
+    let entry = (!timeline.lines.iter().any(entered)).then(|| {
+        let left: BTreeSet<&str> = timeline
             .marks
             .iter()
-            .filter(|line| matches!(line.kind, Some(Kind::LinesThinned | Kind::LinesLost)))
+            .filter(|line| matches!(line.kind, Some(Kind::RequestsSampled | Kind::LinesDropped)))
             .map(|line| line.host.as_str())
             .collect();
         let why = match left.is_empty() {
@@ -40,31 +40,31 @@
 }
 
 /// Why no line names the request at all.
-pub(super) fn why_absent(story: &Story) -> String {
-    let thinned = story.marks.iter().any(|line| line.kind == Some(Kind::LinesThinned));
-    let lost = story.marks.iter().any(|line| line.kind == Some(Kind::LinesLost));
-    match (thinned, lost) {
-        (_, true) => "lines were lost there, see lines-lost".to_owned(),
-        (true, false) => "requests were left out there, see lines-thinned".to_owned(),
+pub(super) fn why_absent(timeline: &Timeline) -> String {
+    let sampled = timeline.marks.iter().any(|line| line.kind == Some(Kind::RequestsSampled));
+    let lost = timeline.marks.iter().any(|line| line.kind == Some(Kind::LinesDropped));
+    match (sampled, lost) {
+        (_, true) => "lines were lost there, see lines-dropped".to_owned(),
+        (true, false) => "requests were left out there, see requests-sampled".to_owned(),
         (false, false) => {
             "nothing was left out there, so look in the logs of other hosts".to_owned()
         }
     }
 }
 
-fn why(story: &Story, host: &str) -> String {
-    if !story.hosts.contains(host) {
+fn why(timeline: &Timeline, host: &str) -> String {
+    if !timeline.hosts.contains(host) {
         return "its log was not given".to_owned();
     }
-    let end = story.lines.last().map_or(story.start, |line| line.time);
-    let after = |line: &&Line| line.host == host && line.time >= story.start;
+    let end = timeline.lines.last().map_or(timeline.start, |line| line.time);
+    let after = |line: &&Line| line.host == host && line.time >= timeline.start;
     let soon = |line: &&Line| after(line) && line.time <= end + LEFT_OUT;
     let is = |kind: Kind| move |line: &Line| line.kind == Some(kind);
-    let marks = || story.marks.iter();
-    if marks().filter(soon).any(is(Kind::LinesLost)) {
+    let marks = || timeline.marks.iter();
+    if marks().filter(soon).any(is(Kind::LinesDropped)) {
         return "its output lost lines then".to_owned();
     }
-    if marks().filter(soon).any(is(Kind::LinesThinned)) {
+    if marks().filter(soon).any(is(Kind::RequestsSampled)) {
         return "it left requests out of its log then".to_owned();
     }
     let stopped =
--- a/crates/cli/src/explain/story.rs
+++ b/crates/cli/src/explain/timeline.rs
@@ -9,7 +9,7 @@
 
 /// What the logs say of one request.
 #[derive(Debug)]
-pub(super) struct Story {
+pub(super) struct Timeline {
     /// The lines that name the request, by time.
     pub(super) lines: Vec<Line>,
     /// Lines about the hosts of the request that were written meanwhile, by time.
@@ -22,8 +22,8 @@
     pub(super) hosts: BTreeSet<String>,
 }
 
-impl Story {
-    /// The story of a request; `around` is how long before and after it other lines matter.
+impl Timeline {
+    /// The timeline of a request; `around` is how long before and after it other lines matter.
     pub(super) fn new(request: &str, lines: Vec<Line>, around: Duration) -> Self {
         let hosts = lines.iter().map(|line| line.host.clone()).collect();
         let (mut named, mut others): (Vec<_>, Vec<_>) =
@@ -61,7 +61,7 @@
 
 /// Whether the line is about the log or the process itself.
 const fn is_mark(kind: Kind) -> bool {
-    matches!(kind, Kind::Started | Kind::Stopped | Kind::LinesLost | Kind::LinesThinned)
+    matches!(kind, Kind::Started | Kind::Stopped | Kind::LinesDropped | Kind::RequestsSampled)
 }
 
 /// Whether the line is about one of the hosts, or was written by one of them about itself.
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -138,10 +138,10 @@
             r#"01.640 "event":"answered","request":"r1","status":200,"took_ms":640,"late":true"#,
         ],
     );
-    let thinned = log(&dir, "h2", &[r#"01.900 "event":"lines-thinned","count":40"#]);
-    let (_, text) = explain(&format!("r1 {entry} {thinned}")).await;
+    let sampled = log(&dir, "h2", &[r#"01.900 "event":"requests-sampled","count":40"#]);
+    let (_, text) = explain(&format!("r1 {entry} {sampled}")).await;
     expect_that!(text, contains_substring("missing: h2 says nothing of it: it left requests out"));
-    let lost = log(&dir, "h2", &[r#"01.900 "event":"lines-lost","count":40"#]);
+    let lost = log(&dir, "h2", &[r#"01.900 "event":"lines-dropped","count":40"#]);
     let (_, text) = explain(&format!("r1 {entry} {lost}")).await;
     expect_that!(text, contains_substring("missing: h2 says nothing of it: its output lost lines"));
 
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -1,6 +1,6 @@
 use dw_log::{Event, Field, Kind};
 use dw_mesh::Note;
-use dw_request::Belief;
+use dw_request::TargetChange;
 
 /// The log line of what the control plane did or came to believe.
 pub(crate) fn event_of(note: Note) -> Event {
@@ -41,14 +41,14 @@
 }
 
 /// The log line of a change in the view of a target.
-pub(crate) fn event_of_belief(belief: Belief) -> Event {
-    let kind = match belief.avoided {
+pub(crate) fn event_of_change(change: TargetChange) -> Event {
+    let kind = match change.avoided {
         Some(_) => Kind::TargetAvoided,
         None => Kind::TargetRestored,
     };
     Event::new(kind)
-        .with(Field::Target, belief.host)
-        .with(Field::Index, belief.target)
-        .with(Field::Service, belief.service)
-        .with_some(Field::Reason, belief.avoided.map(|avoided| avoided.as_str()))
+        .with(Field::Target, change.host)
+        .with(Field::Index, change.target)
+        .with(Field::Service, change.service)
+        .with_some(Field::Reason, change.avoided.map(|avoided| avoided.as_str()))
 }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -37,6 +37,7 @@
 mod bounded;
 mod call;
 mod entry;
+mod events;
 mod fault;
 mod fleet;
 mod headers;
@@ -47,7 +48,6 @@
 mod server;
 mod slot;
 mod target;
-mod tell;
 
 use body::{Checked, Ended, Payload, Tracked};
 use bounded::Bounded;
@@ -330,7 +330,7 @@
                 if ended == Ended::Failed {
                     counters.refused(Reason::ResponseTruncated);
                 }
-                ending.tell(ended);
+                ending.record(ended);
             });
             counted.boxed_unsync()
         })
--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use dw_log::{Event, Field, Kind, Story};
+use dw_log::{Event, Field, Kind, Trace};
 use dw_request::{Arrival, Death, Fingerprint, POISON_SUSPECTS, Reason, Refusal};
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body::Body;
@@ -10,12 +10,12 @@
 use super::{
     Proxy, answer,
     body::{Ended, Payload, Tracked},
-    call::story_of,
+    call::trace_of,
+    events,
     fault::SendFault,
     headers,
     leg::Leg,
     slot::{Beside, Slot},
-    tell,
 };
 use crate::{clock, counters::Step};
 
@@ -37,25 +37,25 @@
             return answer::refuse(&Refusal::new(Reason::UnknownTarget));
         };
         let target = &target;
-        let story = story_of(&self.log, map.get(self.dialect.id()));
+        let trace = trace_of(&self.log, map.get(self.dialect.id()));
         let asked = Instant::now();
         let slot = match target.admit(arrival).await {
             Ok(slot) => slot,
             Err(refusal) => {
                 let load = target.load();
-                story.end(|| {
+                trace.end(|| {
                     let expected = target.expected(&arrival);
-                    tell::turned_away(&target.spot(), refusal.reason, load, expected)
+                    events::turned_away(&target.label(), refusal.reason, load, expected)
                 });
                 return answer::with_load(answer::refuse(&refusal), load);
             }
         };
         self.counters.step(Step::Queue, asked.elapsed());
-        story.note(|| tell::admitted(&target.spot(), asked.elapsed(), target.load()));
+        trace.note(|| events::admitted(&target.label(), asked.elapsed(), target.load()));
         let name = self.prepare(&mut request, &leg, deadline, target);
         let handed = Instant::now();
         let not_run = |reason: Reason, detail: Option<String>| {
-            story.end(|| tell::not_run(&target.spot(), reason, handed, detail));
+            trace.end(|| events::not_run(&target.label(), reason, handed, detail));
             answer::refuse(&Refusal::new(reason))
         };
         let sent = timeout_at(deadline, target.pool.send(request, deadline)).await;
@@ -76,7 +76,7 @@
             Ok(Ok(response)) if !self.dialect.unframed && !delimited(&response) => {
                 not_run(Reason::ProtocolError, Some("a body without a length".to_owned()))
             }
-            Ok(Ok(response)) => self.pass_on(response, target, slot, story, handed),
+            Ok(Ok(response)) => self.pass_on(response, target, slot, trace, handed),
             Ok(Err(fault @ SendFault::NotSent { .. })) => {
                 slot.not_started();
                 not_run(Reason::ConnectFailed, Some(fault.to_string()))
@@ -85,7 +85,7 @@
                 let response = self.lost(target, slot, arrival.fingerprint).await;
                 let reason = answer::reason_of(&response);
                 let detail = Some(fault.to_string());
-                story.end(|| tell::not_run(&target.spot(), reason, handed, detail));
+                trace.end(|| events::not_run(&target.label(), reason, handed, detail));
                 response
             }
             Err(_) => not_run(Reason::TimedOut, None),
@@ -162,7 +162,7 @@
         response: Response<Payload>,
         target: &Arc<Beside>,
         slot: Slot,
-        story: Story,
+        trace: Trace,
         handed: Instant,
     ) -> Response<Payload> {
         target.responded();
@@ -171,10 +171,10 @@
         let mut response = response.map(|body| {
             let tracked = Tracked::new(body, move |ended| {
                 if status >= 500 {
-                    story.mark();
+                    trace.mark_failed();
                 }
                 counters.step(Step::Target, handed.elapsed());
-                story.end(|| tell::ran(&target.spot(), status, handed, ended));
+                trace.end(|| events::ran(&target.label(), status, handed, ended));
                 match ended {
                     Ended::Complete => slot.answered(status),
                     Ended::Failed | Ended::Dropped => drop(slot),
--- a/crates/daemon/src/proxy/call.rs
+++ b/crates/daemon/src/proxy/call.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use dw_log::{Log, Story};
+use dw_log::{Log, Trace};
 use dw_request::{Attempt, Fingerprint, RequestInfo};
 use dw_tables::Name;
 use http::{HeaderMap, HeaderValue, Request, Uri, header, request::Parts, uri::Authority};
@@ -30,7 +30,7 @@
     /// The name of the request; `None` if callers give one and this one did not.
     pub(crate) id: Option<HeaderValue>,
     /// What happens to the request, for the log.
-    pub(crate) story: Story,
+    pub(crate) trace: Trace,
     /// After this moment its answer is worth less.
     pub(crate) late_at: Option<Instant>,
     /// The route it takes, once an attempt was made.
@@ -85,7 +85,7 @@
         // What else a caller sends under these names would be taken for a daemon's own.
         headers::strip_own(map);
         Self {
-            story: story_of(log, id.as_ref()),
+            trace: trace_of(log, id.as_ref()),
             id,
             late_at: None,
             route: None,
@@ -215,7 +215,7 @@
             host: self.host.clone(),
             body: std::mem::replace(&mut self.body, CallBody::Stream(None)),
             id: self.id.clone(),
-            story: self.story.clone(),
+            trace: self.trace.clone(),
             route: self.route.clone(),
             key: self.key.clone(),
             home: self.home.clone(),
@@ -279,8 +279,8 @@
 }
 
 /// Begins to collect what happens to the request of this name.
-pub(crate) fn story_of(log: &Log, id: Option<&HeaderValue>) -> Story {
-    id.and_then(|id| id.to_str().ok()).map(|id| log.story(id)).unwrap_or_default()
+pub(crate) fn trace_of(log: &Log, id: Option<&HeaderValue>) -> Trace {
+    id.and_then(|id| id.to_str().ok()).map(|id| log.trace(id)).unwrap_or_default()
 }
 
 fn host_of(head: &Parts) -> Option<String> {
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -9,9 +9,9 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::{
-    Proxy, answer, body::Payload, call::Call, fault::SendFault, headers, tell, tell::Ending,
+    Proxy, answer, body::Payload, call::Call, events, events::Ending, fault::SendFault, headers,
 };
-use crate::{counters::Step, notes::event_of_belief};
+use crate::{counters::Step, notes::event_of_change};
 
 /// What an attempt led to: for the dispatcher, and for the caller.
 type Tried = (AttemptOutcome, Option<Response<Payload>>);
@@ -35,7 +35,7 @@
                     let reason = answer::reason_of(&response);
                     let status = response.status().as_u16();
                     let refusal = Refusal { outcome, status, ..Refusal::new(reason) };
-                    call.story.end(|| tell::refused(&refusal, call.deadline));
+                    call.trace.end(|| events::refused(&refusal, call.deadline));
                 }
                 response
             }
@@ -43,7 +43,7 @@
                 if let Some(reason) = refusal.no_retry {
                     self.counters.not_retried(reason);
                 }
-                call.story.end(|| tell::refused(&refusal, call.deadline));
+                call.trace.end(|| events::refused(&refusal, call.deadline));
                 answer::refuse_in(&refusal, &self.dialect)
             }
         };
@@ -63,9 +63,9 @@
             map.insert(header::CONNECTION, http::HeaderValue::from_static("close"));
         }
         let status = response.status().as_u16();
-        let (story, counters) = (call.story, self.counters.clone());
+        let (trace, counters) = (call.trace, self.counters.clone());
         let (route, late_at) = (call.route, call.late_at);
-        let ending = Ending { story, counters, route, status, started, late_at };
+        let ending = Ending { trace, counters, route, status, started, late_at };
         (response, call.deadline, ending)
     }
 
@@ -116,7 +116,7 @@
         call.late_at = Some(attempt.goal.late_at);
         call.route = Some(attempt.route.name.clone());
         loop {
-            call.story.note(|| tell::placed(&attempt));
+            call.trace.note(|| events::placed(&attempt));
             if let Some(age) = attempt.basis.age {
                 self.counters.load_age(age);
             }
@@ -134,7 +134,7 @@
                         let no_retry = Some(Reason::RetryLimit);
                         return Err(Refusal { no_retry, ..refusal_of(&outcome) });
                     }
-                    call.story.note(|| tell::again(&next, after));
+                    call.trace.note(|| events::again(&next, after));
                     sleep(after).await;
                     waiting.keep();
                     if let Some(cause) = next.cause {
@@ -170,7 +170,7 @@
                     }
                     None => Reason::StreamRefused,
                 };
-                call.story.note(|| tell::failed(attempt, reason, Outcome::NotRun, sent, detail));
+                call.trace.note(|| events::failed(attempt, reason, Outcome::NotRun, sent, detail));
                 (AttemptOutcome::NotRun { reason, retry_after: None, load: None }, None)
             }
             Ok(Err(SendFault::Unknown { reason, unresponsive })) => {
@@ -179,12 +179,12 @@
                     true => Reason::ConnectionUnresponsive,
                     false => Reason::ConnectionLost,
                 };
-                call.story.note(|| tell::failed(attempt, reason, Outcome::Unknown, sent, detail));
+                call.trace.note(|| events::failed(attempt, reason, Outcome::Unknown, sent, detail));
                 (AttemptOutcome::Unknown { reason }, None)
             }
             Err(_) => {
                 let reason = Reason::TimedOut;
-                call.story.note(|| tell::failed(attempt, reason, Outcome::Unknown, sent, None));
+                call.trace.note(|| events::failed(attempt, reason, Outcome::Unknown, sent, None));
                 (AttemptOutcome::Unknown { reason }, None)
             }
         }
@@ -209,7 +209,7 @@
                 let seconds = headers::read(map, &header::RETRY_AFTER);
                 let seconds = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
                 let reason = answer::reason_of(&response);
-                call.story.note(|| tell::failed(attempt, reason, Outcome::NotRun, sent, None));
+                call.trace.note(|| events::failed(attempt, reason, Outcome::NotRun, sent, None));
                 (AttemptOutcome::NotRun { reason, retry_after: seconds, load }, None)
             }
             Outcome::Unknown => {
@@ -221,7 +221,7 @@
                     self.note_death(Death { host, target: endpoint.target, start }, print);
                 }
                 let reason = answer::reason_of(&response);
-                call.story.note(|| tell::failed(attempt, reason, Outcome::Unknown, sent, None));
+                call.trace.note(|| events::failed(attempt, reason, Outcome::Unknown, sent, None));
                 (AttemptOutcome::Unknown { reason }, None)
             }
         }
@@ -233,10 +233,10 @@
     fn settle(&self, id: AttemptId, outcome: AttemptOutcome) -> Next {
         let mut dispatcher = self.dispatcher();
         let next = dispatcher.settle(id, outcome, Instant::now());
-        let beliefs = dispatcher.take_beliefs();
+        let changes = dispatcher.take_changes();
         drop(dispatcher);
-        for belief in beliefs {
-            self.log.write(&event_of_belief(belief));
+        for change in changes {
+            self.log.write(&event_of_change(change));
         }
         next
     }
--- a/crates/daemon/src/proxy/tell.rs
+++ b/crates/daemon/src/proxy/events.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use dw_log::{Event, Field, Kind, Story};
+use dw_log::{Event, Field, Kind, Trace};
 use dw_request::{Attempt, Load, Outcome, Reason, Refusal};
 use dw_tables::Name;
 use tokio::time::Instant;
@@ -66,14 +66,14 @@
 }
 
 /// The daemon beside the target hands the request over.
-pub(super) fn admitted(target: &Spot<'_>, waited: Duration, load: Load) -> Event {
+pub(super) fn admitted(target: &TargetLabel<'_>, waited: Duration, load: Load) -> Event {
     let event = Event::new(Kind::Admitted);
     with_load(target.name(event), load).with(Field::WaitMs, waited)
 }
 
 /// The daemon beside the target does not hand the request over.
 pub(super) fn turned_away(
-    target: &Spot<'_>,
+    target: &TargetLabel<'_>,
     reason: Reason,
     load: Load,
     expected: Expected,
@@ -87,7 +87,7 @@
 
 /// The target ended the request, or it is not known what became of it there.
 pub(super) fn not_run(
-    target: &Spot<'_>,
+    target: &TargetLabel<'_>,
     reason: Reason,
     sent: Instant,
     detail: Option<String>,
@@ -101,7 +101,7 @@
 }
 
 /// The target answered; `ended` says how the body ended.
-pub(super) fn ran(target: &Spot<'_>, status: u16, sent: Instant, ended: Ended) -> Event {
+pub(super) fn ran(target: &TargetLabel<'_>, status: u16, sent: Instant, ended: Ended) -> Event {
     let kind = match ended {
         Ended::Complete => Kind::Ran,
         Ended::Failed => Kind::Truncated,
@@ -119,14 +119,14 @@
 
 /// A target on this host, for the log.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Spot<'a> {
+pub(super) struct TargetLabel<'a> {
     /// Its service.
     pub(super) service: &'a Name,
     /// Its index.
     pub(super) index: u16,
 }
 
-impl Spot<'_> {
+impl TargetLabel<'_> {
     fn name(&self, event: Event) -> Event {
         event.with(Field::Service, self.service).with(Field::Index, self.index)
     }
@@ -146,7 +146,7 @@
 /// What is logged when the body of a response to a caller ends.
 #[derive(Debug)]
 pub(super) struct Ending {
-    pub(super) story: Story,
+    pub(super) trace: Trace,
     pub(super) counters: Counters,
     /// The route, if an attempt was made.
     pub(super) route: Option<Name>,
@@ -158,10 +158,10 @@
 
 impl Ending {
     /// The body ended.
-    pub(super) fn tell(&self, ended: Ended) {
+    pub(super) fn record(&self, ended: Ended) {
         let late = self.late_at.is_some_and(|at| Instant::now() > at);
         if late || self.status >= 500 {
-            self.story.mark();
+            self.trace.mark_failed();
         }
         if let Some(route) = &self.route {
             self.counters.route(route, self.started.elapsed());
@@ -171,7 +171,7 @@
             Ended::Failed => Kind::Truncated,
             Ended::Dropped => Kind::Cancelled,
         };
-        self.story.end(|| {
+        self.trace.end(|| {
             Event::new(kind)
                 .with(Field::Status, self.status)
                 .with(Field::TookMs, self.started.elapsed())
--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -66,7 +66,7 @@
                 }
                 continue;
             }
-            call.story.note(|| Event::new(Kind::KeeperAsked).with(Field::Target, &keeper.host));
+            call.trace.note(|| Event::new(Kind::KeeperAsked).with(Field::Target, &keeper.host));
             let request = call.for_keeper(deadline);
             match timeout_at(deadline, self.hops.send(keeper.data, request, deadline)).await {
                 Ok(Ok(response)) => {
--- a/crates/daemon/src/proxy/slot.rs
+++ b/crates/daemon/src/proxy/slot.rs
@@ -20,8 +20,8 @@
 };
 
 use super::{
+    events::{Expected, TargetLabel},
     target::TargetPool,
-    tell::{Expected, Spot},
 };
 use crate::{TargetSettings, clock, tasks::Tasks};
 
@@ -142,8 +142,8 @@
     }
 
     /// Names the target in the log.
-    pub(crate) const fn spot(&self) -> Spot<'_> {
-        Spot { service: &self.service, index: self.index }
+    pub(crate) const fn label(&self) -> TargetLabel<'_> {
+        TargetLabel { service: &self.service, index: self.index }
     }
 
     /// What is reported with each response.
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -61,10 +61,10 @@
     /// Settings were refused; those in use stay.
     SettingsRefused = "settings-refused", Warn;
     /// Lines were lost because standard output did not take them; `count` since the line before.
-    LinesLost = "lines-lost", Warn;
+    LinesDropped = "lines-dropped", Warn;
     /// Requests were left out of the log; `count` in the last second, of `reason` `plain`, `refused` or `failed`;
     /// one in `candidates` is kept from now on.
-    LinesThinned = "lines-thinned", Info;
+    RequestsSampled = "requests-sampled", Info;
     /// A request got an id, because its caller sent none, and a target was chosen for it.
     Placed = "placed", Info;
     /// An attempt ended without a response to pass on; `reason` and `outcome` say why.
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -9,13 +9,13 @@
 mod line;
 mod log;
 mod output;
+mod sampler;
 mod settings;
-mod story;
-mod thinner;
+mod trace;
 
 pub use event::{Event, Kind};
 pub use field::{Field, Value};
 pub use log::{Log, LogError, LogLosses};
+pub use sampler::{Class, Dropped, Sampler};
 pub use settings::{LogFormat, LogLevel, LogSettings};
-pub use story::Story;
-pub use thinner::{Class, Left, Thinner};
+pub use trace::Trace;
--- a/crates/log/src/log.rs
+++ b/crates/log/src/log.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    Class, Event, Field, Kind, Left, LogLevel, LogSettings, Story, Thinner, line::line,
+    Class, Dropped, Event, Field, Kind, LogLevel, LogSettings, Sampler, Trace, line::line,
     output::Output,
 };
 
@@ -43,11 +43,11 @@
     settings: LogSettings,
     logger: Logger,
     output: Output,
-    thinning: Mutex<Thinning>,
+    sampling: Mutex<Sampling>,
 }
 
-struct Thinning {
-    thinner: Thinner,
+struct Sampling {
+    sampler: Sampler,
     left: u64,
 }
 
@@ -79,9 +79,9 @@
         };
         let logger =
             Logger::builder().sink(Arc::new(output.clone())).level_filter(level).build()?;
-        let thinner = Thinner::new(Instant::now());
-        let thinning = Mutex::new(Thinning { thinner, left: 0 });
-        Ok(Self(Arc::new(Inner { host, settings, logger, output, thinning })))
+        let sampler = Sampler::new(Instant::now());
+        let sampling = Mutex::new(Sampling { sampler, left: 0 });
+        Ok(Self(Arc::new(Inner { host, settings, logger, output, sampling })))
     }
 
     /// Writes an event that belongs to no request, or to one that is logged in any case.
@@ -92,11 +92,11 @@
     /// Begins to collect what happens to a request at this host. Nothing is collected if the settings
     /// leave such lines out.
     #[must_use]
-    pub fn story(&self, request: &str) -> Story {
+    pub fn trace(&self, request: &str) -> Trace {
         if self.0.settings.level < LogLevel::Warn {
-            return Story::default();
+            return Trace::default();
         }
-        Story::new(self.clone(), Name::new(request))
+        Trace::new(self.clone(), Name::new(request))
     }
 
     /// Waits a moment for the output to take what was written.
@@ -107,33 +107,33 @@
     /// What was not written since the start.
     #[must_use]
     pub fn losses(&self) -> LogLosses {
-        LogLosses { lines: self.0.output.all_lost(), requests: self.0.thinning().left }
+        LogLosses { lines: self.0.output.all_lost(), requests: self.0.sampling().left }
     }
 
     /// Says what was left out, if it was not said yet.
     pub fn tick(&self) {
         let now = Instant::now();
-        let left = Class::ALL.map(|class| self.0.thinning().thinner.left(class, now));
-        self.say_left(left);
+        let left = Class::ALL.map(|class| self.0.sampling().sampler.dropped(class, now));
+        self.report_dropped(left);
     }
 
     /// Writes the events of a request, or leaves all of them out.
-    pub(crate) fn tell(&self, request: &Name, events: &[Event], class: Class) {
+    pub(crate) fn write_trace(&self, request: &Name, events: &[Event], class: Class) {
         let now = Instant::now();
-        let mut thinning = self.0.thinning();
-        let left = Class::ALL.map(|class| thinning.thinner.left(class, now));
-        let keep = thinning.thinner.keep(class, || hash(request), now);
-        thinning.left += u64::from(!keep);
-        drop(thinning);
-        self.say_left(left);
+        let mut sampling = self.0.sampling();
+        let left = Class::ALL.map(|class| sampling.sampler.dropped(class, now));
+        let keep = sampling.sampler.keep(class, || hash(request), now);
+        sampling.left += u64::from(!keep);
+        drop(sampling);
+        self.report_dropped(left);
         if keep {
             events.iter().for_each(|event| self.0.emit(event, Some(request)));
         }
     }
 
-    fn say_left(&self, left: [Option<Left>; 3]) {
+    fn report_dropped(&self, left: [Option<Dropped>; 3]) {
         for left in left.into_iter().flatten() {
-            let event = Event::new(Kind::LinesThinned)
+            let event = Event::new(Kind::RequestsSampled)
                 .with(Field::Reason, left.class.as_str())
                 .with(Field::Count, left.count)
                 .with(Field::Candidates, left.one_in);
@@ -148,7 +148,7 @@
             return;
         }
         if let Some(count) = self.output.take_lost() {
-            let lost = Event::new(Kind::LinesLost).with(Field::Count, count);
+            let lost = Event::new(Kind::LinesDropped).with(Field::Count, count);
             self.hand_over(&lost, None);
         }
         self.hand_over(event, request);
@@ -165,8 +165,8 @@
         }
     }
 
-    fn thinning(&self) -> MutexGuard<'_, Thinning> {
-        self.thinning.lock().unwrap_or_else(PoisonError::into_inner)
+    fn sampling(&self) -> MutexGuard<'_, Sampling> {
+        self.sampling.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/log/src/thinner.rs
+++ b/crates/log/src/sampler.rs
@@ -46,7 +46,7 @@
 
 /// What was left out in the last second.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Left {
+pub struct Dropped {
     /// Of which class.
     pub class: Class,
     /// How many requests.
@@ -59,10 +59,10 @@
 /// share of the processor.
 ///
 /// A request is kept if its hash ends in enough zero bits. The number of bits follows the rate at this
-/// host, so that what a busier host keeps is kept by the others too, and the story of such a request
+/// host, so that what a busier host keeps is kept by the others too, and the trace of such a request
 /// is whole.
 #[derive(Debug)]
-pub struct Thinner {
+pub struct Sampler {
     rates: [Rate; 3],
 }
 
@@ -77,7 +77,7 @@
     since: Instant,
 }
 
-impl Thinner {
+impl Sampler {
     /// Keeps everything until the rates are known.
     #[must_use]
     pub const fn new(now: Instant) -> Self {
@@ -97,7 +97,7 @@
     }
 
     /// What was left out in a window that has ended, once.
-    pub fn left(&mut self, class: Class, now: Instant) -> Option<Left> {
+    pub fn dropped(&mut self, class: Class, now: Instant) -> Option<Dropped> {
         self.rate(class).turn(now)
     }
 
@@ -125,7 +125,7 @@
     }
 
     /// Ends the window if it is over, and chooses the number of bits for the next one.
-    fn turn(&mut self, now: Instant) -> Option<Left> {
+    fn turn(&mut self, now: Instant) -> Option<Dropped> {
         if now < self.since + WINDOW {
             return None;
         }
@@ -133,7 +133,7 @@
         let rate = f64::from(self.seen) / windows;
         self.bits =
             (0..32).find(|bits| rate / f64::from(*bits).exp2() <= f64::from(self.budget))?;
-        let left = Left { class: self.class, count: self.left, one_in: 1 << self.bits };
+        let left = Dropped { class: self.class, count: self.left, one_in: 1 << self.bits };
         (self.seen, self.kept, self.left, self.since) = (0, 0, 0, now);
         (left.count > 0).then_some(left)
     }
--- a/crates/log/src/story.rs
+++ b/crates/log/src/trace.rs
@@ -7,25 +7,25 @@
 /// What happens to one request at one host, written when the last clone is dropped: only then is known
 /// whether it was an ordinary request, of which many are left out under load.
 #[derive(Clone, Debug, Default)]
-pub struct Story(Option<Arc<Open>>);
+pub struct Trace(Option<Arc<Open>>);
 
 #[derive(Debug)]
 struct Open {
     log: Log,
     request: Name,
-    told: Mutex<Told>,
+    events: Mutex<Events>,
 }
 
 #[derive(Debug, Default)]
-struct Told {
-    events: Vec<Event>,
+struct Events {
+    list: Vec<Event>,
     class: Class,
     ended: bool,
 }
 
-impl Story {
+impl Trace {
     pub(crate) fn new(log: Log, request: Name) -> Self {
-        Self(Some(Arc::new(Open { log, request, told: Mutex::default() })))
+        Self(Some(Arc::new(Open { log, request, events: Mutex::default() })))
     }
 
     /// Adds an event; `event` is made only if it may be written.
@@ -38,20 +38,14 @@
     /// Adds the event that ends the request; further ends are ignored.
     pub fn end(&self, event: impl FnOnce() -> Event) {
         let Some(open) = &self.0 else { return };
-        let mut told = open.lock();
-        if !std::mem::replace(&mut told.ended, true) {
-            told.add(event());
+        let mut events = open.lock();
+        if !std::mem::replace(&mut events.ended, true) {
+            events.add(event());
         }
     }
 
-    /// Whether nothing is collected.
-    #[must_use]
-    pub const fn is_off(&self) -> bool {
-        self.0.is_none()
-    }
-
-    /// Says that something went wrong although no event does.
-    pub fn mark(&self) {
+    /// Marks the request as one that failed although no event says so.
+    pub fn mark_failed(&self) {
         if let Some(open) = &self.0 {
             open.lock().class = Class::Failed;
         }
@@ -59,27 +53,27 @@
 }
 
 impl Open {
-    fn lock(&self) -> MutexGuard<'_, Told> {
-        self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Events> {
+        self.events.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl Told {
+impl Events {
     fn add(&mut self, event: Event) {
         self.class = self.class.max(class_of(&event));
-        self.events.push(event);
+        self.list.push(event);
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        let told = self.told.get_mut().unwrap_or_else(PoisonError::into_inner);
-        if !told.ended && !told.events.is_empty() {
+        let events = self.events.get_mut().unwrap_or_else(PoisonError::into_inner);
+        if !events.ended && !events.list.is_empty() {
             // Every other way to end is noted where it is decided.
-            told.add(Event::new(Kind::Cancelled));
+            events.add(Event::new(Kind::Cancelled));
         }
-        if !told.events.is_empty() {
-            self.log.tell(&self.request, &told.events, told.class);
+        if !events.list.is_empty() {
+            self.log.write_trace(&self.request, &events.list, events.class);
         }
     }
 }
--- a/crates/log/tests/log.rs
+++ b/crates/log/tests/log.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use dw_log::{Class, Event, Field, Kind, Log, LogFormat, LogLevel, LogSettings, Thinner};
+use dw_log::{Class, Event, Field, Kind, Log, LogFormat, LogLevel, LogSettings, Sampler};
 use googletest::prelude::*;
 use tokio::time::{Instant, advance};
 
@@ -94,13 +94,13 @@
 /// that is still at work.
 #[gtest]
 #[tokio::test]
-async fn a_story_without_an_end_says_that_the_caller_left() -> Result<()> {
+async fn a_trace_without_an_end_says_that_the_caller_left() -> Result<()> {
     let pipe = Pipe::default();
     let log = log(&pipe)?;
-    let story = log.story("r1");
-    story.note(placed);
-    let other = story.clone();
-    drop(story);
+    let trace = log.trace("r1");
+    trace.note(placed);
+    let other = trace.clone();
+    drop(trace);
     log.flush();
     expect_that!(pipe.text(), eq(""));
     drop(other);
@@ -133,7 +133,7 @@
     log.flush();
     expect_that!(
         pipe.text(),
-        contains_substring(format!(r#""event":"lines-lost","count":{lost}"#))
+        contains_substring(format!(r#""event":"lines-dropped","count":{lost}"#))
     );
     Ok(())
 }
@@ -141,8 +141,8 @@
 /// A flood of refusals used to be able to fill the log; what is kept must be the same at each host.
 #[gtest]
 #[tokio::test(start_paused = true)]
-async fn a_flood_is_thinned_and_what_is_kept_is_nested() -> Result<()> {
-    let (mut busy, mut calm) = (Thinner::new(Instant::now()), Thinner::new(Instant::now()));
+async fn a_flood_is_sampled_and_what_is_kept_is_nested() -> Result<()> {
+    let (mut busy, mut calm) = (Sampler::new(Instant::now()), Sampler::new(Instant::now()));
     let (mut first, mut flood, mut missing) = (0, 0, 0);
     for second in 0..10 {
         for number in 0..2_000_u64 {
@@ -161,9 +161,9 @@
             }
         }
         advance(Duration::from_secs(1)).await;
-        let left = busy.left(Class::Failed, Instant::now());
+        let left = busy.dropped(Class::Failed, Instant::now());
         expect_that!(left.map(|left| left.count), some(gt(1_900)));
-        calm.left(Class::Failed, Instant::now());
+        calm.dropped(Class::Failed, Instant::now());
     }
     expect_that!(first, le(60));
     expect_that!(flood, all![ge(8 * 10), le(8 * 40)]);
@@ -178,9 +178,9 @@
     let pipe = Pipe::default();
     let log = log(&pipe)?;
     for number in 0..8 {
-        let story = log.story(&format!("r{number}"));
-        story.note(placed);
-        story.end(|| Event::new(Kind::Answered).with(Field::Status, 200_u16));
+        let trace = log.trace(&format!("r{number}"));
+        trace.note(placed);
+        trace.end(|| Event::new(Kind::Answered).with(Field::Status, 200_u16));
     }
     log.flush();
     expect_that!(pipe.text().lines().count(), eq(16));
@@ -195,15 +195,15 @@
     let pipe = Pipe::default();
     let log = log(&pipe)?;
     for number in 0..100 {
-        let story = log.story(&format!("r{number}"));
-        story.note(placed);
+        let trace = log.trace(&format!("r{number}"));
+        trace.note(placed);
         match number % 10 {
-            0 => story.end(|| {
+            0 => trace.end(|| {
                 let refused = Event::new(Kind::Refused).with(Field::Reason, "queue-full");
                 refused.with(Field::Outcome, "not-run")
             }),
-            1 => story.end(|| Event::new(Kind::Truncated).with(Field::Status, 200_u16)),
-            _ => story.end(|| Event::new(Kind::Answered).with(Field::Status, 200_u16)),
+            1 => trace.end(|| Event::new(Kind::Truncated).with(Field::Status, 200_u16)),
+            _ => trace.end(|| Event::new(Kind::Answered).with(Field::Status, 200_u16)),
         }
     }
     log.flush();
--- a/crates/request/src/balancer.rs
+++ b/crates/request/src/balancer.rs
@@ -5,11 +5,11 @@
 use tokio::time::Instant;
 
 use crate::{
-    Avoidance, Basis, Belief, Endpoint, EndpointState, Load,
-    belief::Choice,
+    Avoidance, Basis, Endpoint, EndpointState, Load, TargetChange,
     locality::{Place, TIERS, Tier, choose_tier},
     outlier::Standing,
     target::{Seen, Target},
+    view::Choice,
 };
 
 /// Weight of the newest latency in the pool's mean.
@@ -22,8 +22,8 @@
 /// Difference between two statements of the same start.
 const START_JITTER: Duration = Duration::from_secs(1);
 
-/// Changes of belief that are kept for the log until they are taken.
-const BELIEFS: usize = 64;
+/// Changes of change that are kept for the log until they are taken.
+const CHANGES: usize = 64;
 
 /// Draws after which any target is accepted, which bounds the work where all are cold.
 const DRAWS: usize = 4;
@@ -57,7 +57,7 @@
     mean: Option<f64>,
     turn: usize,
     next: u64,
-    beliefs: Vec<Belief>,
+    changes: Vec<TargetChange>,
 }
 
 impl Balancer {
@@ -70,18 +70,18 @@
             mean: None,
             turn: 0,
             next: 0,
-            beliefs: Vec::new(),
+            changes: Vec::new(),
         }
     }
 
     /// What changed since the last call.
-    pub(crate) fn take_beliefs(&mut self) -> Vec<Belief> {
-        std::mem::take(&mut self.beliefs)
+    pub(crate) fn take_changes(&mut self) -> Vec<TargetChange> {
+        std::mem::take(&mut self.changes)
     }
 
     fn note(&mut self, idx: usize, avoided: Option<Avoidance>) {
-        if self.beliefs.len() < BELIEFS {
-            self.beliefs.push(Belief::new(&self.targets[idx].endpoint, avoided));
+        if self.changes.len() < CHANGES {
+            self.changes.push(TargetChange::new(&self.targets[idx].endpoint, avoided));
         }
     }
 
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -9,10 +9,9 @@
 use tokio::time::Instant;
 
 use crate::{
-    Attempt, AttemptId, AttemptOutcome, Belief, Decision, Endpoint, Fingerprint, Goal, Next,
-    Poison, Reason, Refusal, RequestInfo, Router, backoff,
+    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, Fingerprint, Goal, Next, Poison,
+    Reason, Refusal, RequestInfo, Router, TargetChange, backoff,
     balancer::Wish,
-    belief::Choice,
     flight::{Flight, LostAttempts},
     locality::Place,
     patience::Patience,
@@ -20,6 +19,7 @@
     target::Seen,
     upstream::Upstream,
     verdict::{Verdict, is_before_target, is_final, is_local, is_overload},
+    view::Choice,
 };
 
 /// Calls above a request beyond which it is taken for a loop; real chains have up to 8.
@@ -214,8 +214,8 @@
     }
 
     /// What changed in the view of targets since the last call, for the log.
-    pub fn take_beliefs(&mut self) -> Vec<Belief> {
-        self.upstreams.values_mut().flat_map(|u| u.balancer.take_beliefs()).collect()
+    pub fn take_changes(&mut self) -> Vec<TargetChange> {
+        self.upstreams.values_mut().flat_map(|u| u.balancer.take_changes()).collect()
     }
 
     /// Targets that are ejected or on probation, and all targets, of a pool.
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -7,7 +7,6 @@
 mod attempt;
 mod backoff;
 mod balancer;
-mod belief;
 mod budget;
 mod claim;
 mod dispatcher;
@@ -39,10 +38,10 @@
 mod target;
 mod upstream;
 mod verdict;
+mod view;
 
 pub use admission::{Admission, Arrival, GateConfig, Permit, RunOutcome, Ticket, Wake};
 pub use attempt::{Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo};
-pub use belief::{Avoidance, Basis, Belief};
 pub use budget::RetryBudget;
 pub use claim::{
     ANSWER_LIMIT, CLOCK_SKEW, Claim, HandOver, Held, KEEPER_HOLD, KeeperConfig, RECORD_WINDOW,
@@ -64,3 +63,4 @@
 pub use residents::{Heard, Report, Resident, Residents};
 pub use returns::Returns;
 pub use router::{Entry, Router};
+pub use view::{Avoidance, Basis, TargetChange};
--- a/crates/request/src/belief.rs
+++ b/crates/request/src/view.rs
@@ -48,7 +48,7 @@
 
 /// A change of what this daemon thinks of a target, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Belief {
+pub struct TargetChange {
     /// The target's host.
     pub host: Name,
     /// Its index there.
@@ -59,7 +59,7 @@
     pub avoided: Option<Avoidance>,
 }
 
-impl Belief {
+impl TargetChange {
     pub(crate) fn new(endpoint: &Endpoint, avoided: Option<Avoidance>) -> Self {
         Self {
             host: endpoint.host.clone(),
