--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -33,8 +33,10 @@
 /// that were accepted last arrive and are refused by a response.
 const LINGER: Duration = Duration::from_millis(200);
 
-/// The longest wait for connections to close once nothing is in flight.
+/// The longest wait for connections to close once nothing is in flight, and its share of the grace, so
+/// that a short one leaves time for it.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
+const CLOSE_SHARE: u32 = 10;
 
 /// Time for the last control messages to leave the host.
 const FLUSH: Duration = Duration::from_millis(50);
@@ -182,7 +184,8 @@
         self.proxy.close_idle();
         self.server.open.close();
         // A connection that does not close in time ends with the process.
-        let _ = timeout(CLOSE_WAIT, self.server.open.wait()).await;
+        let wait = CLOSE_WAIT.min(self.grace / CLOSE_SHARE);
+        let _ = timeout(wait, self.server.open.wait()).await;
         self.tell(LocalEvent::Left).await;
         sleep(FLUSH).await;
         self.log.write(&Event::new(Kind::Stopped));
