--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -65,7 +65,7 @@
     /// Requests were left out of the log; `count` in the last second, of `reason` `plain`, `refused` or `failed`;
     /// one in `candidates` is kept from now on.
     RequestsSampled = "requests-sampled", Info;
-    /// A request got an id, because its caller sent none, and a target was chosen for it.
+    /// A target was chosen for the request; the fields say on what basis.
     Placed = "placed", Info;
     /// An attempt ended without a response to pass on; `reason` and `outcome` say why.
     AttemptFailed = "attempt-failed", Warn;
@@ -97,7 +97,7 @@
     TargetDied = "target-died", Warn;
     /// A target's own report changed what is known of it.
     TargetReported = "target-reported", Info;
-    /// A target's report was not used: `stale`, `unreadable` or `closed`.
+    /// A target's report was not used: `stale` or `unreadable`.
     ReportIgnored = "report-ignored", Warn;
     /// Requests avoid a target: `failing`, `leaving` or `unreachable`.
     TargetAvoided = "target-avoided", Warn;
