--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::expect_used, clippy::cast_possible_truncation, clippy::print_stderr, dead_code)]
 
+mod checks;
 mod platform;
 
 use std::{
@@ -14,7 +15,7 @@
 
 use dw_mesh::{
     Action, Counter, Force, Input, LocalEvent, Node, NodeConfig, PlatformCallKind, PlatformEvent,
-    Preset, PresetName, Status,
+    Preset, PresetName,
 };
 use dw_tables::{Hash, Tables, Version, VersionMark, parse_pools, parse_routes, validate};
 use dw_wire::{decode_packet, encode_packet};
@@ -481,48 +482,4 @@
             );
         }
     }
-
-    /// The status of a host.
-    pub(crate) fn status(&self, id: usize) -> Status {
-        self.hosts[id].node.as_ref().expect("a running process").status()
-    }
-
-    /// The hosts that act as relays in their own view.
-    pub(crate) fn relays(&self) -> Vec<usize> {
-        (0..self.hosts.len())
-            .filter(|id| {
-                let host = &self.hosts[*id];
-                host.node.as_ref().is_some_and(|node| {
-                    let table = node.members();
-                    table.get(&host.cfg.domain, &host.cfg.host).is_some_and(|m| m.relay)
-                })
-            })
-            .collect()
-    }
-
-    /// All running processes serve the newest version, each domain has a relay, and all relays say
-    /// that it is in force.
-    pub(crate) fn expect_settled(&self) {
-        let newest = self.accepted.last().map(|v| v.mark()).unwrap_or_default();
-        let seed = self.seed;
-        for host in self.hosts.iter().filter(|host| host.node.is_some()) {
-            let name = &host.cfg.host;
-            assert_eq!(host.served, newest, "seed {seed}: {name} did not converge");
-        }
-        let relays = self.relays();
-        for host in self.hosts.iter().filter(|host| host.node.is_some()) {
-            let domain = &host.cfg.domain;
-            let led = relays.iter().any(|id| self.hosts[*id].cfg.domain == *domain);
-            assert!(led, "seed {seed}: {domain} has no relay");
-        }
-        for id in relays {
-            let status = self.status(id);
-            assert_eq!(status.state, Force::InForce, "seed {seed}: {status:?}");
-        }
-    }
-
-    /// Sum of a counter over all hosts.
-    pub(crate) fn total(&self, counter: Counter) -> u64 {
-        self.hosts.iter().filter_map(|host| host.counts.get(&counter)).sum()
-    }
 }
