--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -3,7 +3,8 @@
 use tokio::time::Instant;
 
 /// The wall clock in ms since the Unix epoch.
-pub(crate) fn unix_ms() -> u64 {
+#[must_use]
+pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -8,18 +8,21 @@
 };
 use crate::Dialect;
 
-/// The reason of a refusal in the form that the proxy of this daemon sends.
+/// The response of a refusal in the form that the callers of this daemon read.
 pub(crate) fn refuse_in(refusal: &Refusal, dialect: &Dialect) -> Response<Payload> {
-    let mut response = refuse(refusal);
-    if dialect.fractions {
-        let seconds = refusal.retry_after.as_secs_f64();
-        headers::set(response.headers_mut(), header::RETRY_AFTER, format!("{seconds:.3}"));
+    match dialect.fractions {
+        true => refuse_after(refusal, format!("{:.3}", refusal.retry_after.as_secs_f64())),
+        false => refuse(refusal),
     }
-    response
 }
 
 /// The response that says why a request is refused, with the time after which to retry.
 pub(crate) fn refuse(refusal: &Refusal) -> Response<Payload> {
+    // Whole seconds, rounded up: an earlier retry would meet the same refusal.
+    refuse_after(refusal, refusal.retry_after.as_millis().div_ceil(1000))
+}
+
+fn refuse_after(refusal: &Refusal, after: impl Into<headers::Text>) -> Response<Payload> {
     let body = format!(
         "{{\"outcome\":\"{}\",\"reason\":\"{}\",\"retry_after_ms\":{}}}\n",
         refusal.outcome,
@@ -33,9 +36,7 @@
     map.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     map.insert(headers::OUTCOME, HeaderValue::from_static(refusal.outcome.as_str()));
     map.insert(headers::REASON, HeaderValue::from_static(refusal.reason.as_str()));
-    // Whole seconds, rounded up: an earlier retry would meet the same refusal.
-    let seconds = refusal.retry_after.as_millis().div_ceil(1000);
-    headers::set(map, header::RETRY_AFTER, seconds);
+    headers::set(map, header::RETRY_AFTER, after);
     response
 }
 
--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -144,12 +144,27 @@
         deadline: Instant,
         target: &Beside,
     ) -> Option<HeaderValue> {
-        prepare(request, leg, deadline);
+        let host = request.uri().authority().map(ToString::to_string);
+        let path = request.uri().path_and_query().cloned();
+        *request.uri_mut() = path.map(Uri::from).unwrap_or_default();
+        *request.version_mut() = http::Version::HTTP_11;
+        let left = headers::ms_left(deadline);
         let map = request.headers_mut();
-        if self.dialect.timeout != headers::TIMEOUT {
+        if let Some(host) = host {
+            headers::set(map, header::HOST, host);
+        }
+        if self.dialect.timeout == headers::TIMEOUT {
+            for name in [headers::SERVICE, headers::LEG, headers::PRINT] {
+                map.remove(name);
+            }
+            headers::set(map, headers::DEPTH, leg.depth);
+            headers::set(map, headers::RETRIED, u8::from(leg.retried));
+            headers::set(map, headers::DEADLINE, u128::from(clock::unix_ms()) + left);
+        } else {
+            // Its targets know none of the product's own headers.
             headers::strip_own(map);
-            headers::set(map, self.dialect.timeout.clone(), headers::ms_left(deadline));
         }
+        headers::set(map, self.dialect.timeout.clone(), left);
         if let Some(header) = &self.dialect.target {
             headers::set(map, header.clone(), &target.name);
         }
@@ -205,26 +220,6 @@
     }
 }
 
-/// Turns a request between daemons into one for the target.
-fn prepare(request: &mut Request<Payload>, leg: &Leg, deadline: Instant) {
-    let host = request.uri().authority().map(ToString::to_string);
-    let path = request.uri().path_and_query().cloned();
-    *request.uri_mut() = path.map(Uri::from).unwrap_or_default();
-    *request.version_mut() = http::Version::HTTP_11;
-    let left = headers::ms_left(deadline);
-    let map = request.headers_mut();
-    for name in [headers::SERVICE, headers::LEG, headers::PRINT] {
-        map.remove(name);
-    }
-    if let Some(host) = host {
-        headers::set(map, header::HOST, host);
-    }
-    headers::set(map, headers::TIMEOUT, left);
-    headers::set(map, headers::DEPTH, leg.depth);
-    headers::set(map, headers::RETRIED, u8::from(leg.retried));
-    headers::set(map, headers::DEADLINE, u128::from(clock::unix_ms()) + left);
-}
-
 /// Whether the end of the body can be told from a failed connection. A body that ends with its
 /// connection cannot be passed on as complete.
 fn delimited(response: &Response<Payload>) -> bool {
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -13,8 +13,21 @@
 };
 use crate::{counters::Step, notes::event_of_change};
 
-/// What an attempt led to: for the dispatcher, and for the caller.
-type Tried = (AttemptOutcome, Option<Response<Payload>>);
+/// What an attempt led to.
+struct Tried {
+    /// For the dispatcher.
+    outcome: AttemptOutcome,
+    /// For the caller.
+    response: Option<Response<Payload>>,
+    /// What the connection reported, for the log.
+    detail: Option<String>,
+}
+
+impl From<AttemptOutcome> for Tried {
+    fn from(outcome: AttemptOutcome) -> Self {
+        Self { outcome, response: None, detail: None }
+    }
+}
 
 impl Proxy {
     /// Responds to a request of a caller; also returns when the whole response is due, and what is to
@@ -121,7 +134,11 @@
                 self.counters.load_age(age);
             }
             let flight = Flight { proxy: self.clone(), id: Some(attempt.id) };
-            let (outcome, response) = self.attempt(&attempt, call).await;
+            let sent = Instant::now();
+            let Tried { outcome, response, detail } = self.attempt(&attempt, call, sent).await;
+            if let Some((reason, ran)) = failure_of(&outcome) {
+                call.trace.note(|| events::failed(&attempt, reason, ran, sent, detail));
+            }
             match flight.settle(&outcome) {
                 Next::Deliver => {
                     return response.ok_or_else(|| Refusal::new(Reason::ProtocolError));
@@ -146,8 +163,7 @@
         }
     }
 
-    async fn attempt(self: &Arc<Self>, attempt: &Attempt, call: &mut Call) -> Tried {
-        let sent = Instant::now();
+    async fn attempt(self: &Arc<Self>, attempt: &Attempt, call: &mut Call, sent: Instant) -> Tried {
         let deadline = sent + attempt.timeout;
         let request = call.for_target(attempt, deadline);
         let endpoint = &attempt.endpoint;
@@ -170,8 +186,8 @@
                     }
                     None => Reason::StreamRefused,
                 };
-                call.trace.note(|| events::failed(attempt, reason, Outcome::NotRun, sent, detail));
-                (AttemptOutcome::NotRun { reason, retry_after: None, load: None }, None)
+                let outcome = AttemptOutcome::NotRun { reason, retry_after: None, load: None };
+                Tried { detail, ..outcome.into() }
             }
             Ok(Err(SendFault::Unknown { reason, unresponsive })) => {
                 let detail = Some(reason);
@@ -179,14 +195,9 @@
                     true => Reason::ConnectionUnresponsive,
                     false => Reason::ConnectionLost,
                 };
-                call.trace.note(|| events::failed(attempt, reason, Outcome::Unknown, sent, detail));
-                (AttemptOutcome::Unknown { reason }, None)
-            }
-            Err(_) => {
-                let reason = Reason::TimedOut;
-                call.trace.note(|| events::failed(attempt, reason, Outcome::Unknown, sent, None));
-                (AttemptOutcome::Unknown { reason }, None)
+                Tried { detail, ..AttemptOutcome::Unknown { reason }.into() }
             }
+            Err(_) => AttemptOutcome::Unknown { reason: Reason::TimedOut }.into(),
         }
     }
 
@@ -203,14 +214,13 @@
             Outcome::Run => {
                 let status = answer::status_of(&response);
                 let outcome = AttemptOutcome::Answered { status, load, latency: sent.elapsed() };
-                (outcome, Some(response))
+                Tried { response: Some(response), ..outcome.into() }
             }
             Outcome::NotRun => {
                 let seconds = headers::read(map, &header::RETRY_AFTER);
                 let seconds = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
                 let reason = answer::reason_of(&response);
-                call.trace.note(|| events::failed(attempt, reason, Outcome::NotRun, sent, None));
-                (AttemptOutcome::NotRun { reason, retry_after: seconds, load }, None)
+                AttemptOutcome::NotRun { reason, retry_after: seconds, load }.into()
             }
             Outcome::Unknown => {
                 if let (Some(start), Some(print)) =
@@ -220,9 +230,7 @@
                     let host = endpoint.host.clone();
                     self.note_death(Death { host, target: endpoint.target, start }, print);
                 }
-                let reason = answer::reason_of(&response);
-                call.trace.note(|| events::failed(attempt, reason, Outcome::Unknown, sent, None));
-                (AttemptOutcome::Unknown { reason }, None)
+                AttemptOutcome::Unknown { reason: answer::reason_of(&response) }.into()
             }
         }
     }
@@ -242,6 +250,15 @@
     }
 }
 
+/// Why an attempt led to no response, and what that says about the request.
+const fn failure_of(outcome: &AttemptOutcome) -> Option<(Reason, Outcome)> {
+    match *outcome {
+        AttemptOutcome::NotRun { reason, .. } => Some((reason, Outcome::NotRun)),
+        AttemptOutcome::Unknown { reason } => Some((reason, Outcome::Unknown)),
+        AttemptOutcome::Answered { .. } | AttemptOutcome::Cancelled => None,
+    }
+}
+
 /// What an attempt alone says to the caller.
 fn refusal_of(outcome: &AttemptOutcome) -> Refusal {
     match *outcome {
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -25,11 +25,6 @@
 /// Calls above a request beyond which it is taken for a loop; real chains have up to 8.
 const MAX_DEPTH: u8 = 16;
 
-/// Whether the attempt was refused before the target was contacted.
-const fn is_move(outcome: &AttemptOutcome) -> bool {
-    matches!(outcome, AttemptOutcome::NotRun { reason, .. } if is_before_target(*reason))
-}
-
 /// Where the dispatcher runs.
 #[derive(Clone, Debug, Default)]
 pub struct DispatcherConfig {
@@ -177,7 +172,7 @@
         };
         let unknown = !matches!(outcome, AttemptOutcome::NotRun { .. });
         // Where requests are moved, a refusal that reached no target is not retried in another way.
-        let movable = self.moves > 0 && !unknown && is_before_target(cause);
+        let movable = self.is_movable(&outcome);
         if movable && let Some(attempt) = self.relocate(&mut flight, cause, now) {
             return Next::Retry { after: Duration::ZERO, attempt };
         }
@@ -308,6 +303,13 @@
         attempt
     }
 
+    /// Whether the attempt was refused before its target was contacted, and such requests are moved.
+    const fn is_movable(&self, outcome: &AttemptOutcome) -> bool {
+        let before = matches!(outcome,
+            AttemptOutcome::NotRun { reason, .. } if is_before_target(*reason));
+        self.moves > 0 && before
+    }
+
     /// Takes over what the end of an attempt says about its target and pool.
     fn land(&mut self, flight: &Flight, outcome: &AttemptOutcome, now: Instant) {
         let fair = flight.timeout >= Duration::from(flight.route.deadline) / 2;
@@ -315,6 +317,7 @@
         if let (AttemptOutcome::Unknown { .. }, Some(print)) = (outcome, flight.print) {
             self.lost.push(&flight.endpoint, print, now);
         }
+        let movable = self.is_movable(outcome);
         let Some(upstream) = self.upstreams.get_mut(&flight.pool) else { return };
         let uid = flight.uid;
         let policy = &upstream.pool.ejection;
@@ -332,7 +335,7 @@
             }
             // A refusal of a daemon beside a target moves the request elsewhere. It says how full that
             // target is, and lowering this daemon's own limit would refuse what others have room for.
-            Seen::Shed if self.moves > 0 && is_move(outcome) => {}
+            Seen::Shed if movable => {}
             Seen::Shed => {
                 upstream.shed.record(true, now);
                 if upstream.shed.is_shedding(now) {
