Log when a version is seen, fetched, and fetched too late

Three events: version-seen (a relay or standby sees a newer head), version-fetched (rows from a peer, with bytes and time), fetch-late (a peer did not send in time and another is asked).

--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -28,6 +28,15 @@
                 .with(Field::Detail, reason)
         }
         Note::Regained { count } => Event::new(Kind::StoreRegained).with(Field::Count, count),
+        Note::Seen { number } => Event::new(Kind::VersionSeen).with(Field::Version, number),
+        Note::Fetched { number, from, bytes, took } => Event::new(Kind::VersionFetched)
+            .with(Field::Version, number)
+            .with(Field::Address, from.to_string())
+            .with(Field::Bytes, bytes)
+            .with(Field::TookMs, took),
+        Note::FetchLate { from, wait } => Event::new(Kind::FetchLate)
+            .with(Field::Address, from.to_string())
+            .with(Field::WaitMs, wait),
         Note::Served(mark) => Event::new(Kind::VersionServed).with(Field::Version, mark.number),
         Note::Refused { mark, reason } => Event::new(Kind::VersionRefused)
             .with(Field::Version, mark.number)
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -119,6 +119,12 @@
     StoreLost = "store-lost", Warn;
     /// The store answers again after `count` failed calls.
     StoreRegained = "store-regained", Info;
+    /// The store shows a version that is newer than any held.
+    VersionSeen = "version-seen", Info;
+    /// The rows of a version came from the peer `address`, `took_ms` after they were asked for.
+    VersionFetched = "version-fetched", Info;
+    /// The peer `address` did not send the rows of a version within `wait_ms`; another one is asked.
+    FetchLate = "fetch-late", Warn;
     /// A version is used for requests from now on.
     VersionServed = "version-served", Info;
     /// A version was refused.
--- a/crates/log/src/field.rs
+++ b/crates/log/src/field.rs
@@ -93,6 +93,8 @@
     Late = "late";
     /// How many.
     Count = "count";
+    /// The size in bytes.
+    Bytes = "bytes";
     /// The address of a peer or of the store, or those on which a process listens.
     Address = "address";
     /// The fingerprint of a request, as daemons tell each other.
--- a/crates/mesh/src/note.rs
+++ b/crates/mesh/src/note.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use dw_tables::{Name, VersionMark};
 
@@ -43,6 +43,29 @@
         /// Calls that failed before.
         count: u32,
     },
+    /// The platform's head names a version that is newer than any held.
+    Seen {
+        /// The version.
+        number: u64,
+    },
+    /// The rows of a version came from a peer.
+    Fetched {
+        /// The version.
+        number: u64,
+        /// The peer.
+        from: SocketAddr,
+        /// The rows as they were sent, in bytes.
+        bytes: usize,
+        /// Time since the peer was asked.
+        took: Duration,
+    },
+    /// A peer did not send the rows of a version in time.
+    FetchLate {
+        /// The peer.
+        from: SocketAddr,
+        /// Time since it was asked.
+        wait: Duration,
+    },
     /// The version is served from now on.
     Served(VersionMark),
     /// The version was refused.
--- a/crates/mesh/src/pull.rs
+++ b/crates/mesh/src/pull.rs
@@ -40,7 +40,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pulling {
     sources: BTreeMap<SocketAddr, u64>,
-    current: Option<SocketAddr>,
+    /// The peer that was asked, and when.
+    current: Option<(SocketAddr, Instant)>,
     /// Whether the next pull asks for all rows, because a delta did not apply.
     whole: bool,
     transfers: BTreeMap<SocketAddr, (Instant, bool)>,
@@ -86,7 +87,7 @@
         let mark = self.store.newest();
         let have = (mark.number > 0 && !self.pull.whole).then(|| mark_to_wire(mark));
         self.pull.whole = false;
-        self.pull.current = Some(from);
+        self.pull.current = Some((from, self.now));
         let wait = if have.is_some() { DELTA_WAIT } else { SNAPSHOT_WAIT };
         self.timers.set(Timer::Pull, self.now + wait);
         self.send(from, FrameBody::Pull(Pull { have }));
@@ -94,8 +95,9 @@
 
     /// A pull was not answered, or is to be tried again.
     pub(crate) fn run_pull(&mut self) {
-        if let Some(from) = self.pull.current.take() {
+        if let Some((from, asked)) = self.pull.current.take() {
             self.count(Counter::PullTimeout);
+            self.note(Note::FetchLate { from, wait: self.now.saturating_duration_since(asked) });
             self.pull.sources.remove(&from);
         }
         let newest = self.store.newest().number;
@@ -107,9 +109,21 @@
         }
     }
 
+    /// When the peer was asked, if it is the one that is asked now.
+    fn asked(&self, peer: SocketAddr) -> Option<Instant> {
+        self.pull.current.and_then(|(addr, at)| (addr == peer).then_some(at))
+    }
+
+    /// Logs rows that arrived. A peer that was given up before it sent them counts from now.
+    fn note_fetched(&mut self, from: SocketAddr, mark: VersionMark, bytes: usize) {
+        let asked = self.asked(from).unwrap_or(self.now);
+        let took = self.now.saturating_duration_since(asked);
+        self.note(Note::Fetched { number: mark.number, from, bytes, took });
+    }
+
     /// A frame to a peer could not be sent.
     pub(crate) fn pull_failed(&mut self, to: SocketAddr) {
-        if self.pull.current == Some(to) {
+        if self.asked(to).is_some() {
             self.timers.set(Timer::Pull, self.now);
         } else {
             self.pull.sources.remove(&to);
@@ -128,7 +142,7 @@
     }
 
     pub(crate) fn on_busy(&mut self, from: SocketAddr, busy: &Busy) {
-        if self.pull.current == Some(from) {
+        if self.asked(from).is_some() {
             self.pull.current = None;
             let hint = Duration::from_millis(u64::from(busy.retry_ms)).min(SNAPSHOT_WAIT);
             let wait = hint + self.jitter(hint);
@@ -186,6 +200,7 @@
 
     pub(crate) fn on_delta(&mut self, from: SocketAddr, frame: &Delta) {
         let Some(mark) = self.wanted(frame.mark.as_ref()) else { return };
+        self.note_fetched(from, mark, frame.rows.len());
         let delta: Option<dw_tables::Delta> = serde_json::from_slice(&frame.rows).ok();
         let version = delta.filter(|delta| delta.target == mark).and_then(|delta| {
             let base = self.store.base(delta.base)?;
@@ -205,6 +220,7 @@
 
     pub(crate) fn on_snapshot(&mut self, from: SocketAddr, frame: &Snapshot) {
         let Some(mark) = self.wanted(frame.mark.as_ref()) else { return };
+        self.note_fetched(from, mark, frame.rows.len());
         let Ok(text) = std::str::from_utf8(&frame.rows) else {
             self.count(Counter::BadMessage);
             self.pull_failed(from);
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -310,6 +310,12 @@
 
     fn on_head(&mut self, head: Option<Head>, revision: u64) {
         self.start_watch(revision);
+        let newest = self.store.newest().number;
+        let number = head.as_ref().map_or(0, |head| head.number);
+        let known = self.relay.head.as_ref().is_some_and(|(_, at)| *at == revision);
+        if number > newest && !known {
+            self.note(Note::Seen { number });
+        }
         self.relay.head = Some((head, revision));
         // A standby leaves new versions to the relays, but not the first one that it serves.
         let first = self.cfg.preset.durable && self.store.served().is_none();
