Add a test of many added routes behind narrow links that fails

The simulated fleet gets links with a speed: frames and the heads that the platform sends take time for each byte.

--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::expect_used, clippy::cast_possible_truncation, clippy::print_stderr, dead_code)]
 
 mod checks;
+pub(crate) mod link;
 mod platform;
 
 use std::{
@@ -19,6 +20,7 @@
 };
 use dw_tables::{Hash, Tables, Version, VersionMark, parse_pools, parse_routes, validate};
 use dw_wire::{decode_packet, encode_packet};
+use link::Link;
 use platform::Store;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::time::Instant;
@@ -53,6 +55,8 @@
     pub(crate) highest: u64,
     pub(crate) sent: u64,
     pub(crate) received: u64,
+    /// The link; `None` for one that is never full.
+    pub(crate) link: Option<Link>,
     pub(crate) counts: BTreeMap<Counter, u64>,
     pub(crate) poison: Vec<u64>,
 }
@@ -99,10 +103,12 @@
 /// Adds routes that are the same in each version.
 fn with_rows(version: Version, rows: usize) -> Version {
     let mut tables = version.tables;
-    for idx in 0..rows {
+    for idx in 0..rows as u64 {
         let mut route = tables.routes[0].clone();
-        route.name = format!("row-{idx}").as_str().into();
-        route.matches.path = format!("/row/{idx}").as_str().into();
+        // Names without a pattern, as operators choose them, so that rows do not compress better.
+        let digits = idx.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(23);
+        route.name = format!("row-{:x}", digits >> 24).as_str().into();
+        route.matches.path = format!("/row/{digits:x}").as_str().into();
         route.deadline = 1_000.into();
         tables.routes.push(route);
     }
@@ -149,6 +155,7 @@
                     highest: 0,
                     sent: 0,
                     received: 0,
+                    link: None,
                     counts: BTreeMap::new(),
                     poison: Vec::new(),
                 });
@@ -269,6 +276,7 @@
             if self.platform.reachable(id) {
                 let input = Input::Platform(event.clone());
                 let at = self.now + Duration::from_millis(2);
+                let at = self.receive(id, at, self.platform.head_size);
                 self.enqueue(at, Event::Deliver { to: id, process: Some(process), input });
             }
         }
@@ -379,6 +387,9 @@
                 let (answer, event) = self.platform.execute(owner, &call, self.now);
                 let at = self.now + self.platform.latency();
                 if let Some(answer) = answer {
+                    let head = matches!(answer, PlatformEvent::HeadRead { .. });
+                    let size = if head { self.platform.head_size } else { 0 };
+                    let at = self.receive(id, at, size);
                     let input = Input::Platform(answer);
                     self.enqueue(at, Event::Deliver { to: id, process: Some(owner.1), input });
                 }
@@ -399,11 +410,24 @@
         }
     }
 
+    /// When a host has sent a frame that it begins to send now.
+    fn occupy(&mut self, id: usize, size: u64) -> Instant {
+        let now = self.now;
+        self.hosts[id].link.as_mut().map_or(now, |link| link.send(now, size))
+    }
+
+    /// When a host has received what begins to arrive at a time.
+    fn receive(&mut self, id: usize, at: Instant, size: u64) -> Instant {
+        self.hosts[id].link.as_mut().map_or(at, |link| link.receive(at, size))
+    }
+
     fn transmit(&mut self, from: usize, to: SocketAddr, size: u64, input: &Input) {
         let Some(id) = self.hosts.iter().position(|host| host.cfg.peer == to) else { return };
         let delay = self.faults.delay.mul_f64(self.rng.random::<f64>());
-        let at = self.now + Duration::from_micros(300) + delay;
         let frame = matches!(input, Input::Frame { .. });
+        // Small datagrams pass between the segments of a frame.
+        let start = if frame { self.occupy(from, size) } else { self.now };
+        let at = start + Duration::from_micros(300) + delay;
         let cut = self.cuts.contains(&(from, id)) || (frame && self.cuts.contains(&(id, from)));
         let lost = cut || self.rng.random::<f64>() < self.faults.loss;
         if lost || !self.running(id) {
@@ -417,6 +441,7 @@
             return;
         }
         self.hosts[id].received += size;
+        let at = if frame { self.receive(id, at, size) } else { at };
         let event = |input: &Input| Event::Deliver { to: id, process: None, input: input.clone() };
         self.enqueue(at, event(input));
         if self.rng.random::<f64>() < self.faults.double {
--- /dev/null
+++ b/crates/mesh/tests/narrow.rs
@@ -0,0 +1,77 @@
+//! Hosts on links of a few Mbit/s.
+
+#![allow(clippy::expect_used)]
+
+mod harness;
+
+use std::time::Duration;
+
+use dw_mesh::PresetName;
+use harness::{World, link::Link};
+
+/// The time in which a version is in force on each host after its acknowledgement.
+const IN_FORCE: Duration = Duration::from_millis(2500);
+
+/// The pause between the versions of a storm.
+const STORM: Duration = Duration::from_millis(1100);
+
+/// Links of the hosts in Mbit/s.
+const NARROW: u64 = 5;
+
+/// Bytes of one route as the platform sends them with its head.
+const ROUTE_BYTES: u64 = 230;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Two domains that serve a version of 1,600 routes.
+fn world(seed: u64) -> World {
+    let mut world = World::new(seed, PresetName::Cooperative, &[9, 5]);
+    for host in &mut world.hosts {
+        host.cfg.preset.durable = true;
+        host.cfg.preset.fan_out = 6;
+        host.cfg.preset.batch = ms(10);
+        host.cfg.preset.probe = ms(500);
+        host.cfg.preset.join_spread = ms(200);
+        host.cfg.join.clear();
+        host.link = Some(Link::new(NARROW));
+    }
+    add_routes(&mut world, 1600);
+    world.apply();
+    (0..world.hosts.len()).for_each(|id| world.start(id));
+    world.run(ms(15_000));
+    world.expect_settled();
+    world
+}
+
+fn add_routes(world: &mut World, count: usize) {
+    world.rows += count;
+    world.platform.head_size = ROUTE_BYTES * world.rows as u64;
+}
+
+/// Runs until a version should be in force everywhere, and names the hosts on which it is not.
+fn late_hosts(world: &mut World, number: u64, time: Duration) -> Vec<String> {
+    world.run(time);
+    let late = world.hosts.iter().filter(|host| host.served.number < number);
+    late.map(|host| host.cfg.host.to_string()).collect()
+}
+
+/// Guards against relays whose links fill with rows, so that a version that adds many routes, and those
+/// that follow it at once, come into force too late.
+#[test]
+fn added_routes_do_not_fill_the_links_of_relays() {
+    for seed in 1..=3 {
+        let mut world = world(seed);
+        world.apply();
+        world.run(STORM);
+        add_routes(&mut world, 1404);
+        let grown = world.apply();
+        world.run(STORM);
+        let next = world.apply();
+        let late = late_hosts(&mut world, grown, IN_FORCE - STORM);
+        assert!(late.is_empty(), "seed {seed}: version {grown} is late on {late:?}");
+        let late = late_hosts(&mut world, next, STORM);
+        assert!(late.is_empty(), "seed {seed}: version {next} is late on {late:?}");
+    }
+}
