Ask the platform for the head once at a time

On the users' platform the answer to a read of the head carries the whole configuration. A host that starts asked again every 0.7 s although the answer before, 1.7 s of 1 MB at 5 Mbit/s, was still on its way; each made the others slower.

A read that is due while one is under way follows its answer.

--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -52,6 +52,11 @@
     watching: bool,
     /// The platform's head as last seen; `None` inside for no head.
     pub(crate) head: Option<(Option<Head>, u64)>,
+    /// When the head was asked for, while no answer has come: an answer may carry the whole
+    /// configuration, and a second one beside it makes both slower.
+    asked: Option<Instant>,
+    /// Whether the head is to be read again once that answer has come.
+    again: bool,
     /// The head whose parts are being read.
     reading: Option<Head>,
     republishing: Option<Instant>,
@@ -136,17 +141,36 @@
 
     /// Reads the head; the answer starts the watch if there is none.
     pub(crate) fn run_head(&mut self) {
+        if let Some(asked) = self.relay.asked.filter(|at| *at + CALL_WAIT > self.now) {
+            self.relay.again = true;
+            self.timers.set(Timer::Head, asked + CALL_WAIT);
+            return;
+        }
         if self.watches() {
             let jitter = self.jitter(REREAD);
             self.timers.set(Timer::Head, self.now + REREAD / 2 + jitter);
-            self.call(PlatformCall::ReadHead);
+            self.read_head();
         } else if self.cfg.preset.durable && (!self.join.admitted || self.store.served().is_none())
         {
             self.timers.set(Timer::Head, self.now + UNJOINED_REREAD);
-            self.call(PlatformCall::ReadHead);
+            self.read_head();
+        }
+    }
+
+    /// The answer about the head has come: a read that was put off until then is due.
+    fn end_head_read(&mut self) {
+        self.relay.asked = None;
+        if std::mem::take(&mut self.relay.again) {
+            let wait = if self.watches() { Duration::ZERO } else { UNJOINED_REREAD };
+            self.timers.sooner(Timer::Head, self.now + wait);
         }
     }
 
+    fn read_head(&mut self) {
+        self.relay.asked = Some(self.now);
+        self.call(PlatformCall::ReadHead);
+    }
+
     /// Reads the parts of the head again.
     pub(crate) fn run_parts(&mut self) {
         if let Some(head) = self.relay.reading.clone() {
@@ -168,6 +192,7 @@
             self.call(PlatformCall::StopWatch);
         }
         self.relay.head = None;
+        self.relay.asked = None;
         self.relay.reading = None;
         self.relay.standby = false;
         self.relay.cover = None;
@@ -183,6 +208,16 @@
                 self.note(Note::Regained { count });
             }
         }
+        let head = matches!(
+            event,
+            PlatformEvent::HeadRead { .. }
+                | PlatformEvent::HeadAbsent
+                | PlatformEvent::HeadMalformed { .. }
+                | PlatformEvent::Failed { call: PlatformCallKind::ReadHead, .. }
+        );
+        if head {
+            self.end_head_read();
+        }
         match event {
             PlatformEvent::HeadRead { head, revision } => self.on_head(Some(head), revision),
             PlatformEvent::HeadAbsent => self.on_head(None, 0),
--- a/crates/mesh/tests/narrow.rs
+++ b/crates/mesh/tests/narrow.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use dw_mesh::{Action, Input, PresetName};
+use dw_mesh::{Action, Input, PlatformCallKind, PresetName};
 use dw_wire::{Frame, FrameBody, Pull};
 use harness::{World, link::Link};
 
@@ -98,3 +98,40 @@
         assert_eq!(std::str::from_utf8(&sent.rows).is_ok(), text);
     }
 }
+
+/// Guards against heads, each with the whole configuration, that standbys read again after their watch
+/// has told them of the version.
+#[test]
+fn a_version_is_not_read_again_after_the_watch_told_it() {
+    let mut world = world(5);
+    let before = world.platform.count(PlatformCallKind::ReadHead);
+    for _ in 0..4 {
+        world.apply();
+        world.run(ms(4000));
+    }
+    world.expect_settled();
+    let reads = world.platform.count(PlatformCallKind::ReadHead) - before;
+    // Relays and standbys, eight here, read the head every 15 to 30 s beside their watches.
+    assert!(reads <= 10, "{reads} reads for 4 versions in 16 s");
+}
+
+/// Guards against a host that asks for the configuration again while it is still on its way, which makes
+/// each of the answers slower.
+#[test]
+fn a_host_that_starts_reads_the_head_once_at_a_time() {
+    let mut world = world(6);
+    add_routes(&mut world, 2800);
+    world.apply();
+    world.run(ms(8000));
+    let last = world.hosts.len() - 1;
+    world.crash(last);
+    let others: Vec<_> = (0..last).collect();
+    world.cut(&others, &[last]);
+    world.cut(&[last], &others);
+    world.start(last);
+    let before = world.platform.count(PlatformCallKind::ReadHead);
+    world.run(ms(1500));
+    assert_eq!(world.platform.count(PlatformCallKind::ReadHead) - before, 1);
+    world.run(ms(500));
+    assert_eq!(world.hosts[last].served.number, world.accepted.len() as u64);
+}
