--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -22,6 +22,7 @@
 mod relay;
 mod report;
 mod roster;
+mod slot;
 mod standby;
 mod status;
 mod store;
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -4,16 +4,12 @@
 use tokio::time::Instant;
 
 use crate::{
-    Counter, LEASE_RENEWAL, MemberState, Node, Note, PlatformCall, PlatformCallKind, PlatformEvent,
-    RELAY_SLOTS, RelayRecord, bucket::backoff, store::Release, timer::Timer,
+    Counter, MemberState, Node, Note, PlatformCall, PlatformCallKind, PlatformEvent, RELAY_SLOTS,
+    bucket::backoff, store::Release, timer::Timer,
 };
 
-/// Wait of a candidate before it tries a taken slot again, before jitter. With the lease of 6 s a
-/// slot is free for a few seconds at the most.
-const CLAIM_RETRY: Duration = Duration::from_secs(3);
-
 /// Time after which a call that was neither answered nor failed is made again.
-const CALL_WAIT: Duration = Duration::from_secs(10);
+pub(crate) const CALL_WAIT: Duration = Duration::from_secs(10);
 
 /// Time between two reads of the head beside the watch, in case the watch is lost silently.
 const REREAD: Duration = Duration::from_secs(30);
@@ -41,12 +37,13 @@
     /// The slot held.
     pub(crate) held: Option<u32>,
     /// When it was claimed.
-    claimed: Option<Instant>,
+    pub(crate) claimed: Option<Instant>,
     /// Whether the node is a candidate without a slot, which watches the head too.
     pub(crate) standby: bool,
     /// The version that the node distributes without a slot because no relay did.
     pub(crate) cover: Option<u64>,
-    attempts: u32,
+    /// Claims that found a slot taken.
+    pub(crate) attempts: u32,
     /// Consecutive failed calls.
     failures: u32,
     watching: bool,
@@ -72,17 +69,12 @@
     }
 
     /// Whether the node reads and watches the platform's head.
-    const fn watches(&self) -> bool {
+    pub(crate) const fn watches(&self) -> bool {
         self.relay.held.is_some() || self.relay.standby
     }
 
-    fn rank(&mut self) -> Option<usize> {
-        let domain = self.me.domain.clone();
-        self.roster.candidates(&domain).iter().position(|host| *host == self.me.host)
-    }
-
     /// Tells the fleet when the node starts or ends to act as a relay.
-    fn update_role(&mut self) {
+    pub(crate) fn update_role(&mut self) {
         let first = self.rank().is_some_and(|rank| rank < RELAY_SLOTS as usize);
         let down = self.relay.failures >= DOWN;
         // Slot holders stay relays while the platform is down; more than needed cost bytes.
@@ -109,36 +101,6 @@
         }
     }
 
-    /// Claims a slot if the node is a candidate without one.
-    pub(crate) fn run_claim(&mut self) {
-        self.update_role();
-        let rank = self.rank();
-        if !self.join.settled || self.relay.held.is_some() || self.me.state != MemberState::Alive {
-            return;
-        }
-        let Some(rank) = rank else {
-            self.stop_watch();
-            return;
-        };
-        let turn = u32::try_from(rank).unwrap_or(0) + self.relay.attempts;
-        let record = RelayRecord {
-            domain: self.me.domain.clone(),
-            host: self.me.host.clone(),
-            peer: self.me.peer,
-            incarnation: self.me.incarnation,
-        };
-        self.timers.set(Timer::Claim, self.now + CALL_WAIT);
-        self.call(PlatformCall::ClaimSlot { slot: turn % RELAY_SLOTS, record });
-    }
-
-    /// Renews the lease of the slot.
-    pub(crate) fn run_renew(&mut self) {
-        if let Some(slot) = self.relay.held {
-            self.timers.set(Timer::Renew, self.now + LEASE_RENEWAL);
-            self.call(PlatformCall::RenewSlot { slot });
-        }
-    }
-
     /// Reads the head; the answer starts the watch if there is none.
     pub(crate) fn run_head(&mut self) {
         if let Some(asked) = self.relay.asked.filter(|at| *at + CALL_WAIT > self.now) {
@@ -179,15 +141,7 @@
         }
     }
 
-    /// Gives the slot up.
-    pub(crate) fn release_slot(&mut self) {
-        self.stop_watch();
-        if let Some(slot) = self.relay.held.take() {
-            self.call(PlatformCall::ReleaseSlot { slot });
-        }
-    }
-
-    fn stop_watch(&mut self) {
+    pub(crate) fn stop_watch(&mut self) {
         if std::mem::take(&mut self.relay.watching) {
             self.call(PlatformCall::StopWatch);
         }
@@ -261,48 +215,6 @@
         self.update_role();
     }
 
-    fn on_claimed(&mut self, slot: u32) {
-        if self.me.state != MemberState::Alive {
-            self.call(PlatformCall::ReleaseSlot { slot });
-            return;
-        }
-        self.relay.held = Some(slot);
-        self.relay.standby = false;
-        self.timers.clear(Timer::Cover);
-        self.relay.claimed = Some(self.now);
-        self.timers.clear(Timer::Claim);
-        self.timers.set(Timer::Renew, self.now + LEASE_RENEWAL);
-        self.timers.set(Timer::Head, self.now);
-        self.timers.set(Timer::Relays, self.now);
-    }
-
-    /// Another host holds the slot: it is a peer, and the other slot is tried next.
-    fn on_taken(&mut self, holder: Option<RelayRecord>) {
-        self.relay.attempts += 1;
-        if !self.watches() && self.me.state == MemberState::Alive {
-            self.relay.standby = true;
-            self.timers.sooner(Timer::Head, self.now);
-        }
-        let wait = CLAIM_RETRY + self.jitter(CLAIM_RETRY);
-        self.timers.set(Timer::Claim, self.now + wait);
-        if let Some(holder) = holder.filter(|holder| holder.host != self.me.host)
-            && self.roster.get(&holder.host).is_none_or(|m| !m.state.is_live())
-        {
-            self.send_join(holder.peer);
-        }
-    }
-
-    fn on_lost(&mut self, slot: u32) {
-        if self.relay.held != Some(slot) {
-            return;
-        }
-        self.note(Note::LeaseLost(slot));
-        self.relay.held = None;
-        self.stop_watch();
-        let wait = self.jitter(Duration::from_millis(500));
-        self.timers.set(Timer::Claim, self.now + wait);
-    }
-
     /// Retries a failed call with full-jitter backoff.
     fn on_call_failed(&mut self, call: PlatformCallKind, reason: &str) {
         self.relay.failures = self.relay.failures.saturating_add(1);
