Let hosts with fast links distribute versions

Each receives the whole configuration from the platform at each version: 0.36 MB for 1,600 routes, 0.7 MB for 3,000, 1.1 s at 5 Mbit/s before the first row goes to a peer.

Change: hosts tell the speed of their link (setting link, from the platform's settings on the users' platform). Candidates are ranked by it in classes of a factor of two, then by the hash. A relay leaves its slot to a faster candidate if the other relay goes on; slower candidates leave a free slot to it for 3 s; a candidate that finds a slot taken while a relay is missing tries the other after 0.5 to 1 s in place of 3 to 6 s.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -6,7 +6,7 @@
 };
 
 use dw_log::{Event, Field, Kind, Log, LogError};
-use dw_mesh::{Member, MemberState, Node, NodeConfig, Preset, Target};
+use dw_mesh::{Member, Node, NodeConfig, Preset, Target};
 use dw_platform::{HttpPlatform, Platform};
 use thiserror::Error;
 use tokio::{
@@ -150,7 +150,7 @@
     let (view_in, view) = watch::channel(View::default());
 
     let config = node_config(settings, start.preset);
-    let own = own_member(&config);
+    let own = Member::new(&config);
     let proxy = Proxy::new(settings, start.dialect, own, counters.clone(), log.clone(), &tasks);
     proxy.set_node(node_in.clone());
 
@@ -246,6 +246,7 @@
     NodeConfig {
         incarnation: crate::clock::unix_ms(),
         region: settings.region.clone(),
+        link: settings.link,
         targets: settings.targets.iter().zip(0..).map(target).collect(),
         preset,
         join: settings.join.clone(),
@@ -254,21 +255,6 @@
     }
 }
 
-fn own_member(config: &NodeConfig) -> Member {
-    Member {
-        host: config.host.clone(),
-        incarnation: config.incarnation,
-        started: config.incarnation,
-        domain: config.domain.clone(),
-        region: config.region.clone(),
-        peer: config.peer,
-        data: config.data,
-        state: MemberState::Alive,
-        relay: false,
-        targets: config.targets.clone(),
-    }
-}
-
 impl Sockets {
     async fn bind(settings: &Settings) -> Result<Self, StartError> {
         let callers = listen("callers", settings.callers).await?;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -27,6 +27,8 @@
     pub data: SocketAddr,
     /// Where the admin API listens.
     pub admin: SocketAddr,
+    /// The speed of the host's link in Mbit/s; 0 if it is not known.
+    pub link: u32,
     /// The targets on this host.
     pub targets: Vec<TargetSettings>,
     /// Addresses of the platform's key-value service.
@@ -116,6 +118,7 @@
             peers: free,
             data: free,
             admin: free,
+            link: 0,
             targets: Vec::new(),
             platform: Vec::new(),
             join: Vec::new(),
--- a/crates/daemon/src/settings/parse.rs
+++ b/crates/daemon/src/settings/parse.rs
@@ -10,9 +10,9 @@
 
 use super::{LogSettings, ProcessLimits, Settings, TargetSettings, fields::Fields};
 
-const FIELDS: [&str; 14] = [
-    "host", "domain", "region", "callers", "peers", "data", "admin", "targets", "platform", "join",
-    "limits", "preset", "log", "grace",
+const FIELDS: [&str; 15] = [
+    "host", "domain", "region", "callers", "peers", "data", "admin", "link", "targets", "platform",
+    "join", "limits", "preset", "log", "grace",
 ];
 const TARGET_FIELDS: [&str; 4] = ["service", "address", "slots", "connections"];
 const ADDRESS: &str = "an IP address and a port, such as \"127.0.0.1:7100\"";
@@ -64,6 +64,7 @@
     let mut data = peers.map(|addr| SocketAddr::new(addr.ip(), 0));
     fields.optional(object, "data", &mut data, |f, n, v| Some(f.address(n, v)));
     let mut out = Settings::new(Name::default(), Name::default(), Name::default());
+    fields.optional(object, "link", &mut out.link, Fields::count);
     fields.optional(object, "targets", &mut out.targets, targets);
     fields.optional(object, "platform", &mut out.platform, Fields::remotes);
     fields.optional(object, "join", &mut out.join, Fields::remotes);
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -19,6 +19,8 @@
     pub peer: SocketAddr,
     /// The address for requests from other daemons.
     pub data: SocketAddr,
+    /// The speed of the host's link in Mbit/s; 0 if it is not known.
+    pub link: u32,
     /// The targets beside the daemon.
     pub targets: Vec<Target>,
     /// Periods and widths.
@@ -40,6 +42,7 @@
             region: Name::default(),
             peer,
             data,
+            link: 0,
             targets: Vec::new(),
             preset: Preset::default(),
             join: Vec::new(),
--- a/crates/mesh/src/convert.rs
+++ b/crates/mesh/src/convert.rs
@@ -23,6 +23,7 @@
         relay: member.relay,
         targets: member.targets.iter().map(target_to_wire).collect(),
         gone_ms: 0,
+        link: member.link,
     }
 }
 
@@ -46,6 +47,7 @@
             data: wire.data.parse().ok()?,
             state: state_from_wire(wire.state)?,
             relay: wire.relay,
+            link: wire.link,
             targets: wire.targets.iter().map(target_from_wire).collect(),
         })
     })?
--- a/crates/mesh/src/member.rs
+++ b/crates/mesh/src/member.rs
@@ -4,6 +4,8 @@
 use dw_tables::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::NodeConfig;
+
 /// The state of a member.
 #[derive(
     Clone,
@@ -87,11 +89,38 @@
     pub state: MemberState,
     /// Whether the member acts as a relay of its domain.
     pub relay: bool,
+    /// The speed of the host's link in Mbit/s; 0 if it is not known.
+    #[serde(default)]
+    pub link: u32,
     /// The targets beside the member.
     pub targets: Vec<Target>,
 }
 
 impl Member {
+    /// The record of a host that starts.
+    #[must_use]
+    pub fn new(cfg: &NodeConfig) -> Self {
+        Self {
+            host: cfg.host.clone(),
+            incarnation: cfg.incarnation,
+            started: cfg.incarnation,
+            domain: cfg.domain.clone(),
+            region: cfg.region.clone(),
+            peer: cfg.peer,
+            data: cfg.data,
+            state: MemberState::Alive,
+            relay: false,
+            link: cfg.link,
+            targets: cfg.targets.clone(),
+        }
+    }
+
+    /// The class of the host's link: links in one class differ by less than a factor of two. Unknown
+    /// links are in the lowest class.
+    pub(crate) fn link_class(&self) -> u32 {
+        self.link.checked_ilog2().map_or(0, |class| class + 1)
+    }
+
     /// Whether this record supersedes `other`, a record of the same host.
     #[must_use]
     pub fn supersedes(&self, other: &Self) -> bool {
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -68,18 +68,7 @@
     /// A node that starts at `now`.
     #[must_use]
     pub fn new(cfg: NodeConfig, now: Instant) -> Self {
-        let me = Member {
-            host: cfg.host.clone(),
-            incarnation: cfg.incarnation,
-            started: cfg.incarnation,
-            domain: cfg.domain.clone(),
-            region: cfg.region.clone(),
-            peer: cfg.peer,
-            data: cfg.data,
-            state: MemberState::Alive,
-            relay: false,
-            targets: cfg.targets.clone(),
-        };
+        let me = Member::new(&cfg);
         let mut rng = StdRng::seed_from_u64(cfg.seed);
         let mut timers = Timers::default();
         timers.set(Timer::Join, now + jitter(&mut rng, Duration::from_millis(100)));
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -44,6 +44,8 @@
     pub(crate) cover: Option<u64>,
     /// Claims that found a slot taken.
     pub(crate) attempts: u32,
+    /// Until when a free slot is left to a candidate with a faster link.
+    pub(crate) deferred: Option<Instant>,
     /// Consecutive failed calls.
     failures: u32,
     watching: bool,
@@ -146,7 +148,6 @@
             self.call(PlatformCall::StopWatch);
         }
         self.relay.head = None;
-        self.relay.asked = None;
         self.relay.reading = None;
         self.relay.standby = false;
         self.relay.cover = None;
--- a/crates/mesh/src/roster.rs
+++ b/crates/mesh/src/roster.rs
@@ -1,4 +1,5 @@
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
@@ -122,7 +123,8 @@
         self.infos.get(domain).into_iter().flat_map(|info| info.relays.iter())
     }
 
-    /// The first few alive members of a domain by rendezvous hash, cached until the domain changes.
+    /// The alive members of a domain that distribute best: those with the fastest links, by rendezvous
+    /// hash among equal ones. Cached until the domain changes.
     pub(crate) fn candidates(&mut self, domain: &Name) -> &[Name] {
         let Some(info) = self.infos.get_mut(domain) else { return &[] };
         if info.ranked.is_empty()
@@ -131,11 +133,14 @@
             let mut ranked: Vec<_> = hosts
                 .values()
                 .filter(|member| member.state == MemberState::Alive)
-                .map(|member| (hash::rank(domain.as_bytes(), &member.host), &member.host))
+                .map(|member| {
+                    let rank = hash::rank(domain.as_bytes(), &member.host);
+                    (Reverse(member.link_class()), rank, &member.host)
+                })
                 .collect();
             ranked.sort_unstable();
             info.ranked =
-                ranked.into_iter().take(CANDIDATES).map(|(_, host)| host.clone()).collect();
+                ranked.into_iter().take(CANDIDATES).map(|(_, _, host)| host.clone()).collect();
         }
         &info.ranked
     }
--- a/crates/mesh/src/slot.rs
+++ b/crates/mesh/src/slot.rs
@@ -1,7 +1,9 @@
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
+
+use dw_tables::Name;
 
 use crate::{
-    LEASE_RENEWAL, MemberState, Node, Note, PlatformCall, RELAY_SLOTS, RelayRecord,
+    LEASE_RENEWAL, Member, MemberState, Node, Note, PlatformCall, RELAY_SLOTS, RelayRecord, hash,
     relay::CALL_WAIT, timer::Timer,
 };
 
@@ -9,6 +11,14 @@
 /// slot is free for a few seconds at the most.
 const CLAIM_RETRY: Duration = Duration::from_secs(3);
 
+/// The same while the domain is not known to have all its relays: the other slot may be free, or the
+/// lease of a relay that died is about to end.
+const CLAIM_NEXT: Duration = Duration::from_millis(500);
+
+/// The shortest time for which a slot is held before it is left to a faster host. Slots that pass between
+/// a host and one that cannot reach the platform do so this seldom.
+const SLOT_TIME: Duration = Duration::from_secs(5);
+
 impl Node {
     /// The place of the node among the candidates of its domain.
     pub(crate) fn rank(&mut self) -> Option<usize> {
@@ -16,17 +26,27 @@
         self.roster.candidates(&domain).iter().position(|host| *host == self.me.host)
     }
 
-    /// Claims a slot if the node is a candidate without one.
+    /// Claims a slot if the node is a candidate without one, or leaves its slot to a better candidate.
     pub(crate) fn run_claim(&mut self) {
         self.update_role();
         let rank = self.rank();
-        if !self.join.settled || self.relay.held.is_some() || self.me.state != MemberState::Alive {
+        if !self.join.settled || self.me.state != MemberState::Alive {
+            return;
+        }
+        if self.relay.held.is_some() {
+            self.timers.set(Timer::Claim, self.now + CLAIM_RETRY);
+            if self.should_yield() {
+                self.yield_slot();
+            }
             return;
         }
         let Some(rank) = rank else {
             self.stop_watch();
             return;
         };
+        if self.gives_way() {
+            return;
+        }
         let turn = u32::try_from(rank).unwrap_or(0) + self.relay.attempts;
         let record = RelayRecord {
             domain: self.me.domain.clone(),
@@ -38,6 +58,69 @@
         self.call(PlatformCall::ClaimSlot { slot: turn % RELAY_SLOTS, record });
     }
 
+    /// Whether a candidate with a faster link has no slot.
+    fn faster_waits(&mut self) -> bool {
+        let (domain, class) = (self.me.domain.clone(), self.me.link_class());
+        let hosts = self.roster.candidates(&domain).to_vec();
+        let mut members = hosts.iter().filter_map(|host| self.roster.get(host));
+        members.any(|member| !member.relay && member.link_class() > class)
+    }
+
+    /// Whether the domain is known to have all its relays.
+    fn is_full(&self) -> bool {
+        self.roster.relays(&self.me.domain).count() >= RELAY_SLOTS as usize
+    }
+
+    /// Watches the head as a standby.
+    fn stand_ready(&mut self) {
+        if !self.watches() && self.me.state == MemberState::Alive {
+            self.relay.standby = true;
+            self.timers.sooner(Timer::Head, self.now);
+        }
+    }
+
+    /// Leaves a free slot to a candidate with a faster link for a while. It may be cut off from the
+    /// platform, so the node claims the slot if that does not happen.
+    fn gives_way(&mut self) -> bool {
+        if !self.faster_waits() {
+            self.relay.deferred = None;
+            return false;
+        }
+        if self.is_full() {
+            // A relay may be about to make room for that candidate.
+            self.relay.deferred = None;
+            self.stand_ready();
+            self.timers.set(Timer::Claim, self.now + CLAIM_RETRY);
+            return true;
+        }
+        let until = *self.relay.deferred.get_or_insert(self.now + CLAIM_RETRY);
+        let defers = self.now < until;
+        if defers {
+            self.timers.set(Timer::Claim, until);
+        }
+        defers
+    }
+
+    /// Whether a candidate with a faster link waits and the node is the one to make room: of the relays
+    /// of the domain, the other of which goes on, it has the slowest link.
+    fn should_yield(&mut self) -> bool {
+        let domain = self.me.domain.clone();
+        let key = |m: &Member| (Reverse(m.link_class()), hash::rank(domain.as_bytes(), &m.host));
+        let mine = key(&self.me);
+        let behind = |host: &Name| self.roster.get(host).is_some_and(|member| key(member) > mine);
+        let last = !self.roster.relays(&domain).any(behind);
+        let held = self.relay.claimed.is_some_and(|at| at + SLOT_TIME <= self.now);
+        held && last && self.is_full() && self.faster_waits()
+    }
+
+    /// Gives the slot to a candidate with a faster link, which learns of it as the node's role changes.
+    fn yield_slot(&mut self) {
+        self.release_slot();
+        self.update_role();
+        self.relay.deferred = Some(self.now + CLAIM_RETRY);
+        self.timers.set(Timer::Claim, self.now + CLAIM_RETRY);
+    }
+
     /// Renews the lease of the slot.
     pub(crate) fn run_renew(&mut self) {
         if let Some(slot) = self.relay.held {
@@ -63,7 +146,7 @@
         self.relay.standby = false;
         self.timers.clear(Timer::Cover);
         self.relay.claimed = Some(self.now);
-        self.timers.clear(Timer::Claim);
+        self.timers.set(Timer::Claim, self.now + CLAIM_RETRY);
         self.timers.set(Timer::Renew, self.now + LEASE_RENEWAL);
         self.timers.set(Timer::Head, self.now);
         self.timers.set(Timer::Relays, self.now);
@@ -72,11 +155,9 @@
     /// Another host holds the slot: it is a peer, and the other slot is tried next.
     pub(crate) fn on_taken(&mut self, holder: Option<RelayRecord>) {
         self.relay.attempts += 1;
-        if !self.watches() && self.me.state == MemberState::Alive {
-            self.relay.standby = true;
-            self.timers.sooner(Timer::Head, self.now);
-        }
-        let wait = CLAIM_RETRY + self.jitter(CLAIM_RETRY);
+        self.stand_ready();
+        let wait = if self.is_full() { CLAIM_RETRY } else { CLAIM_NEXT };
+        let wait = wait + self.jitter(wait);
         self.timers.set(Timer::Claim, self.now + wait);
         if let Some(holder) = holder.filter(|holder| holder.host != self.me.host)
             && self.roster.get(&holder.host).is_none_or(|m| !m.state.is_live())
--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -250,6 +250,13 @@
         }
     }
 
+    /// The hosts that hold a slot.
+    pub(crate) fn holders(&self) -> Vec<usize> {
+        let mut holders = self.platform.holders(self.now);
+        holders.sort_unstable();
+        holders
+    }
+
     pub(crate) fn domain(&self, domain: &str) -> Vec<usize> {
         (0..self.hosts.len()).filter(|id| self.hosts[*id].cfg.domain.as_str() == domain).collect()
     }
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -63,6 +63,9 @@
     /// Time since the member was declared dead, in ms.
     #[prost(uint64, tag = "11")]
     pub gone_ms: u64,
+    /// The speed of the host's link in Mbit/s; 0 if it is not known.
+    #[prost(uint32, tag = "12")]
+    pub link: u32,
 }
 
 /// One target beside a member.
