--- a/crates/daemon/tests/settings_page.rs
+++ b/crates/daemon/tests/settings_page.rs
@@ -47,8 +47,11 @@
 /// Guards against a documented default that differs from the one a daemon uses.
 #[gtest]
 fn defaults_are_those_of_the_code() {
-    let Settings { limits, preset, log, grace, targets, data, peers, platform, .. } = defaults();
+    let settings = defaults();
+    let Settings { limits, preset, log, grace, targets, data, peers, platform, link, .. } =
+        settings;
     let expected = [
+        ("Fields", "`link`", "not known".to_owned()),
         ("Fields", "`platform`", "`[]`".to_owned()),
         ("Fields", "`targets`", "`[]`".to_owned()),
         ("Fields", "`join`", "`[]`".to_owned()),
@@ -70,6 +73,7 @@
             expect_that!(row.last(), some(eq(&default)), "{}", row[0]);
         }
     }
+    expect_that!(link, eq(0));
     expect_that!(platform, is_empty());
     expect_that!((data.ip(), data.port()), eq((peers.ip(), 0)));
     expect_that!(targets[0].connections, eq(targets[0].slots));
