Let answers of the platform take the time that their size needs

A call to the platform had to end within 2 s, body included, and within 3 s in the daemon. The largest configuration, 1.4 MB in base64, takes 2.2 s on a link of 5 Mbit/s that carries nothing else, so that a host there could never read it.

Both clients bound the wait for the head of an answer and each pause within it; the daemon gives reads of head and parts 9 s. a_large_value_may_take_its_time failed before.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -18,6 +18,10 @@
 /// The longest wait for one call; the platform responds within milliseconds when it is up.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The same for calls whose answers carry tables: 1 MB takes 2.2 s on a link of 5 Mbit/s that carries
+/// nothing else. The node asks again after 10 s.
+const TABLES_TIMEOUT: Duration = Duration::from_secs(9);
+
 /// Executes the calls that the node wants made.
 #[derive(Clone)]
 pub(crate) struct PlatformTask<P> {
@@ -61,7 +65,11 @@
             }
             return;
         }
-        match timeout(CALL_TIMEOUT, self.answer(&client, call)).await {
+        let limit = match kind {
+            PlatformCallKind::ReadHead | PlatformCallKind::ReadParts => TABLES_TIMEOUT,
+            _ => CALL_TIMEOUT,
+        };
+        match timeout(limit, self.answer(&client, call)).await {
             Ok(Ok(Some(event))) => self.tell(event).await,
             Ok(Ok(None)) => {}
             Ok(Err(error)) => self.fail(kind, &error.to_string()).await,
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -26,6 +26,7 @@
     Budget, CallReason, Commit, Entry, HttpWatch, LeaseId, Platform, PlatformError, Txn,
     failure::{refusal, stream_error},
     messages::{LeaseAnswer, RangeAnswer, RangeRequest, Streamed, TxnAnswer},
+    read_body,
     requests::{encode, grant_request, lease_request, txn_request, unreadable, watch_request},
 };
 
@@ -46,8 +47,9 @@
 pub struct Timeouts {
     /// For a new connection, 500 ms by default.
     pub connect: Duration,
-    /// For a call from its start to the end of its answer, 2 s by default. A call that also has
-    /// to connect may run into it before `connect` if it is the shorter of the two.
+    /// For a call from its start to the head of its answer, and for each pause within the answer, 2 s by
+    /// default. A call that also has to connect may run into it before `connect` if it is the
+    /// shorter of the two.
     pub call: Duration,
     /// For a watch on which nothing arrives, 10 s by default. It should be a multiple of the
     /// platform's progress notification interval; otherwise quiet watches are opened anew.
@@ -199,16 +201,13 @@
         body: Bytes,
         size: usize,
     ) -> Result<Bytes, PlatformError> {
-        let exchange = async {
-            let response = self.exchange(addr, path, body).await?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
-            let body = body.map_err(|_| PlatformError::Unanswered)?.to_bytes();
-            if status == StatusCode::OK { Ok(body) } else { Err(refusal(status, &body, size)) }
-        };
-        tokio::time::timeout(self.timeouts.call, exchange)
+        let limit = self.timeouts.call;
+        let response = tokio::time::timeout(limit, self.exchange(addr, path, body))
             .await
-            .unwrap_or(Err(PlatformError::Unanswered))
+            .unwrap_or(Err(PlatformError::Unanswered))?;
+        let status = response.status();
+        let body = read_body(response.into_body(), MAX_ANSWER, limit).await?;
+        if status == StatusCode::OK { Ok(body) } else { Err(refusal(status, &body, size)) }
     }
 
     /// Sends a call to one address and reads the head of the answer.
@@ -246,8 +245,7 @@
             if status == StatusCode::OK {
                 return HttpWatch::open(self.clone(), index, response.into_body(), revision).await;
             }
-            let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
-            let body = body.map_err(|_| PlatformError::Unanswered)?.to_bytes();
+            let body = read_body(response.into_body(), MAX_ANSWER, self.timeouts.call).await?;
             Err(refusal(status, &body, 0))
         };
         tokio::time::timeout(self.timeouts.call, open)
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod api;
 mod backoff;
+mod body;
 mod budget;
 mod client;
 mod failure;
@@ -14,6 +15,7 @@
 
 pub use api::{Commit, Entry, Event, Guard, LeaseId, Platform, PlatformError, Put, Txn, Watch};
 pub use backoff::Backoff;
+pub use body::read_body;
 pub use budget::{Budget, CallReason};
 pub use client::{HttpPlatform, MAX_VALUE, Timeouts};
 pub use watch::HttpWatch;
