Bound the handing over of records by the grace of a stop

Cause: a daemon that leaves tells each member of its domain, one after the other, that its records are complete, and waits a second for each that does not answer; hosts that lost power moments ago do not.

Change: those messages go side by side, after the parts with records; all of it ends with the grace, 100 ms at least.

--- a/crates/daemon/src/proxy/keep.rs
+++ b/crates/daemon/src/proxy/keep.rs
@@ -6,6 +6,7 @@
     ANSWER_LIMIT, Claim, HandOver, Held, KEEPER_HOLD, KeyOutcome, Outcome, Reason, Refusal,
 };
 use dw_tables::Name;
+use futures_util::future::join_all;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use tokio::{
@@ -215,14 +216,17 @@
         }
     }
 
-    /// Sends the parts in order; the host that did not take one with records, if any.
+    /// Sends the parts with records in order, and then, side by side, those that end the transfer; the host
+    /// that did not take one with records, if any.
     async fn send_parts(&self, parts: Vec<HandOver>) -> Option<Name> {
-        for part in parts {
-            let (to, empty) = (part.to.clone(), part.records.is_empty());
-            if self.send_part(part).await.is_none() && !empty {
+        let (ends, full): (Vec<_>, Vec<_>) = parts.into_iter().partition(|p| p.records.is_empty());
+        for part in full {
+            let to = part.to.clone();
+            if self.send_part(part).await.is_none() {
                 return Some(to);
             }
         }
+        join_all(ends.into_iter().map(|part| self.send_part(part))).await;
         None
     }
 
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -29,6 +29,9 @@
 /// a request sent on one at that moment is still refused by a response.
 const NOTICE: Duration = Duration::from_millis(300);
 
+/// The time for handing records over that is given beyond the grace.
+const HAND_OVER: Duration = Duration::from_millis(100);
+
 /// Time between the end of accepting and the end of idle connections, in which requests on those
 /// that were accepted last arrive and are refused by a response.
 const LINGER: Duration = Duration::from_millis(200);
@@ -177,7 +180,11 @@
             let left = self.proxy.flights.len();
             self.log.write(&Event::new(Kind::GraceEnded).with(Field::Count, left));
         }
-        self.proxy.hand_over().await;
+        let limit = until.max(Instant::now() + HAND_OVER);
+        if timeout_at(limit, self.proxy.hand_over()).await.is_err() {
+            let detail = "the grace has ended";
+            self.log.write(&Event::new(Kind::RecordsRefused).with(Field::Detail, detail));
+        }
         self.server.stop.cancel();
         sleep(LINGER).await;
         self.server.end.cancel();
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -18,7 +18,7 @@
 use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 use tokio_util::codec::Framed;
 
@@ -165,3 +165,31 @@
     expect_that!(status_of_a_slow_host(200, Duration::from_secs(8)).await?, eq(504));
     Ok(())
 }
+
+/// Guards against a process that is killed at the end of its grace because hosts that have failed do not
+/// take over its records, each for a second.
+#[gtest]
+#[tokio::test]
+async fn hosts_that_do_not_answer_do_not_delay_a_stop_past_its_grace() -> Result<()> {
+    let grace = Millis::new(1500);
+    let settings = support::settings("p1", "portland").with_grace(grace);
+    let running = support::start(settings).await;
+    let mut links = Vec::new();
+    let mut silent = Vec::new();
+    for host in ["p2", "p3", "p4", "p5", "p6", "p7", "p8", "p9"] {
+        let peer = TcpListener::bind("127.0.0.1:0").await?;
+        let data = TcpListener::bind("127.0.0.1:0").await?;
+        let (peer_addr, data_addr) = (peer.local_addr()?, data.local_addr()?);
+        let link = join_with(running.addrs().peers, host, peer_addr, data_addr, Vec::new()).await?;
+        links.push(link);
+        silent.extend([peer, data]);
+    }
+    running.wait_members(|members| members.len() == 9).await;
+
+    let start = Instant::now();
+    running.drain().await;
+    // What follows the grace is bounded by the margin that the users' platform leaves.
+    expect_that!(start.elapsed(), le(Duration::from(grace) + Duration::from_millis(900)));
+    running.kill().await;
+    Ok(())
+}
