--- a/crates/fakes/src/kv.rs
+++ b/crates/fakes/src/kv.rs
@@ -2,7 +2,7 @@
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
-use hyper::{Method, Response, StatusCode};
+use hyper::{Method, Response, StatusCode, header::HeaderValue};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::time::{Instant, timeout};
@@ -17,6 +17,9 @@
 /// Prefix of the paths of the users' platform; everything else is the gateway's.
 pub(crate) const PREFIX: &str = "/-/kv-";
 
+/// The header that counts the copies from which the store came back.
+const ERA: &str = "store-era";
+
 /// Keys that the platform's callers may not write.
 const OPERATOR: [&str; 2] = ["op/", "servers/"];
 
@@ -111,7 +114,10 @@
 }
 
 fn answer(shared: &Shared, (status, body): &Reply) -> Response<Body> {
-    shared.lock().count_answer(respond(*status, body))
+    let mut state = shared.lock();
+    let mut answer = state.count_answer(respond(*status, body));
+    answer.headers_mut().insert(ERA, HeaderValue::from(state.era));
+    answer
 }
 
 fn run(state: &mut State, call: &KvCall) -> Done {
@@ -247,7 +253,10 @@
             let state = shared.lock();
             (state.store.changes(&span, after + 1), state.store.revision)
         };
-        let Ok(changes) = changes else { return (StatusCode::GONE, json!({})) };
+        // A store that came back from a copy does not know the revisions after it.
+        let (Ok(changes), true) = (changes, after <= at) else {
+            return (StatusCode::GONE, json!({}));
+        };
         let left = until.saturating_duration_since(Instant::now());
         if !changes.is_empty() || left.is_zero() {
             let events: Vec<_> = changes.iter().map(event).collect();
--- a/crates/fakes/src/standin.rs
+++ b/crates/fakes/src/standin.rs
@@ -276,6 +276,7 @@
     pub(crate) async fn restore(&self, snapshot: Snapshot) {
         self.shared.with(|state| {
             state.store = snapshot.0;
+            state.era += 1;
             state.store.renew_all(Instant::now());
         });
         self.up().await;
@@ -299,6 +300,8 @@
     pub(crate) lose: u64,
     pub(crate) progress: Duration,
     pub(crate) saved: Option<Snapshot>,
+    /// Counts the copies from which the store came back.
+    pub(crate) era: u64,
     reads: Bucket,
     writes: Bucket,
 }
@@ -352,6 +355,7 @@
             lose: 0,
             progress: settings.progress,
             saved: None,
+            era: 0,
             reads: Bucket::new(settings.reads, now),
             writes: Bucket::new(settings.writes, now),
         };
