Leave the operator's head alone where the fleet may not write it

When the store comes back from an older copy its head is lower for a while. Relays then wrote the version served over it, which the users' platform refuses: only the operator writes there. Each refusal counted as a failed call of the platform, was logged as a lost store, and was tried again. In the test four such calls were made within ten seconds; none is made now, the hosts keep their version, and the operator's next one is taken.

--- a/crates/mesh/src/preset.rs
+++ b/crates/mesh/src/preset.rs
@@ -32,7 +32,8 @@
     pub doubt: Duration,
     /// Whether the platform's reads are linearizable and it loses nothing that it acknowledged. A
     /// version read from it is then at least as new as any that was served, so a node that starts
-    /// reads it at once and serves it without asking peers for a floor.
+    /// reads it at once and serves it without asking peers for a floor. Its head is the operator's: the
+    /// fleet does not write over a lower one.
     pub durable: bool,
     /// The longest wait of a node that starts before it reads the relay records, so that the hosts
     /// of a restarted domain do not all read them at once.
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -308,7 +308,8 @@
             return;
         }
         self.relay.doubted = None;
-        if lower {
+        // A durable platform belongs to the operator, who writes again what it has lost.
+        if lower && !self.cfg.preset.durable {
             self.timers.sooner(Timer::Republish, self.now);
         }
         let Some(head) = head else { return };
--- a/crates/mesh/tests/durable.rs
+++ b/crates/mesh/tests/durable.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dw_mesh::{LocalEvent, PresetName};
+use dw_mesh::{LocalEvent, PlatformCallKind, PresetName};
 use dw_tables::Hash;
 use harness::{World, version};
 
@@ -243,3 +243,25 @@
     world.run(ms(1500));
     assert_eq!(live(&world, 7), 8);
 }
+
+/// Guards against relays that write over the operator's head again and again where only the operator may
+/// write it, and take each refusal for a platform that is down.
+#[test]
+fn a_head_that_went_back_is_left_to_the_operator() {
+    let mut world = world(50, &[4, 3]);
+    let first = world.accepted[0].clone();
+    let newest = world.apply();
+    world.run(ms(4000));
+    world.overwrite(&first, Hash::default());
+    world.run(ms(10_000));
+    let calls = world.platform.calls.get(&PlatformCallKind::Republish);
+    assert_eq!(calls, None);
+    for host in &world.hosts {
+        assert_eq!(host.served.number, newest, "{}", host.cfg.host);
+    }
+    let next = world.apply();
+    world.run(ms(4000));
+    for host in &world.hosts {
+        assert_eq!(host.served.number, next, "{}", host.cfg.host);
+    }
+}
