State the order of relays in one place

Roster and slots each had the order of candidates, by link and then by hash. No behaviour changes; the tests of narrow links and of durable platforms give the same verdicts.

--- a/crates/mesh/src/roster.rs
+++ b/crates/mesh/src/roster.rs
@@ -124,7 +124,7 @@
     }
 
     /// The alive members of a domain that distribute best: those with the fastest links, by rendezvous
-    /// hash among equal ones. Cached until the domain changes.
+    /// hash among equal ones. Cached until the domain changes. See [`relay_rank`].
     pub(crate) fn candidates(&mut self, domain: &Name) -> &[Name] {
         let Some(info) = self.infos.get_mut(domain) else { return &[] };
         if info.ranked.is_empty()
@@ -133,14 +133,11 @@
             let mut ranked: Vec<_> = hosts
                 .values()
                 .filter(|member| member.state == MemberState::Alive)
-                .map(|member| {
-                    let rank = hash::rank(domain.as_bytes(), &member.host);
-                    (Reverse(member.link_class()), rank, &member.host)
-                })
+                .map(|member| (relay_rank(member), &member.host))
                 .collect();
             ranked.sort_unstable();
             info.ranked =
-                ranked.into_iter().take(CANDIDATES).map(|(_, _, host)| host.clone()).collect();
+                ranked.into_iter().take(CANDIDATES).map(|(_, host)| host.clone()).collect();
         }
         &info.ranked
     }
@@ -214,6 +211,11 @@
     }
 }
 
+/// Orders the members of a domain by how well they distribute, best first.
+pub(crate) fn relay_rank(member: &Member) -> (Reverse<u32>, u64) {
+    (Reverse(member.link_class()), hash::rank(member.domain.as_bytes(), &member.host))
+}
+
 /// The digest bucket of a host.
 pub(crate) fn bucket_of(host: &str) -> usize {
     let digest = hash::hash64(&[b"bucket", host.as_bytes()]);
--- a/crates/mesh/src/slot.rs
+++ b/crates/mesh/src/slot.rs
@@ -1,10 +1,10 @@
-use std::{cmp::Reverse, time::Duration};
+use std::time::Duration;
 
 use dw_tables::Name;
 
 use crate::{
-    LEASE_RENEWAL, Member, MemberState, Node, Note, PlatformCall, RELAY_SLOTS, RelayRecord, hash,
-    relay::CALL_WAIT, timer::Timer,
+    LEASE_RENEWAL, MemberState, Node, Note, PlatformCall, RELAY_SLOTS, RelayRecord,
+    relay::CALL_WAIT, roster::relay_rank, timer::Timer,
 };
 
 /// Wait of a candidate before it tries a taken slot again, before jitter. With the lease of 6 s a
@@ -104,11 +104,10 @@
     /// Whether a candidate with a faster link waits and the node is the one to make room: of the relays
     /// of the domain, the other of which goes on, it has the slowest link.
     fn should_yield(&mut self) -> bool {
-        let domain = self.me.domain.clone();
-        let key = |m: &Member| (Reverse(m.link_class()), hash::rank(domain.as_bytes(), &m.host));
-        let mine = key(&self.me);
-        let behind = |host: &Name| self.roster.get(host).is_some_and(|member| key(member) > mine);
-        let last = !self.roster.relays(&domain).any(behind);
+        let mine = relay_rank(&self.me);
+        let behind =
+            |host: &Name| self.roster.get(host).is_some_and(|member| relay_rank(member) > mine);
+        let last = !self.roster.relays(&self.me.domain).any(behind);
         let held = self.relay.claimed.is_some_and(|at| at + SLOT_TIME <= self.now);
         held && last && self.is_full() && self.faster_waits()
     }
@@ -137,6 +136,7 @@
         }
     }
 
+    /// Distributes for the domain from now on.
     pub(crate) fn on_claimed(&mut self, slot: u32) {
         if self.me.state != MemberState::Alive {
             self.call(PlatformCall::ReleaseSlot { slot });
@@ -166,6 +166,7 @@
         }
     }
 
+    /// The lease has ended: another host may hold the slot.
     pub(crate) fn on_lost(&mut self, slot: u32) {
         if self.relay.held != Some(slot) {
             return;
