--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -188,7 +188,7 @@
 
     let start = Instant::now();
     running.drain().await;
-    // What follows the grace is bounded by the margin that the users' platform leaves.
+    // A platform that kills the process leaves about this margin beyond the grace.
     expect_that!(start.elapsed(), le(Duration::from(grace) + Duration::from_millis(900)));
     running.kill().await;
     Ok(())
