Log and count what targets say about themselves in their responses

Cause: the log cannot tell whether a limit that a target names is read by nobody, read and not kept, or kept by some hosts only; no line and no metric has it. Change: the daemon beside a target reads the two headers of its dialect, logs what is new (target-said) and shows the rate named and the requests handed over by target. A limit that is no decimal number, or is named twice, is counted, logged once a minute, and otherwise ignored. No decision depends on any of it yet.

--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -1,13 +1,16 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashSet},
     fmt,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicI64},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicI64, AtomicU64},
+    },
     time::Duration,
 };
 
 use dw_log::LogLosses;
 use dw_mesh::{MemberState, MemberTable};
-use dw_request::{Outcome, Reason};
+use dw_request::{Outcome, Rate, Reason};
 use dw_tables::{Name, Tables, VersionMark};
 use prometheus_client::{
     encoding::text::encode,
@@ -25,6 +28,7 @@
 type Label = [(&'static str, &'static str); 1];
 type NameLabel = [(&'static str, String); 1];
 type ByLabel = Family<Label, Counter>;
+type Rates = Gauge<f64, AtomicU64>;
 type Times<L> = Family<L, Histogram, fn() -> Histogram>;
 
 /// The kinds of control messages, for counters that exist from the start.
@@ -128,6 +132,9 @@
     ages: Histogram,
     members: Family<Label, Gauge>,
     ignored: ByLabel,
+    handed: Family<NameLabel, Counter>,
+    limits: Family<NameLabel, Rates>,
+    unreadable: Counter,
     lines: Gauge,
     left_out: Gauge,
     held: Gauge,
@@ -185,6 +192,17 @@
             ages: seconds(),
             members: add(&mut registry, "members", "Members of the fleet, by state"),
             ignored: by_label(&mut registry, "reports_ignored", "Reports of targets not used"),
+            handed: add(
+                &mut registry,
+                "target_requests",
+                "Requests handed to a target of this host",
+            ),
+            limits: add(&mut registry, "target_limit", "Requests a second that a target names"),
+            unreadable: add(
+                &mut registry,
+                "limits_unreadable",
+                "Responses of targets whose limit cannot be read",
+            ),
             lines: add(&mut registry, "log_lines_lost", "Log lines that the output did not take"),
             left_out: add(&mut registry, "log_requests_left_out", "Requests left out of the log"),
             served_at: add(
@@ -328,6 +346,34 @@
         self.0.ignored.get_or_create(&[("reason", reason.as_str())]).inc();
     }
 
+    /// Counts a request that is handed to the target of this index.
+    pub(crate) fn handed(&self, index: u16) {
+        self.0.handed.get_or_create(&of_target(index)).inc();
+    }
+
+    /// Shows the rate that the target of this index names.
+    pub(crate) fn limit(&self, index: u16, limit: Option<Rate>) {
+        match limit {
+            Some(rate) => {
+                self.0.limits.get_or_create(&of_target(index)).set(rate.per_second());
+            }
+            None => {
+                self.0.limits.remove(&of_target(index));
+            }
+        }
+    }
+
+    /// Counts a response of a target whose limit cannot be read.
+    pub(crate) fn unreadable(&self) {
+        self.0.unreadable.inc();
+    }
+
+    /// Drops the series of a target that is gone.
+    pub(crate) fn forget_target(&self, index: u16) {
+        self.0.handed.remove(&of_target(index));
+        self.0.limits.remove(&of_target(index));
+    }
+
     /// Shows what the log did not write.
     pub(crate) fn losses(&self, losses: LogLosses) {
         self.0.lines.set(i64::try_from(losses.lines).unwrap_or(i64::MAX));
@@ -408,6 +454,10 @@
     }
 }
 
+fn of_target(index: u16) -> NameLabel {
+    [("index", index.to_string())]
+}
+
 /// Buckets from 0.25 ms to 8 s.
 fn seconds() -> Histogram {
     Histogram::new(exponential_buckets(0.000_25, 2.0, 16))
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -22,6 +22,11 @@
     pub target: Option<HeaderName>,
     /// Present on a response of a target that did not run the request.
     pub refused: Option<HeaderName>,
+    /// On a response of a target, the requests a second that it takes from all callers together, for as
+    /// long as its responses say so.
+    pub limit: HeaderName,
+    /// Is `1` on the responses of a target that is leaving.
+    pub leaving: HeaderName,
     /// Whether `retry-after` may have a fraction of a second.
     pub fractions: bool,
     /// Whether targets may end a response with their connection. Such a response is complete if the
@@ -49,6 +54,8 @@
             origin: None,
             target: None,
             refused: None,
+            limit: HeaderName::from_static("damaskwick-target-limit"),
+            leaving: HeaderName::from_static("damaskwick-target-leaving"),
             fractions: false,
             unframed: false,
         }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -44,6 +44,7 @@
 mod hop;
 mod keep;
 mod leg;
+mod notice;
 mod records;
 mod server;
 mod slot;
@@ -254,6 +255,7 @@
             if !stays {
                 target.set_draining(true);
                 target.pool.close_idle();
+                self.counters.forget_target(target.index);
                 self.log.write(&reported(target, "gone"));
             }
             stays
--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -11,10 +11,11 @@
     Proxy, answer,
     body::{Ended, Payload, Tracked},
     call::trace_of,
-    events,
+    events::{self, Saying},
     fault::SendFault,
     headers,
     leg::Leg,
+    notice::Notice,
     slot::{Beside, Slot},
 };
 use crate::{clock, counters::Step};
@@ -58,7 +59,11 @@
             trace.end(|| events::not_run(&target.label(), reason, handed, detail));
             answer::refuse(&Refusal::new(reason))
         };
+        self.counters.handed(target.index);
         let sent = timeout_at(deadline, target.pool.send(request, deadline)).await;
+        if let Ok(Ok(response)) = &sent {
+            self.hear(target, response);
+        }
         let response = match sent {
             Ok(Ok(response)) if self.is_refusal(&response) => {
                 slot.not_started();
@@ -205,6 +210,22 @@
         response
     }
 
+    /// Takes over what a response says about its target.
+    fn hear(&self, target: &Beside, response: &Response<Payload>) {
+        let notice = Notice::read(response.headers(), &self.dialect);
+        if notice.unreadable {
+            self.counters.unreadable();
+        }
+        for saying in target.hear(notice) {
+            match saying {
+                Saying::Limited(rate) => self.counters.limit(target.index, Some(rate)),
+                Saying::Unlimited => self.counters.limit(target.index, None),
+                Saying::Leaving | Saying::Unreadable => {}
+            }
+            self.log.write(&events::said(&target.label(), saying));
+        }
+    }
+
     /// Whether the target states that it did not run the request.
     fn is_refusal(&self, response: &Response<Payload>) -> bool {
         let refused = |name| response.headers().contains_key(name);
--- a/crates/daemon/src/proxy/events.rs
+++ b/crates/daemon/src/proxy/events.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use dw_log::{Event, Field, Kind, Trace};
-use dw_request::{Attempt, Load, Outcome, Reason, Refusal};
+use dw_request::{Attempt, Load, Outcome, Rate, Reason, Refusal};
 use dw_tables::Name;
 use tokio::time::Instant;
 
@@ -117,6 +117,32 @@
         .with(Field::Queued, load.queued)
 }
 
+/// A target's responses say something new.
+pub(super) fn said(target: &TargetLabel<'_>, saying: Saying) -> Event {
+    let event = target.name(Event::new(Kind::TargetSaid));
+    match saying {
+        Saying::Limited(rate) => {
+            event.with(Field::State, "limited").with(Field::Limit, rate.to_string())
+        }
+        Saying::Unlimited => event.with(Field::State, "unlimited"),
+        Saying::Leaving => event.with(Field::State, "leaving"),
+        Saying::Unreadable => event.with(Field::State, "unreadable"),
+    }
+}
+
+/// What is new in a target's responses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Saying {
+    /// It takes this many requests a second.
+    Limited(Rate),
+    /// It names no limit any more.
+    Unlimited,
+    /// It is leaving.
+    Leaving,
+    /// It names a limit that cannot be read.
+    Unreadable,
+}
+
 /// A target on this host, for the log.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TargetLabel<'a> {
--- a/crates/daemon/src/proxy/slot.rs
+++ b/crates/daemon/src/proxy/slot.rs
@@ -20,7 +20,8 @@
 };
 
 use super::{
-    events::{Expected, TargetLabel},
+    events::{Expected, Saying, TargetLabel},
+    notice::{COMPLAINT_PAUSE, Notice},
     target::TargetPool,
 };
 use crate::{TargetSettings, clock, tasks::Tasks};
@@ -52,6 +53,10 @@
 
 struct State {
     gate: Gate,
+    /// What the newest response said.
+    said: Option<Notice>,
+    /// When a limit that cannot be read was last logged.
+    complained: Option<Instant>,
     waiting: HashMap<Ticket, oneshot::Sender<Turn>>,
 }
 
@@ -66,7 +71,12 @@
             service: settings.service.clone(),
             pool: TargetPool::new(settings.address, connections, tasks),
             addr: settings.address,
-            state: Mutex::new(State { gate, waiting: HashMap::new() }),
+            state: Mutex::new(State {
+                gate,
+                said: None,
+                complained: None,
+                waiting: HashMap::new(),
+            }),
             changed: Notify::new(),
             draining: AtomicBool::new(false),
             down: AtomicBool::new(false),
@@ -151,6 +161,29 @@
         self.lock().gate.load()
     }
 
+    /// Takes over what a response of the target says about it; returns what of it is news.
+    pub(crate) fn hear(&self, notice: Notice) -> Vec<Saying> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let old = state.said.replace(notice);
+        let mut news = Vec::new();
+        let old_limit = old.and_then(|old| old.limit);
+        match notice.limit {
+            limit if limit == old_limit => {}
+            Some(rate) => news.push(Saying::Limited(rate)),
+            None => news.push(Saying::Unlimited),
+        }
+        if notice.leaving && !old.is_some_and(|old| old.leaving) {
+            news.push(Saying::Leaving);
+        }
+        let recent = |at: Instant| now.saturating_duration_since(at) < COMPLAINT_PAUSE;
+        if notice.unreadable && !state.complained.is_some_and(recent) {
+            state.complained = Some(now);
+            news.push(Saying::Unreadable);
+        }
+        news
+    }
+
     /// The target responded.
     pub(crate) fn responded(&self) {
         self.down.store(false, Ordering::Relaxed);
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -97,6 +97,9 @@
     TargetDied = "target-died", Warn;
     /// A target's own report changed what is known of it.
     TargetReported = "target-reported", Info;
+    /// A target's responses say something new: `limited` to `limit` requests a second, `unlimited`,
+    /// `leaving`, or `unreadable` where the limit is no number.
+    TargetSaid = "target-said", Info;
     /// A target's report was not used: `stale` or `unreadable`.
     ReportIgnored = "report-ignored", Warn;
     /// Requests avoid a target: `failing`, `leaving` or `unreachable`.
--- a/crates/log/src/field.rs
+++ b/crates/log/src/field.rs
@@ -74,6 +74,8 @@
     InFlight = "in_flight";
     /// Requests that the target runs at once.
     Slots = "slots";
+    /// Requests a second that the target takes, as it names them itself.
+    Limit = "limit";
     /// Requests that waited in the queue of the target.
     Queued = "queued";
     /// The age of what was known of the target's load or state, in ms; missing if nothing was
