Keep targets to the rate that they name

Callers saw little of it; targets in need got as much as before they asked for less, and drowned. Cause: nobody read the limit. The gate beside a target admits by slots alone, and 12 slots of 60 ms are 200 requests a second. Ruled out: attempts sent again or moved (servers.csv: nothing turned away, the rate the same before and after), a limit kept by some hosts only (no rate fell at all). Change: the gate, which all requests to its target pass, spaces them by the named rate (pace.rs). What has no turn in time is refused at once as rate-limit, proven not run, with the time until there is room; it moves to other targets like other refusals of a gate, and says nothing against the target. RunOutcome::Refused tells what the target refused itself, which counts, from what was not sent.

--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -62,11 +62,11 @@
         self.counters.handed(target.index);
         let sent = timeout_at(deadline, target.pool.send(request, deadline)).await;
         if let Ok(Ok(response)) = &sent {
-            self.hear(target, response);
+            self.hear(target, response, handed);
         }
         let response = match sent {
             Ok(Ok(response)) if self.is_refusal(&response) => {
-                slot.not_started();
+                slot.refused();
                 let reason = match response.status() {
                     StatusCode::MISDIRECTED_REQUEST => Reason::UnknownTarget,
                     _ => Reason::TargetRefused,
@@ -211,12 +211,12 @@
     }
 
     /// Takes over what a response says about its target.
-    fn hear(&self, target: &Beside, response: &Response<Payload>) {
+    fn hear(&self, target: &Beside, response: &Response<Payload>, handed: Instant) {
         let notice = Notice::read(response.headers(), &self.dialect);
         if notice.unreadable {
             self.counters.unreadable();
         }
-        for saying in target.hear(notice) {
+        for saying in target.hear(notice, handed) {
             match saying {
                 Saying::Limited(rate) => self.counters.limit(target.index, Some(rate)),
                 Saying::Unlimited => self.counters.limit(target.index, None),
--- a/crates/daemon/src/proxy/slot.rs
+++ b/crates/daemon/src/proxy/slot.rs
@@ -53,8 +53,8 @@
 
 struct State {
     gate: Gate,
-    /// What the newest response said.
-    said: Option<Notice>,
+    /// Whether a response has said that the target is leaving.
+    leaving: bool,
     /// When a limit that cannot be read was last logged.
     complained: Option<Instant>,
     waiting: HashMap<Ticket, oneshot::Sender<Turn>>,
@@ -73,7 +73,7 @@
             addr: settings.address,
             state: Mutex::new(State {
                 gate,
-                said: None,
+                leaving: false,
                 complained: None,
                 waiting: HashMap::new(),
             }),
@@ -161,19 +161,22 @@
         self.lock().gate.load()
     }
 
-    /// Takes over what a response of the target says about it; returns what of it is news.
-    pub(crate) fn hear(&self, notice: Notice) -> Vec<Saying> {
+    /// Takes over what a response to a request that was handed over at `handed` says about the target;
+    /// returns what of it is news.
+    pub(crate) fn hear(&self, notice: Notice, handed: Instant) -> Vec<Saying> {
         let now = Instant::now();
         let mut state = self.lock();
-        let old = state.said.replace(notice);
         let mut news = Vec::new();
-        let old_limit = old.and_then(|old| old.limit);
-        match notice.limit {
-            limit if limit == old_limit => {}
-            Some(rate) => news.push(Saying::Limited(rate)),
-            None => news.push(Saying::Unlimited),
+        let old = state.gate.limit();
+        state.gate.hear(notice.limit, handed, now);
+        let limit = state.gate.limit();
+        if limit != old {
+            news.push(limit.map_or(Saying::Unlimited, Saying::Limited));
+            let wakes = state.gate.expire(now);
+            state.wake(wakes);
         }
-        if notice.leaving && !old.is_some_and(|old| old.leaving) {
+        if notice.leaving && !state.leaving {
+            state.leaving = true;
             news.push(Saying::Leaving);
         }
         let recent = |at: Instant| now.saturating_duration_since(at) < COMPLAINT_PAUSE;
@@ -181,6 +184,11 @@
             state.complained = Some(now);
             news.push(Saying::Unreadable);
         }
+        drop(state);
+        if limit != old {
+            // The next request is due at another time.
+            self.changed.notify_one();
+        }
         news
     }
 
@@ -279,6 +287,11 @@
         self.end(RunOutcome::NotStarted);
     }
 
+    /// Returns the slot of a request that the target states it did not run.
+    pub(crate) fn refused(self) {
+        self.end(RunOutcome::Refused);
+    }
+
     fn end(mut self, outcome: RunOutcome) {
         if let Some(permit) = self.permit.take() {
             self.beside.finish(permit, outcome);
--- a/crates/request/src/admission.rs
+++ b/crates/request/src/admission.rs
@@ -115,6 +115,8 @@
     },
     /// No byte was sent, for example because no connection was established.
     NotStarted,
+    /// The target states that it did not run the request.
+    Refused,
     /// The connection broke, timed out, or was closed by a cancellation; the target may still be
     /// running the request.
     Lost,
--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -7,8 +7,9 @@
 use tokio::time::Instant;
 
 use crate::{
-    Admission, Arrival, Fingerprint, GateConfig, Limiter, Load, Permit, Poison, Reason, Refusal,
-    RunOutcome, Ticket, Wake,
+    Admission, Arrival, Fingerprint, GateConfig, Limiter, Load, Permit, Poison, Rate, Reason,
+    Refusal, RunOutcome, Ticket, Wake,
+    pace::Pace,
     queue::{Rank, WaitQueue, Waiting},
     service_times::{Kind, ServiceTimes, Work, kind_of},
 };
@@ -61,6 +62,7 @@
     config: GateConfig,
     poison: Poison,
     limiter: Limiter,
+    pace: Pace,
     queue: WaitQueue<Queued>,
     running: HashMap<u64, Running>,
     /// When the slots of requests whose end was not seen are free again.
@@ -82,6 +84,7 @@
             limiter: Limiter::new(1, config.slots.min(config.connections)),
             config,
             poison: Poison::default(),
+            pace: Pace::default(),
             queue: WaitQueue::new(),
             running: HashMap::new(),
             linger: VecDeque::new(),
@@ -105,6 +108,18 @@
         self.config.queue_wait = wait;
     }
 
+    /// Takes over the limit that a response of the target names, `None` if it names none; the request was
+    /// handed over at `handed`. Call [`Self::expire`] afterwards.
+    pub fn hear(&mut self, limit: Option<Rate>, handed: Instant, now: Instant) {
+        self.pace.hear(limit, handed, now);
+    }
+
+    /// The limit that the target is kept to.
+    #[must_use]
+    pub fn limit(&self) -> Option<Rate> {
+        self.pace.rate()
+    }
+
     /// Decides on an arrival. Call [`Self::deadline`] again afterwards: a request that lost its
     /// place to a deeper call is refused by the next [`Self::expire`].
     pub fn offer(&mut self, arrival: Arrival, now: Instant) -> Admission {
@@ -121,13 +136,13 @@
         let mut wakes = Vec::new();
         self.advance(now, &mut wakes);
         self.postpone(wakes, now);
-        if self.queue.is_empty() && self.has_slot() {
+        if self.queue.is_empty() && self.is_open(now) {
             let kind = arrival.goal.as_ref().map(kind_of);
-            return Admission::Run(self.start(arrival.fingerprint, kind));
+            return Admission::Run(self.start(arrival.fingerprint, kind, now));
         }
         match self.enqueue(arrival, now) {
             Ok(ticket) => Admission::Wait(ticket),
-            Err(reason) => Admission::Refuse(self.refusal(reason)),
+            Err(reason) => Admission::Refuse(self.refusal(reason, now)),
         }
     }
 
@@ -159,8 +174,10 @@
     /// When [`Self::expire`] must be called, if nothing happens before.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
-        let free = self.linger.front().filter(|_| !self.queue.is_empty()).copied();
-        [self.since, self.queue.deadline(), free].into_iter().flatten().min()
+        let waits = !self.queue.is_empty();
+        let free = self.linger.front().filter(|_| waits).copied();
+        let open = self.pace.opens().filter(|_| waits && self.has_slot());
+        [self.since, self.queue.deadline(), free, open].into_iter().flatten().min()
     }
 
     /// Refuses new requests as not run from now on; queued ones may still run.
@@ -188,9 +205,12 @@
     #[must_use]
     pub fn expected(&self, arrival: &Arrival, now: Instant) -> (Duration, Duration) {
         let work = self.work(arrival.goal.as_ref().map(kind_of), now);
-        let wait = match self.queue.is_empty() && self.has_slot() {
+        let wait = match self.queue.is_empty() && self.is_open(now) {
             true => Duration::ZERO,
-            false => self.wait(rank(arrival, work, now)),
+            false => {
+                let rank = rank(arrival, work, now);
+                self.wait(rank).max(self.pace_wait(rank, now))
+            }
         };
         (wait, work.expected)
     }
@@ -201,6 +221,11 @@
         Work { short: work.short && self.config.policies.short, ..work }
     }
 
+    /// The wait of a request of this rank for its turn under the limit that the target names.
+    fn pace_wait(&self, rank: Rank, now: Instant) -> Duration {
+        self.pace.wait(count(self.queue.ahead(rank).count()), now)
+    }
+
     /// The wait of a request of this rank while no slot is free.
     fn wait(&self, rank: Rank) -> Duration {
         let ahead: Duration = self.queue.ahead(rank).map(|queued| queued.service).sum();
@@ -215,7 +240,7 @@
         let shedding = !self.has_slot() && self.queue.len() >= self.config.queue as usize;
         Load {
             in_flight: count(self.taken()),
-            slots: self.limiter.limit(),
+            slots: self.pace.concurrency(self.service.mean(), self.limiter.limit()),
             queued: count(self.queue.len()),
             shedding,
         }
@@ -230,7 +255,13 @@
         self.taken() < self.limiter.limit() as usize
     }
 
-    fn start(&mut self, print: Option<Fingerprint>, kind: Option<Kind>) -> Permit {
+    /// Whether the target may get a request now.
+    fn is_open(&self, now: Instant) -> bool {
+        self.has_slot() && self.pace.is_open(now)
+    }
+
+    fn start(&mut self, print: Option<Fingerprint>, kind: Option<Kind>, now: Instant) -> Permit {
+        self.pace.take(now);
         self.next += 1;
         self.running.insert(self.next, Running { print, kind, died: false });
         Permit(self.next)
@@ -242,14 +273,14 @@
             self.linger.pop_front();
         }
         while let Some((ticket, waiting)) = self.queue.pop_expired(now) {
-            wakes.push(Wake::Refuse { ticket, refusal: self.refusal(waiting.reason) });
+            wakes.push(Wake::Refuse { ticket, refusal: self.refusal(waiting.reason, now) });
         }
-        while self.has_slot()
+        while self.is_open(now)
             && let Some((ticket, waiting)) = self.queue.pop()
         {
             wakes.push(Wake::Run {
                 ticket,
-                permit: self.start(waiting.item.print, waiting.item.kind),
+                permit: self.start(waiting.item.print, waiting.item.kind, now),
             });
         }
     }
@@ -266,14 +297,19 @@
         let kind = arrival.goal.as_ref().map(kind_of);
         let work = self.work(kind, now);
         let rank = rank(&arrival, work, now);
-        let wait = self.wait(rank);
+        let (slot, turn) = (self.wait(rank), self.pace_wait(rank, now));
+        let wait = slot.max(turn);
+        let limited = turn > slot;
+        if limited && now + wait + work.least > arrival.deadline {
+            return Err(Reason::RateLimit);
+        }
         if now + wait + work.least > arrival.deadline {
             return Err(Reason::DeadlineUnmet);
         }
         let bounded = self.config.policies.waits && !work.short;
         let share = |part| arrival.goal.filter(|_| bounded).map(|g| g.objective.mul_f64(part));
         if share(WAIT_SHARE).is_some_and(|most| wait > most) {
-            return Err(Reason::QueueFull);
+            return Err(if limited { Reason::RateLimit } else { Reason::QueueFull });
         }
         let longest = self.config.queue_wait;
         let longest = share(LEAVE_SHARE).map_or(longest, |most| most.min(longest));
@@ -282,12 +318,16 @@
                 let lowered = self.limiter.is_lowered();
                 return Err(if lowered { Reason::Shedding } else { Reason::QueueFull });
             };
-            let refusal = self.refusal(Reason::QueuePreempted);
+            let refusal = self.refusal(Reason::QueuePreempted, now);
             self.postpone(vec![Wake::Refuse { ticket, refusal }], now);
         }
         let patience = now + longest;
         let latest = arrival.deadline - work.least;
-        let reason = if latest < patience { Reason::DeadlineUnmet } else { Reason::QueueWait };
+        let reason = match latest < patience {
+            _ if limited => Reason::RateLimit,
+            true => Reason::DeadlineUnmet,
+            false => Reason::QueueWait,
+        };
         self.next += 1;
         let ticket = Ticket(self.next);
         let until = patience.min(latest);
@@ -306,7 +346,8 @@
                 self.limiter.succeeded(count(used));
                 self.service.observe(running.kind, latency, now);
             }
-            RunOutcome::NotStarted => {}
+            RunOutcome::NotStarted => self.pace.give_back(),
+            RunOutcome::Refused => {}
             RunOutcome::Lost if running.died => {}
             RunOutcome::Lost => {
                 self.linger.push_back(now + self.config.linger);
@@ -321,9 +362,11 @@
     }
 
     /// A refusal that names the time in which the queue empties.
-    fn refusal(&self, reason: Reason) -> Refusal {
+    fn refusal(&self, reason: Reason, now: Instant) -> Refusal {
         let service = self.service.mean();
-        let wait = service * (count(self.queue.len()) + 1) / self.limiter.limit().max(1);
+        let waiting = count(self.queue.len());
+        let wait = service * (waiting + 1) / self.limiter.limit().max(1);
+        let wait = wait.max(self.pace.wait(waiting, now));
         Refusal::new(reason).with_retry_after(wait.clamp(RETRY_MIN, RETRY_MAX))
     }
 }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -21,6 +21,7 @@
 mod locality;
 mod member;
 mod outlier;
+mod pace;
 mod patience;
 mod peers;
 mod placement;
--- a/crates/request/src/reason.rs
+++ b/crates/request/src/reason.rs
@@ -108,6 +108,8 @@
     QueuePreempted = "queue-preempted", 503, NotRun;
     /// The expected wait and service time exceed the deadline.
     DeadlineUnmet = "deadline-unmet", 503, NotRun;
+    /// The target has got as many requests as the limit allows that it names.
+    RateLimit = "rate-limit", 503, NotRun;
     /// The concurrency limit was lowered because the target sheds load.
     Shedding = "shedding", 503, NotRun;
     /// The daemon has no such target.
--- a/crates/request/src/verdict.rs
+++ b/crates/request/src/verdict.rs
@@ -76,6 +76,7 @@
             | Reason::QueueWait
             | Reason::QueuePreempted
             | Reason::DeadlineUnmet
+            | Reason::RateLimit
             | Reason::TargetRefused
             | Reason::Shedding
     )
@@ -110,6 +111,7 @@
             | Reason::QueueWait
             | Reason::QueuePreempted
             | Reason::DeadlineUnmet
+            | Reason::RateLimit
             | Reason::TargetRefused
             | Reason::Shedding
             | Reason::PoolLimit
