Give no new work to targets whose responses say that they leave

Cause: only reports told the daemon that a target leaves; the header of its responses was read by nobody. Change: the daemon beside the target refuses new work as draining from the first response that says so, whatever later reports of the same incarnation say, and tells the fleet. The load of its responses carries it, so that the daemon that passes the response on avoids the target at once. The next incarnation starts without it; a target that the settings list, which has no incarnations, is taken back by the operator. Stand-in targets name limits and leave by their control endpoint.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -217,10 +217,29 @@
         let target = u16::try_from(index).ok().and_then(|index| self.target(index));
         if let Some(target) = &target {
             target.set_draining(draining);
+            // Only an operator knows when a target that the settings list has started again.
+            if !draining && target.name.is_empty() {
+                target.forget_leaving();
+            }
         }
         target.is_some()
     }
 
+    /// Whether the target of an index has said that it is leaving.
+    pub(crate) fn is_leaving(&self, index: u16) -> bool {
+        self.target(index).is_some_and(|target| target.is_leaving())
+    }
+
+    /// Tells the fleet that a target has said that it is leaving.
+    fn announce_leaving(&self, index: u16) {
+        let event = LocalEvent::TargetDraining { index: u32::from(index), draining: true };
+        if let Some(node) = self.node.get() {
+            // A full queue loses the announcement; the gate still refuses, and callers' daemons learn it
+            // from each response.
+            let _ = node.try_send(ToNode::Input(Input::Local(event)));
+        }
+    }
+
     /// Removes what has expired, until the daemon is closed. The cores do so too when they are
     /// used; this bounds the memory of an idle daemon.
     pub(crate) async fn sweep(self: Arc<Self>) {
--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -220,7 +220,8 @@
             match saying {
                 Saying::Limited(rate) => self.counters.limit(target.index, Some(rate)),
                 Saying::Unlimited => self.counters.limit(target.index, None),
-                Saying::Leaving | Saying::Unreadable => {}
+                Saying::Leaving => self.announce_leaving(target.index),
+                Saying::Unreadable => {}
             }
             self.log.write(&events::said(&target.label(), saying));
         }
--- a/crates/daemon/src/proxy/slot.rs
+++ b/crates/daemon/src/proxy/slot.rs
@@ -47,14 +47,14 @@
     state: Mutex<State>,
     changed: Notify,
     draining: AtomicBool,
+    /// Whether a response has said that the target is leaving.
+    leaving: AtomicBool,
     down: AtomicBool,
     deaths: AtomicU64,
 }
 
 struct State {
     gate: Gate,
-    /// Whether a response has said that the target is leaving.
-    leaving: bool,
     /// When a limit that cannot be read was last logged.
     complained: Option<Instant>,
     waiting: HashMap<Ticket, oneshot::Sender<Turn>>,
@@ -71,14 +71,10 @@
             service: settings.service.clone(),
             pool: TargetPool::new(settings.address, connections, tasks),
             addr: settings.address,
-            state: Mutex::new(State {
-                gate,
-                leaving: false,
-                complained: None,
-                waiting: HashMap::new(),
-            }),
+            state: Mutex::new(State { gate, complained: None, waiting: HashMap::new() }),
             changed: Notify::new(),
             draining: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             down: AtomicBool::new(false),
             // Distinct from the deaths that an earlier process of this host counted.
             deaths: AtomicU64::new(clock::unix_ms()),
@@ -87,7 +83,7 @@
 
     /// Waits for a slot.
     pub(crate) async fn admit(self: &Arc<Self>, arrival: Arrival) -> Result<Slot, Refusal> {
-        if self.draining.load(Ordering::Relaxed) {
+        if self.draining.load(Ordering::Relaxed) || self.is_leaving() {
             return Err(Refusal::new(Reason::Draining));
         }
         let (ticket, turn) = {
@@ -144,6 +140,16 @@
         self.draining.swap(draining, Ordering::Relaxed)
     }
 
+    /// Whether a response has said that the target is leaving.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Takes the target for one that has started again.
+    pub(crate) fn forget_leaving(&self) {
+        self.leaving.store(false, Ordering::Relaxed);
+    }
+
     /// What the gate expects of an arrival now, for the log.
     pub(crate) fn expected(&self, arrival: &Arrival) -> Expected {
         let now = Instant::now();
@@ -158,7 +164,7 @@
 
     /// What is reported with each response.
     pub(crate) fn load(&self) -> Load {
-        self.lock().gate.load()
+        Load { leaving: self.is_leaving(), ..self.lock().gate.load() }
     }
 
     /// Takes over what a response to a request that was handed over at `handed` says about the target;
@@ -175,8 +181,7 @@
             let wakes = state.gate.expire(now);
             state.wake(wakes);
         }
-        if notice.leaving && !state.leaving {
-            state.leaving = true;
+        if notice.leaving && !self.leaving.swap(true, Ordering::Relaxed) {
             news.push(Saying::Leaving);
         }
         let recent = |at: Instant| now.saturating_duration_since(at) < COMPLAINT_PAUSE;
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -122,7 +122,9 @@
             service: resident.report.service.clone(),
             slots: resident.report.slots,
             connections: resident.report.slots,
-            draining: !resident.is_open() || self.proxy.is_draining(),
+            draining: !resident.is_open()
+                || self.proxy.is_draining()
+                || self.proxy.is_leaving(resident.index),
             started: resident.report.started,
         };
         self.tell(LocalEvent::Targets(residents.iter().map(target).collect())).await;
@@ -150,6 +152,8 @@
     pub async fn drain_target(&self, index: u32, draining: bool) -> bool {
         let known = self.proxy.drain_target(index, draining);
         if known {
+            let leaving = u16::try_from(index).is_ok_and(|index| self.proxy.is_leaving(index));
+            let draining = draining || leaving;
             self.tell(LocalEvent::TargetDraining { index, draining }).await;
         }
         known
--- a/crates/daemon/tests/admin.rs
+++ b/crates/daemon/tests/admin.rs
@@ -89,6 +89,31 @@
     Ok(())
 }
 
+/// Guards against a target that gets work after it has said that it leaves, and against one that no
+/// operator can take back once it has started again.
+#[gtest]
+#[tokio::test]
+async fn a_target_that_said_it_leaves_is_taken_back_by_the_operator() -> Result<()> {
+    let (_standin, raw, running) = served(Act::Leave).await;
+    let addrs = running.addrs();
+    let draining = |members: &MemberTable| {
+        members.iter().flat_map(|m| &m.targets).filter(|target| target.draining).count()
+    };
+    send(addrs.callers, get("/lookup")).await;
+    running.wait_members(|m| draining(m) == 1).await;
+    let response = send(addrs.callers, get("/lookup")).await;
+    expect_that!(header(&response, "damaskwick-outcome"), eq("not-run"));
+    expect_that!(raw.count(), eq(1));
+    let delete =
+        Request::builder().method("DELETE").uri("/targets/0/drain").header("host", "admin");
+    send(addrs.admin, delete.body(Full::default())?).await;
+    running.wait_members(|m| draining(m) == 0).await;
+    let response = send(addrs.callers, get("/lookup")).await;
+    expect_that!(response.status().as_u16(), eq(200));
+    running.kill().await;
+    Ok(())
+}
+
 /// Guards against errors that a target passes on from a call of its own, which lower the limit of
 /// each target along a call chain as if it shed load, and against shedding that lowers none.
 #[gtest]
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -184,6 +184,8 @@
 pub(crate) enum Act {
     /// Responds with the request head as its body.
     Echo,
+    /// Says that it is leaving.
+    Leave,
     /// Sends half of the body that it announced, and closes.
     Truncate,
     /// Sends a chunk without the final one, and closes.
@@ -286,6 +288,10 @@
             }
             Act::Fail => "HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n".to_owned(),
             Act::Shed => "HTTP/1.1 503 x\r\nretry-after: 1\r\ncontent-length: 0\r\n\r\n".to_owned(),
+            Act::Leave => {
+                let leaving = "damaskwick-target-leaving: 1\r\n";
+                format!("HTTP/1.1 200 OK\r\n{leaving}content-length: 0\r\n\r\n")
+            }
             Act::Die => return,
             Act::Hold => {
                 let mut byte = [0; 1];
--- a/crates/fakes/src/target_control.rs
+++ b/crates/fakes/src/target_control.rs
@@ -13,7 +13,8 @@
 ///
 /// Paths: `/counts`, `/ledger` (one JSON object a line), `/crash`, `/restart`, `/pause`,
 /// `/resume`, `/silence`, `/drain`, `/undrain`, `/health?says=` (`true`, `false`, honest without
-/// it), `/load?says=` (a number, honest without it).
+/// it), `/load?says=` (a number, honest without it), `/limit?says=` (the requests a second that answers
+/// name, none without it), `/leaving` (answers say that the target leaves).
 pub(crate) fn start(addr: SocketAddr, inner: Inner) -> io::Result<Serve> {
     let handler = Arc::new(move |request: Request<Incoming>, _| {
         Box::pin(handle(inner.clone(), request.into_parts().0.uri)) as _
@@ -42,6 +43,8 @@
         "/undrain" => inner.working.lock().draining = false,
         "/health" => inner.working.lock().health = report(query.get("says")),
         "/load" => inner.working.lock().load = report(query.get("says")),
+        "/limit" => inner.working.lock().limit = query.get("says"),
+        "/leaving" => inner.working.lock().leaving = true,
         other => return reply(StatusCode::NOT_FOUND, format!("unknown switch {other}\n")),
     }
     reply(StatusCode::OK, "ok\n".to_owned())
--- a/crates/fakes/src/working.rs
+++ b/crates/fakes/src/working.rs
@@ -83,6 +83,10 @@
     pub(crate) started: Instant,
     pub(crate) health: Report<bool>,
     pub(crate) load: Report<f64>,
+    /// The requests a second that its answers name, as they write it.
+    pub(crate) limit: Option<String>,
+    /// Whether its answers say that it is leaving.
+    pub(crate) leaving: bool,
     addr: Option<SocketAddr>,
 }
 
@@ -95,6 +99,8 @@
             started: Instant::now(),
             health: Report::Honest,
             load: Report::Honest,
+            limit: None,
+            leaving: false,
             addr: None,
         };
         Self { conduct, ledger, crash: Notify::new(), state: Mutex::new(state) }
@@ -113,6 +119,8 @@
         let mut state = self.lock();
         state.crashed = false;
         state.draining = false;
+        state.limit = None;
+        state.leaving = false;
         state.started = Instant::now();
     }
 
@@ -149,6 +157,19 @@
         respond(StatusCode::OK, full(json!({"load": load}).to_string()))
     }
 
+    /// What its answers say about the target itself.
+    fn notices(&self) -> HeaderMap {
+        let state = self.lock();
+        let mut map = HeaderMap::new();
+        if let Some(limit) = state.limit.as_deref().and_then(|text| text.parse().ok()) {
+            map.insert("damaskwick-target-limit", limit);
+        }
+        if state.leaving {
+            map.insert("damaskwick-target-leaving", HeaderValue::from_static("1"));
+        }
+        map
+    }
+
     /// Takes a slot and records the start, or says why the request is refused.
     fn admit(self: &Arc<Self>, headers: &HeaderMap, body: usize) -> Result<Slot, Refusal> {
         let mut state = self.lock();
@@ -260,7 +281,11 @@
     let headers = &head.headers;
     let mut slot = match working.admit(headers, body.len()) {
         Ok(slot) => slot,
-        Err(refusal) => return Ok(refusal.answer(working.conduct.retry_after)),
+        Err(refusal) => {
+            let mut answer = refusal.answer(working.conduct.retry_after);
+            answer.headers_mut().extend(working.notices());
+            return Ok(answer);
+        }
     };
     if let Some(delay) = text(headers, "x-crash") {
         let delay = delay.parse().unwrap_or_default();
@@ -282,6 +307,7 @@
     };
     let mut response = respond(StatusCode::OK, body);
     response.headers_mut().insert(CONTENT_LENGTH, length);
+    response.headers_mut().extend(working.notices());
     Ok(response)
 }
 
--- a/crates/request/src/balancer.rs
+++ b/crates/request/src/balancer.rs
@@ -96,7 +96,7 @@
             let key = (endpoint.host.clone(), endpoint.target);
             let target = match old.remove(&key) {
                 Some(mut target) if is_same_life(&target.endpoint, endpoint) => {
-                    target.endpoint = Arc::clone(endpoint);
+                    target.adopt(endpoint);
                     target
                 }
                 _ => {
--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -243,6 +243,7 @@
             slots: self.pace.concurrency(self.service.mean(), self.limiter.limit()),
             queued: count(self.queue.len()),
             shedding,
+            leaving: false,
         }
     }
 
--- a/crates/request/src/load.rs
+++ b/crates/request/src/load.rs
@@ -11,17 +11,26 @@
     pub queued: u32,
     /// Whether requests are being turned away.
     pub shedding: bool,
+    /// Whether the target has said in a response that it is leaving.
+    pub leaving: bool,
 }
 
 /// The text is not a load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("a load is written as in-flight/slots/queued/shedding, such as 3/12/0/0")]
+#[error(
+    "a load is written as in-flight/slots/queued/shedding, such as 3/12/0/0, with /leaving at its end"
+)]
 pub struct ParseLoadError;
 
+/// Ends the load of a target that is leaving; left out otherwise, because bytes between failure domains
+/// are paid for.
+const LEAVING: &str = "leaving";
+
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { in_flight, slots, queued, shedding } = self;
-        write!(f, "{in_flight}/{slots}/{queued}/{}", u8::from(*shedding))
+        let Self { in_flight, slots, queued, shedding, leaving } = self;
+        write!(f, "{in_flight}/{slots}/{queued}/{}", u8::from(*shedding))?;
+        if *leaving { write!(f, "/{LEAVING}") } else { Ok(()) }
     }
 }
 
@@ -29,10 +38,20 @@
     type Err = ParseLoadError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut parts = text.split('/').map(|part| part.parse::<u32>().map_err(|_| ParseLoadError));
-        let mut next = || parts.next().unwrap_or(Err(ParseLoadError));
-        let load =
-            Self { in_flight: next()?, slots: next()?, queued: next()?, shedding: next()? != 0 };
-        if parts.next().is_some() { Err(ParseLoadError) } else { Ok(load) }
+        let mut parts = text.split('/');
+        let mut number = || {
+            let part = parts.next().ok_or(ParseLoadError)?;
+            part.parse::<u32>().map_err(|_| ParseLoadError)
+        };
+        let (in_flight, slots, queued) = (number()?, number()?, number()?);
+        let shedding = number()? != 0;
+        let mut load = Self { in_flight, slots, queued, shedding, leaving: false };
+        for part in parts {
+            match part {
+                LEAVING => load.leaving = true,
+                _ => return Err(ParseLoadError),
+            }
+        }
+        Ok(load)
     }
 }
--- a/crates/request/src/target.rs
+++ b/crates/request/src/target.rs
@@ -82,6 +82,15 @@
         }
     }
 
+    /// Takes over what membership says now. A target that stays and was leaving is taken back.
+    pub(crate) fn adopt(&mut self, endpoint: &Arc<Endpoint>) {
+        let was_leaving = self.endpoint.state == EndpointState::Leaving;
+        if was_leaving && endpoint.state == EndpointState::Alive {
+            self.leaving = None;
+        }
+        self.endpoint = Arc::clone(endpoint);
+    }
+
     /// The state by membership, corrected by what the target itself said.
     pub(crate) fn state(&self, now: Instant) -> EndpointState {
         match self.leaving {
--- a/crates/request/src/verdict.rs
+++ b/crates/request/src/verdict.rs
@@ -33,6 +33,7 @@
             AttemptOutcome::Unknown { .. } => (Seen::Failure, None, false),
             AttemptOutcome::Cancelled => (Seen::Neutral, None, false),
         };
+        let leaving = leaving || matches!(load, Some(Load { leaving: true, .. }));
         let unreachable = matches!(
             outcome,
             AttemptOutcome::NotRun { reason: Reason::ConnectFailed, .. }
--- a/crates/request/tests/overload.rs
+++ b/crates/request/tests/overload.rs
@@ -266,7 +266,7 @@
 }
 
 fn full(slots: u32) -> AttemptOutcome {
-    let load = Load { in_flight: slots, slots, queued: 4, shedding: true };
+    let load = Load { in_flight: slots, slots, queued: 4, shedding: true, leaving: false };
     AttemptOutcome::NotRun { reason: Reason::QueueFull, retry_after: None, load: Some(load) }
 }
 
--- a/crates/request/tests/support/mod.rs
+++ b/crates/request/tests/support/mod.rs
@@ -90,7 +90,7 @@
 }
 
 pub(crate) fn busy(in_flight: u32) -> AttemptOutcome {
-    let load = Load { in_flight, slots: 10, queued: 0, shedding: false };
+    let load = Load { in_flight, slots: 10, ..Load::default() };
     AttemptOutcome::Answered { status: 200, load: Some(load), latency: ms(1) }
 }
 
--- a/crates/request/tests/text.rs
+++ b/crates/request/tests/text.rs
@@ -25,9 +25,11 @@
 /// Guards against a load header that is misread.
 #[gtest]
 fn loads_survive_the_header() {
-    let load = Load { in_flight: 3, slots: 12, queued: 7, shedding: true };
-    expect_that!(load.to_string().parse::<Load>(), ok(eq(load)));
-    for text in ["", "1/2/3", "1/2/3/0/0", "1/2/-3/0", "a/b/c/d"] {
+    for leaving in [false, true] {
+        let load = Load { in_flight: 3, slots: 12, queued: 7, shedding: true, leaving };
+        expect_that!(load.to_string().parse::<Load>(), ok(eq(load)));
+    }
+    for text in ["", "1/2/3", "1/2/3/0/0", "1/2/-3/0", "a/b/c/d", "1/2/3/0/", "1/2/3/leaving"] {
         expect_that!(text.parse::<Load>(), err(anything()), "{text}");
     }
 }
