Tell a restarted daemon the limit that its target named before

Cause: the limit lives in the gate beside the target alone. A daemon that is killed, stopped in turn or loses power while its target goes on knows none, and hands over as many requests as there are slots until the first response comes back; callers' hosts that were told are not excused by that restart. Change: the load of a response carries the limit (/limit=31.5, only while one is named), callers' daemons remember it for the incarnation, and tell it with each request to the target (leg). A gate believes it only until its target's first response, which is the newer truth either way. No message more, and no byte without a limit.

--- a/crates/bench/src/model/world.rs
+++ b/crates/bench/src/model/world.rs
@@ -273,6 +273,7 @@
             deadline: self.requests[request].deadline,
             goal: self.policies.goals.then_some(attempt.goal),
             fingerprint: None,
+            limit: attempt.basis.limit,
         };
         match node.gate.offer(arrival, self.now) {
             Admission::Run(permit) => self.run(request, attempt.id, host, permit),
--- a/crates/daemon/src/proxy/events.rs
+++ b/crates/daemon/src/proxy/events.rs
@@ -22,6 +22,7 @@
         .with(Field::InFlight, attempt.basis.in_flight)
         .with(Field::Slots, endpoint.slots)
         .with_some(Field::AgeMs, attempt.basis.age)
+        .with_some(Field::Limit, attempt.basis.limit.map(|rate| rate.to_string()))
         .with(Field::LeftMs, attempt.timeout)
 }
 
@@ -115,6 +116,7 @@
         .with(Field::InFlight, load.in_flight)
         .with(Field::Slots, load.slots)
         .with(Field::Queued, load.queued)
+        .with_some(Field::Limit, load.limit.map(|rate| rate.to_string()))
 }
 
 /// A target's responses say something new.
--- a/crates/daemon/src/proxy/leg.rs
+++ b/crates/daemon/src/proxy/leg.rs
@@ -1,6 +1,6 @@
 use std::{fmt, str::FromStr, time::Duration};
 
-use dw_request::{Arrival, Attempt, Goal};
+use dw_request::{Arrival, Attempt, Goal, Rate};
 use thiserror::Error;
 use tokio::time::Instant;
 
@@ -22,11 +22,16 @@
     objective: Duration,
     /// How much of it is left.
     left: Duration,
+    /// The limit that the target named to the sender, as far as that knows.
+    limit: Option<Rate>,
 }
 
 /// The text is not a leg.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("a leg is written as target/timeout/depth/retried/priority/objective/left, times in ms")]
+#[error(
+    "a leg is written as target/timeout/depth/retried/priority/objective/left, times in ms, followed by \
+     /limit in requests a second if the target names one"
+)]
 pub(super) struct ParseLegError;
 
 impl Leg {
@@ -40,6 +45,7 @@
             priority: attempt.goal.priority,
             objective: attempt.goal.objective,
             left: attempt.goal.late_at.saturating_duration_since(now),
+            limit: attempt.basis.limit,
         }
     }
 
@@ -52,6 +58,7 @@
             deadline: now + self.timeout,
             goal: Some(goal),
             fingerprint: None,
+            limit: self.limit,
         }
     }
 }
@@ -62,7 +69,11 @@
         let [timeout, objective, left] =
             [self.timeout, self.objective, self.left].map(|time| time.as_millis());
         let retried = u8::from(self.retried);
-        write!(f, "{target}/{timeout}/{depth}/{retried}/{priority}/{objective}/{left}")
+        write!(f, "{target}/{timeout}/{depth}/{retried}/{priority}/{objective}/{left}")?;
+        match self.limit {
+            Some(rate) => write!(f, "/{rate}"),
+            None => Ok(()),
+        }
     }
 }
 
@@ -70,8 +81,11 @@
     type Err = ParseLegError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut parts = text.split('/').map(|part| part.parse::<u32>().map_err(|_| ParseLegError));
-        let mut next = || parts.next().unwrap_or(Err(ParseLegError));
+        let mut parts = text.split('/');
+        let mut next = || {
+            let part = parts.next().ok_or(ParseLegError)?;
+            part.parse::<u32>().map_err(|_| ParseLegError)
+        };
         let ms = |ms: u32| Duration::from_millis(u64::from(ms));
         let leg = Self {
             target: u16::try_from(next()?).map_err(|_| ParseLegError)?,
@@ -81,7 +95,9 @@
             priority: next()?,
             objective: ms(next()?),
             left: ms(next()?),
+            limit: None,
         };
-        if parts.next().is_some() { Err(ParseLegError) } else { Ok(leg) }
+        let limit = parts.next().map(str::parse).transpose().map_err(|_| ParseLegError)?;
+        if parts.next().is_some() { Err(ParseLegError) } else { Ok(Self { limit, ..leg }) }
     }
 }
--- a/crates/request/src/admission.rs
+++ b/crates/request/src/admission.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use crate::{Fingerprint, Goal, Refusal};
+use crate::{Fingerprint, Goal, Rate, Refusal};
 
 /// Limits of one target, kept exactly by the daemon beside it.
 #[derive(Clone, Debug)]
@@ -62,6 +62,8 @@
     pub goal: Option<Goal>,
     /// Identifies the request across repeats.
     pub fingerprint: Option<Fingerprint>,
+    /// The limit that the target named to the caller's daemon, as far as that knows.
+    pub limit: Option<Rate>,
 }
 
 /// The right to run one request; returned by [`crate::Gate::finish`].
--- a/crates/request/src/balancer.rs
+++ b/crates/request/src/balancer.rs
@@ -298,6 +298,7 @@
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         in_flight: in_flight as u32,
         age: target.load_age(now),
+        limit: target.limit(),
     };
     Choice { uid: target.uid, endpoint: Arc::clone(&target.endpoint), basis }
 }
--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -133,6 +133,9 @@
         if let Some(reason) = refusal {
             return Admission::Refuse(Refusal::new(reason));
         }
+        if let Some(rate) = arrival.limit {
+            self.pace.adopt(rate, now);
+        }
         let mut wakes = Vec::new();
         self.advance(now, &mut wakes);
         self.postpone(wakes, now);
@@ -244,6 +247,7 @@
             queued: count(self.queue.len()),
             shedding,
             leaving: false,
+            limit: self.pace.rate(),
         }
     }
 
--- a/crates/request/src/load.rs
+++ b/crates/request/src/load.rs
@@ -1,5 +1,7 @@
 use std::{fmt, str::FromStr};
 
+use crate::Rate;
+
 /// The load of one target as its daemon reports it with each response, in `damaskwick-load`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -13,24 +15,36 @@
     pub shedding: bool,
     /// Whether the target has said in a response that it is leaving.
     pub leaving: bool,
+    /// Requests a second that the target takes, if it names a limit.
+    pub limit: Option<Rate>,
 }
 
 /// The text is not a load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error(
-    "a load is written as in-flight/slots/queued/shedding, such as 3/12/0/0, with /leaving at its end"
+    "a load is written as in-flight/slots/queued/shedding, such as 3/12/0/0, followed by /leaving and \
+     /limit=31.5 where they apply"
 )]
 pub struct ParseLoadError;
 
-/// Ends the load of a target that is leaving; left out otherwise, because bytes between failure domains
-/// are paid for.
+/// In the load of a target that is leaving. It and the limit are left out where they do not apply, because
+/// bytes between failure domains are paid for.
 const LEAVING: &str = "leaving";
 
+/// Before the rate of a target that names a limit.
+const LIMIT: &str = "limit=";
+
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { in_flight, slots, queued, shedding, leaving } = self;
+        let Self { in_flight, slots, queued, shedding, leaving, limit } = self;
         write!(f, "{in_flight}/{slots}/{queued}/{}", u8::from(*shedding))?;
-        if *leaving { write!(f, "/{LEAVING}") } else { Ok(()) }
+        if *leaving {
+            write!(f, "/{LEAVING}")?;
+        }
+        match limit {
+            Some(rate) => write!(f, "/{LIMIT}{rate}"),
+            None => Ok(()),
+        }
     }
 }
 
@@ -45,11 +59,12 @@
         };
         let (in_flight, slots, queued) = (number()?, number()?, number()?);
         let shedding = number()? != 0;
-        let mut load = Self { in_flight, slots, queued, shedding, leaving: false };
+        let mut load = Self { in_flight, slots, queued, shedding, ..Self::default() };
         for part in parts {
-            match part {
-                LEAVING => load.leaving = true,
-                _ => return Err(ParseLoadError),
+            match part.strip_prefix(LIMIT) {
+                Some(rate) => load.limit = Some(rate.parse().map_err(|_| ParseLoadError)?),
+                None if part == LEAVING => load.leaving = true,
+                None => return Err(ParseLoadError),
             }
         }
         Ok(load)
--- a/crates/request/src/pace.rs
+++ b/crates/request/src/pace.rs
@@ -25,6 +25,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pace {
     limit: Option<Limit>,
+    /// Whether the target has answered. Before, as after a restart of the daemon beside it, what other
+    /// daemons were told counts.
+    heard: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -32,8 +35,8 @@
     rate: Rate,
     /// When a request is due if the next one comes in time.
     due: Instant,
-    /// When a response last named it.
-    named: Instant,
+    /// When a response last named it; `None` if only another daemon did.
+    named: Option<Instant>,
 }
 
 impl Limit {
@@ -51,14 +54,23 @@
     /// Takes over what a response says, `None` if it names no limit. Its request was handed over at
     /// `handed`.
     pub(crate) fn hear(&mut self, said: Option<Rate>, handed: Instant, now: Instant) {
+        self.heard = true;
+        let recent = |limit: &Limit| limit.named.is_some_and(|named| handed < named + SETTLE);
         match said {
-            Some(rate) => self.set(rate, now),
-            None => self.limit = self.limit.filter(|limit| handed < limit.named + SETTLE),
+            Some(rate) => self.set(rate, Some(now), now),
+            None => self.limit = self.limit.filter(recent),
         }
     }
 
-    fn set(&mut self, rate: Rate, now: Instant) {
-        let limit = Limit { rate, due: now, named: now };
+    /// Takes over the limit that another daemon was told.
+    pub(crate) fn adopt(&mut self, rate: Rate, now: Instant) {
+        if !self.heard && self.limit.is_none() {
+            self.set(rate, None, now);
+        }
+    }
+
+    fn set(&mut self, rate: Rate, named: Option<Instant>, now: Instant) {
+        let limit = Limit { rate, due: now, named };
         let due = self.limit.map_or(now, |old| {
             // What the target got ahead of time counts as the same number of requests at the new rate.
             let ahead = old.due.saturating_duration_since(now);
--- a/crates/request/src/target.rs
+++ b/crates/request/src/target.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use crate::{Endpoint, EndpointState, Load, outlier::Outlier};
+use crate::{Endpoint, EndpointState, Load, Rate, outlier::Outlier};
 
 /// Time in which a cold target gets up to its full share.
 pub(crate) const SLOW_START: Duration = Duration::from_secs(10);
@@ -34,6 +34,10 @@
 /// host that failed within one to three seconds.
 const UNREACHABLE: Duration = Duration::from_secs(1);
 
+/// Time in which responses on several connections may overtake each other, so that one without a limit does
+/// not end the limit which a newer one told.
+const CROSSED: Duration = Duration::from_millis(250);
+
 /// How an attempt ended, as far as the target's score is concerned.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Seen {
@@ -60,6 +64,8 @@
     failing: f64,
     seen: Option<Instant>,
     load: Option<(Load, Instant)>,
+    /// The limit that it names, and when a response last told it.
+    limit: Option<(Rate, Instant)>,
     leaving: Option<Instant>,
     unreachable: Option<Instant>,
 }
@@ -77,6 +83,7 @@
             failing: 0.0,
             seen: None,
             load: None,
+            limit: None,
             leaving: None,
             unreachable: None,
         }
@@ -161,8 +168,18 @@
     }
 
     /// Takes over a load report.
-    pub(crate) const fn report(&mut self, load: Load, now: Instant) {
+    pub(crate) fn report(&mut self, load: Load, now: Instant) {
         self.load = Some((load, now));
+        let recent = |named: Instant| now.saturating_duration_since(named) < CROSSED;
+        match load.limit {
+            Some(rate) => self.limit = Some((rate, now)),
+            None => self.limit = self.limit.filter(|(_, named)| recent(*named)),
+        }
+    }
+
+    /// The limit that it names, as far as is known.
+    pub(crate) fn limit(&self) -> Option<Rate> {
+        self.limit.map(|(rate, _)| rate)
     }
 
     /// Takes over the outcome of an attempt, except for its ejection.
--- a/crates/request/src/view.rs
+++ b/crates/request/src/view.rs
@@ -2,7 +2,7 @@
 
 use dw_tables::Name;
 
-use crate::Endpoint;
+use crate::{Endpoint, Rate};
 
 /// What the choice of a target was based on, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -13,6 +13,8 @@
     pub in_flight: u32,
     /// The age of the target's last report; `None` without one.
     pub age: Option<Duration>,
+    /// The limit that the target names, as far as is known.
+    pub limit: Option<Rate>,
 }
 
 /// A target with what led to its choice.
--- a/crates/request/tests/domains.rs
+++ b/crates/request/tests/domains.rs
@@ -171,6 +171,7 @@
             deadline: sent.since + DEADLINE,
             goal: Some(sent.attempt.goal),
             fingerprint: None,
+            limit: None,
         };
         match self.targets[index].gate.offer(arrival, now) {
             Admission::Run(permit) => self.run(index, permit, sent, now),
--- a/crates/request/tests/gate.rs
+++ b/crates/request/tests/gate.rs
@@ -17,7 +17,7 @@
 }
 
 fn call(depth: u8, deadline: Instant) -> Arrival {
-    Arrival { depth, deadline, goal: None, fingerprint: None }
+    Arrival { depth, deadline, goal: None, fingerprint: None, limit: None }
 }
 
 fn run(admission: Admission) -> Permit {
@@ -215,7 +215,10 @@
     let mut g = gate(10, 10);
     let prints = ["open", "lost", "fine"].map(Fingerprint::of_key);
     let offer = |g: &mut Gate, print| {
-        run(g.offer(Arrival { depth: 0, deadline: end, goal: None, fingerprint: Some(print) }, now))
+        run(g.offer(
+            Arrival { depth: 0, deadline: end, goal: None, fingerprint: Some(print), limit: None },
+            now,
+        ))
     };
     let [open, lost, fine] = prints.map(|print| offer(&mut g, print));
     g.finish(fine, DONE, now);
@@ -228,7 +231,8 @@
         let death = Death { host: host.into(), target: 0, start };
         g.poison_mut().merge(&Suspects { death, prints: suspects.clone(), more: false }, now);
     }
-    let again = Arrival { depth: 0, deadline: end, goal: None, fingerprint: Some(prints[0]) };
+    let again =
+        Arrival { depth: 0, deadline: end, goal: None, fingerprint: Some(prints[0]), limit: None };
     let refusal = refuse(g.offer(again, now));
     expect_that!((refusal.reason, refusal.outcome), eq((Reason::Poisoned, Outcome::Unknown)));
 }
--- a/crates/request/tests/overload.rs
+++ b/crates/request/tests/overload.rs
@@ -45,6 +45,7 @@
             deadline: now + deadline,
             goal: Some(Goal { objective, late_at: now + objective, priority }),
             fingerprint: None,
+            limit: None,
         }
     }
 }
@@ -266,7 +267,7 @@
 }
 
 fn full(slots: u32) -> AttemptOutcome {
-    let load = Load { in_flight: slots, slots, queued: 4, shedding: true, leaving: false };
+    let load = Load { in_flight: slots, slots, queued: 4, shedding: true, ..Load::default() };
     AttemptOutcome::NotRun { reason: Reason::QueueFull, retry_after: None, load: Some(load) }
 }
 
--- a/crates/request/tests/pace.rs
+++ b/crates/request/tests/pace.rs
@@ -5,8 +5,8 @@
 use std::{collections::BTreeMap, ops::Range, time::Duration};
 
 use dw_request::{
-    Admission, Arrival, Gate, GateConfig, Goal, Outcome, Permit, Rate, Reason, Refusal, RunOutcome,
-    Wake,
+    Admission, Arrival, AttemptOutcome, Dispatcher, Gate, GateConfig, Goal, Load, Outcome, Permit,
+    Rate, Reason, Refusal, RunOutcome, Wake,
 };
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, proptest};
@@ -22,6 +22,10 @@
     text.parse().unwrap_or_else(|error| panic!("{text}: {error}"))
 }
 
+fn call(now: Instant) -> Arrival {
+    Arrival { depth: 1, deadline: now + SECOND / 2, goal: None, fingerprint: None, limit: None }
+}
+
 /// What a target names in a response at a time since its start.
 type Says = dyn Fn(Duration) -> Option<Rate>;
 
@@ -84,6 +88,7 @@
                     deadline: now + self.patience,
                     goal: Some(goal),
                     fingerprint: None,
+                    limit: None,
                 };
                 match gate.offer(arrival, now) {
                     Admission::Run(permit) => started.push(permit),
@@ -182,7 +187,13 @@
     let now = Instant::now();
     let mut gate = Gate::new(GateConfig::default());
     gate.hear(Some(rate("1")), now, now);
-    let arrival = Arrival { depth: 1, deadline: now + SECOND / 2, goal: None, fingerprint: None };
+    let arrival = Arrival {
+        depth: 1,
+        deadline: now + SECOND / 2,
+        goal: None,
+        fingerprint: None,
+        limit: None,
+    };
     for _ in 0..3 {
         let Admission::Run(permit) = gate.offer(arrival, now) else { panic!("not run") };
         drop(gate.finish(permit, RunOutcome::NotStarted, now));
@@ -218,3 +229,55 @@
         assert!(most <= largest * 4.1 + 2.0, "{most} in 4 s, {largest} named");
     }
 }
+
+/// Guards against a burst at a target beside a daemon that has just started and does not know the limit which
+/// the daemons of callers were told.
+#[gtest]
+fn a_restarted_gate_keeps_to_what_others_were_told() {
+    let now = Instant::now();
+    let mut gate = Gate::new(GateConfig::default());
+    let told = Arrival { limit: Some(rate("2")), ..call(now) };
+    let admissions: Vec<_> = (0..10).map(|_| gate.offer(told, now)).collect();
+    let runs = admissions.iter().filter(|a| matches!(a, Admission::Run(_))).count();
+    expect_that!(runs, eq(1));
+    expect_that!(gate.load().limit, some(eq(rate("2"))));
+}
+
+/// Guards against a limit of an earlier incarnation that others still believe in and that outlasts the first
+/// response.
+#[gtest]
+fn what_others_were_told_ends_with_the_first_response() {
+    let now = Instant::now();
+    let mut gate = Gate::new(GateConfig::default());
+    let told = Arrival { limit: Some(rate("0")), ..call(now) };
+    let Admission::Run(permit) = gate.offer(told, now) else { panic!("not run") };
+    gate.hear(None, now, now + ms(60));
+    drop(gate.finish(permit, RunOutcome::Answered { status: 200, latency: ms(60) }, now + ms(60)));
+    for _ in 0..10 {
+        expect_that!(gate.offer(told, now + ms(60)), matches_pattern!(Admission::Run(_)));
+    }
+    expect_that!(gate.limit(), none());
+}
+
+/// Guards against a daemon of callers that forgets a limit it was told, or carries it over to the next
+/// incarnation of the target.
+#[gtest]
+fn callers_daemons_remember_the_limit_of_an_incarnation() {
+    let start = Instant::now();
+    let targets = |since: Instant| vec![support::endpoint("portland-0", "portland", "r", since)];
+    let mut dispatcher = support::dispatcher(1, support::two_routes(), targets(start));
+    let ask = |dispatcher: &mut Dispatcher, limit: Option<Rate>, now: Instant| {
+        let attempt = support::forwarded(dispatcher.begin(support::get("/lookup"), now));
+        let load = Some(Load { slots: 10, limit, ..Load::default() });
+        let answered = AttemptOutcome::Answered { status: 200, load, latency: ms(1) };
+        dispatcher.settle(attempt.id, answered, now);
+        attempt.basis.limit
+    };
+    expect_that!(ask(&mut dispatcher, Some(rate("3")), start), none());
+    // A response that was overtaken does not name it yet.
+    expect_that!(ask(&mut dispatcher, None, start + ms(10)), some(eq(rate("3"))));
+    expect_that!(ask(&mut dispatcher, None, start + SECOND), some(eq(rate("3"))));
+    expect_that!(ask(&mut dispatcher, Some(rate("3")), start + SECOND), none());
+    dispatcher.set_endpoints(targets(start + 5 * SECOND));
+    expect_that!(ask(&mut dispatcher, None, start + 6 * SECOND), none());
+}
--- a/crates/request/tests/schedule.rs
+++ b/crates/request/tests/schedule.rs
@@ -164,7 +164,7 @@
                     self.arrive(
                         target,
                         call,
-                        Arrival { depth, deadline, goal: None, fingerprint: None },
+                        Arrival { depth, deadline, goal: None, fingerprint: None, limit: None },
                     );
                 }
                 Event::Expire { target } => {
--- a/crates/request/tests/text.rs
+++ b/crates/request/tests/text.rs
@@ -26,10 +26,22 @@
 #[gtest]
 fn loads_survive_the_header() {
     for leaving in [false, true] {
-        let load = Load { in_flight: 3, slots: 12, queued: 7, shedding: true, leaving };
+        let load =
+            Load { in_flight: 3, slots: 12, queued: 7, shedding: true, leaving, limit: None };
         expect_that!(load.to_string().parse::<Load>(), ok(eq(load)));
+        let limited = Load { limit: "31.5".parse().ok(), ..load };
+        expect_that!(limited.to_string().parse::<Load>(), ok(eq(limited)));
     }
-    for text in ["", "1/2/3", "1/2/3/0/0", "1/2/-3/0", "a/b/c/d", "1/2/3/0/", "1/2/3/leaving"] {
+    for text in [
+        "",
+        "1/2/3",
+        "1/2/3/0/0",
+        "1/2/-3/0",
+        "a/b/c/d",
+        "1/2/3/0/",
+        "1/2/3/leaving",
+        "1/2/3/0/limit=-1",
+    ] {
         expect_that!(text.parse::<Load>(), err(anything()), "{text}");
     }
 }
