Play limits that targets name, and targets that leave, in the load model

Faults limit and leave; what a target got against what it named, the most beyond it in 4 s, and how soon it gets more once the limit has ended. Refused requests already move to targets with room.

--- a/crates/bench/src/model.rs
+++ b/crates/bench/src/model.rs
@@ -4,6 +4,7 @@
 mod bound;
 mod faults;
 mod fleet;
+mod limits;
 mod report;
 mod scenario;
 mod served;
--- a/crates/bench/src/model/bound.rs
+++ b/crates/bench/src/model/bound.rs
@@ -70,15 +70,36 @@
     let mut supply = BTreeMap::new();
     for (idx, host) in scenario.hosts.iter().enumerate() {
         let mut end = until;
+        let mut missing = 0.0;
         for fault in &scenario.faults {
             if let FaultKind::Lose { host } = fault.kind
                 && host == idx
             {
                 end = end.min(span(fault.at));
             }
+            if let FaultKind::Leave { host, time } = fault.kind
+                && host == idx
+            {
+                end = end.min(span(fault.at) + span(time));
+            }
+            if let FaultKind::Limit { host: limited, rate, time } = fault.kind
+                && limited == idx
+            {
+                let (start, stop) = (span(fault.at).max(from), span(fault.at) + span(time));
+                let seconds = stop.min(until).saturating_sub(start).as_secs_f64();
+                let most = f64::from(host.slots) * host.speed;
+                missing += seconds * (most - rate * longest_work(scenario, &host.service)).max(0.0);
+            }
         }
         let time = end.saturating_sub(from).as_secs_f64();
-        *supply.entry(&host.service).or_default() += time * f64::from(host.slots) * host.speed;
+        let work = time * f64::from(host.slots) * host.speed - missing;
+        *supply.entry(&host.service).or_default() += work.max(0.0);
     }
     supply
 }
+
+/// Seconds of the longest work of a service, which makes the most of a request that a limit allows.
+fn longest_work(scenario: &Scenario, service: &Name) -> f64 {
+    let routes = scenario.routes.iter().filter(|load| load.service == *service);
+    routes.map(|load| span(load.work).as_secs_f64()).fold(0.0, f64::max)
+}
--- a/crates/bench/src/model/faults.rs
+++ b/crates/bench/src/model/faults.rs
@@ -9,13 +9,8 @@
 impl World<'_> {
     /// Begins a fault.
     pub(super) fn fault(&mut self, fault: usize) {
-        let notice = self.now + span(self.scenario.notice);
         match &self.scenario.faults[fault].kind {
-            FaultKind::Lose { host } => {
-                self.nodes[*host].lost = true;
-                self.take_down(*host);
-                self.at(notice, Event::Notice);
-            }
+            FaultKind::Lose { host } => self.lose(*host),
             FaultKind::Restart { down, .. } => {
                 (0..self.nodes.len()).for_each(|host| self.take_down(host));
                 self.at(self.now + span(*down), Event::Mended { fault });
@@ -24,6 +19,15 @@
                 self.nodes[*host].factor = *factor;
                 self.at(self.now + span(*time), Event::Mended { fault });
             }
+            FaultKind::Limit { host, rate, time } => {
+                // Written as a target would write it.
+                self.nodes[*host].limit = format!("{rate}").parse().ok();
+                self.at(self.now + span(*time), Event::Mended { fault });
+            }
+            FaultKind::Leave { host, time } => {
+                self.nodes[*host].leaves = true;
+                self.at(self.now + span(*time), Event::Mended { fault });
+            }
             FaultKind::Burst { factor, time } => {
                 self.burst = *factor;
                 self.at(self.now + span(*time), Event::Mended { fault });
@@ -47,10 +51,19 @@
                 self.notice();
             }
             FaultKind::Slow { host, .. } => self.nodes[*host].factor = 1.0,
+            FaultKind::Limit { host, .. } => self.nodes[*host].limit = None,
+            FaultKind::Leave { host, .. } => self.lose(*host),
             FaultKind::Burst { .. } => self.burst = 1.0,
         }
     }
 
+    /// A host is lost for good, which the others notice some time later.
+    fn lose(&mut self, host: usize) {
+        self.nodes[host].lost = true;
+        self.take_down(host);
+        self.at(self.now + span(self.scenario.notice), Event::Notice);
+    }
+
     /// A host stops: what runs and waits there ends without an answer.
     fn take_down(&mut self, host: usize) {
         self.nodes[host].alive = false;
--- a/crates/bench/src/model/fleet.rs
+++ b/crates/bench/src/model/fleet.rs
@@ -1,7 +1,8 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use dw_request::{
-    AttemptId, Dispatcher, DispatcherConfig, Endpoint, EndpointState, Gate, GateConfig, Ticket,
+    AttemptId, Dispatcher, DispatcherConfig, Endpoint, EndpointState, Gate, GateConfig, Rate,
+    Ticket,
 };
 use dw_tables::{Ejection, Limits, Match, Millis, Name, Pool, Route, Tables, Version};
 use tokio::time::Instant;
@@ -28,6 +29,12 @@
     pub(super) lost: bool,
     /// How much slower its target is now.
     pub(super) factor: f64,
+    /// The limit that its target names now.
+    pub(super) limit: Option<Rate>,
+    /// Whether its target says that it is leaving.
+    pub(super) leaves: bool,
+    /// Whether a response has said so.
+    pub(super) left: bool,
     /// Until when it is slow after its start, and how much.
     pub(super) cold: Option<(Instant, f64)>,
     /// When its target started.
@@ -36,6 +43,13 @@
     pub(super) born: u32,
 }
 
+impl Node {
+    /// What its daemon reports with each response.
+    pub(super) fn load(&self) -> dw_request::Load {
+        dw_request::Load { leaving: self.left, ..self.gate.load() }
+    }
+}
+
 impl World<'_> {
     /// A host whose target started at `since`.
     pub(super) fn node(&self, idx: usize, since: Instant, born: u32) -> Node {
@@ -64,6 +78,9 @@
             alive: true,
             lost: false,
             factor: 1.0,
+            limit: None,
+            leaves: false,
+            left: false,
             cold: None,
             since,
             born,
--- a/crates/bench/src/model/report.rs
+++ b/crates/bench/src/model/report.rs
@@ -63,9 +63,30 @@
     let over_time: Vec<String> = (0..windows.saturating_sub(1))
         .map(|at| format!("{:.2}", first.mean(|run| run.worth_of(at..at + 1))))
         .collect();
+    print_limits(first);
     println!("worth of {} in windows of 2 s: {}\n", first.name, over_time.join(" "));
 }
 
+/// Prints what targets got that named a limit: the worst of all seeds.
+#[expect(clippy::print_stdout, reason = "the report is the output of the bench")]
+fn print_limits(row: &Row) {
+    let count = row.runs.first().map_or(0, |run| run.limits.len());
+    for idx in 0..count {
+        let all: Vec<_> = row.runs.iter().map(|run| run.limits[idx]).collect();
+        let excess = all.iter().map(|limit| limit.excess).fold(f64::MIN, f64::max);
+        let got = row.mean(|run| run.limits[idx].got);
+        let lifted = all.iter().filter_map(|limit| limit.lifted).fold(0.0, f64::max);
+        let seen = all.iter().filter(|limit| limit.lifted.is_some()).count();
+        println!(
+            "host {} named {} a second and got {got:.1}; most in 4 s: {excess:+.0}; more again after at \
+             most {lifted:.2} s in {seen} of {} seeds",
+            all[0].host,
+            all[0].rate,
+            all.len()
+        );
+    }
+}
+
 fn share(part: u32, whole: u32) -> f64 {
     f64::from(part) / f64::from(whole.max(1))
 }
--- a/crates/bench/src/model/scenario.rs
+++ b/crates/bench/src/model/scenario.rs
@@ -126,6 +126,22 @@
         /// How long.
         time: Millis,
     },
+    /// A target names a limit for a while.
+    Limit {
+        /// Its position.
+        host: usize,
+        /// Requests a second.
+        rate: f64,
+        /// How long.
+        time: Millis,
+    },
+    /// A target says in its responses that it is leaving, and is lost with its host some time later.
+    Leave {
+        /// Its position.
+        host: usize,
+        /// How much later.
+        time: Millis,
+    },
     /// More callers for a while.
     Burst {
         /// How many times as many.
@@ -166,11 +182,19 @@
             }
         }
         for fault in &self.faults {
-            if let FaultKind::Lose { host } | FaultKind::Slow { host, .. } = fault.kind
+            if let FaultKind::Lose { host }
+            | FaultKind::Slow { host, .. }
+            | FaultKind::Limit { host, .. }
+            | FaultKind::Leave { host, .. } = fault.kind
                 && host >= self.hosts.len()
             {
                 return Err(format!("a fault names host {host} of {}", self.hosts.len()));
             }
+            if let FaultKind::Limit { rate, .. } = fault.kind
+                && !(rate.is_finite() && rate >= 0.0)
+            {
+                return Err(format!("a fault names a limit of {rate} requests a second"));
+            }
         }
         Ok(())
     }
--- a/crates/bench/src/model/served.rs
+++ b/crates/bench/src/model/served.rs
@@ -2,7 +2,10 @@
 
 use serde::Serialize;
 
-use super::scenario::{Scenario, span};
+use super::{
+    limits::Obeyed,
+    scenario::{Scenario, span},
+};
 
 /// Length of the windows over which the requests are counted.
 pub(crate) const WINDOW: Duration = Duration::from_secs(2);
@@ -37,8 +40,13 @@
     pub(crate) wasted: Vec<f64>,
     /// What became of the calls of targets, by route.
     pub(crate) calls: Vec<CallCount>,
+    /// What targets got that named a limit, by fault.
+    pub(crate) limits: Vec<Obeyed>,
     #[serde(skip)]
     worth: Vec<f64>,
+    /// When requests were handed to targets, since the start, by host.
+    #[serde(skip)]
+    handed: Vec<Vec<Duration>>,
 }
 
 /// Credit of a late answer as a share of that of one in time.
@@ -54,6 +62,8 @@
             slots: vec![0.0; routes],
             wasted: vec![0.0; routes],
             calls: vec![CallCount::default(); routes],
+            limits: Vec::new(),
+            handed: vec![Vec::new(); scenario.hosts.len()],
             worth: scenario.routes.iter().map(|route| route.worth).collect(),
         }
     }
@@ -83,6 +93,17 @@
         self.count(route, sent).failed += 1;
     }
 
+    /// A request was handed to the target of a host.
+    pub(crate) fn handed(&mut self, host: usize, at: Duration) {
+        self.handed[host].push(at);
+    }
+
+    /// Sums up what targets got that named a limit.
+    pub(crate) fn sum_up(mut self, scenario: &Scenario) -> Self {
+        self.limits = Obeyed::of(scenario, &self.handed);
+        self
+    }
+
     /// A run had a slot for this time.
     pub(crate) fn used(&mut self, route: usize, time: Duration, failed: bool) {
         self.slots[route] += time.as_secs_f64();
--- a/crates/bench/src/model/world.rs
+++ b/crates/bench/src/model/world.rs
@@ -144,7 +144,7 @@
                 }
             }
         }
-        self.served
+        self.served.sum_up(self.scenario)
     }
 
     pub(super) fn at(&mut self, at: Instant, event: Event) {
@@ -268,6 +268,10 @@
             self.answer_not_run(request, host, attempt.id, reason, None);
             return;
         }
+        if node.left {
+            self.answer_not_run(request, host, attempt.id, Reason::Draining, None);
+            return;
+        }
         let arrival = Arrival {
             depth: 0,
             deadline: self.requests[request].deadline,
@@ -294,7 +298,7 @@
         reason: Reason,
         refusal: Option<&Refusal>,
     ) {
-        let load = self.nodes[host].alive.then(|| self.nodes[host].gate.load());
+        let load = self.nodes[host].alive.then(|| self.nodes[host].load());
         let retry_after = refusal.map(|refusal| refusal.retry_after);
         let outcome = AttemptOutcome::NotRun { reason, retry_after, load };
         self.answer(request, host, id, outcome);
@@ -316,6 +320,7 @@
         self.next += 1;
         let id = self.next;
         let (since, open, failed) = (self.now, 0, false);
+        self.served.handed(host, since - self.start);
         self.runs.insert(id, Run { request, attempt, host, permit, since, open, failed });
         let half = self.work(id) / 2;
         self.at(self.now + half, Event::Call { run: id });
@@ -372,9 +377,11 @@
         let status = if run.failed { 500 } else { 200 };
         let latency = self.now - run.since;
         let node = &mut self.nodes[run.host];
+        node.gate.hear(node.limit, run.since, self.now);
+        node.left |= node.leaves;
         let outcome = RunOutcome::Answered { status, latency };
         let wakes = node.gate.finish(run.permit, outcome, self.now);
-        let load = Some(node.gate.load());
+        let load = Some(node.load());
         self.wake(run.host, wakes);
         self.served.used(self.requests[run.request].route, latency, run.failed);
         let outcome = AttemptOutcome::Answered { status, load, latency };
