Refuse at once what a new limit leaves no turn for

Cause: requests that wait for a slot when the target names a limit, or lowers it, kept their place until their own time in the queue was over, although the gate knew that their turn comes later. They could not go elsewhere meanwhile. Change: when the limit changes, the gate counts through its queue and refuses those whose turn comes too late, as not run; they move to other targets while they have time.

--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -111,7 +111,19 @@
     /// Takes over the limit that a response of the target names, `None` if it names none; the request was
     /// handed over at `handed`. Call [`Self::expire`] afterwards.
     pub fn hear(&mut self, limit: Option<Rate>, handed: Instant, now: Instant) {
+        let old = self.pace.rate();
         self.pace.hear(limit, handed, now);
+        if self.pace.rate() != old {
+            // A lower limit leaves no turn in time for some of those that wait.
+            let pace = self.pace;
+            let late = self.queue.take_late(|ahead, until| now + pace.wait(ahead, now) > until);
+            let refuse = |(ticket, _)| Wake::Refuse {
+                ticket,
+                refusal: self.refusal(Reason::RateLimit, now),
+            };
+            let wakes = late.into_iter().map(refuse).collect();
+            self.postpone(wakes, now);
+        }
     }
 
     /// The limit that the target is kept to.
--- a/crates/request/src/queue.rs
+++ b/crates/request/src/queue.rs
@@ -95,6 +95,23 @@
         self.take((rank, ticket.0)).map(|(_, waiting)| waiting)
     }
 
+    /// Takes the requests whose turn comes too late, as `is_late` says of the number of requests before one
+    /// and the moment at which it is refused.
+    pub(crate) fn take_late(
+        &mut self,
+        is_late: impl Fn(u32, Instant) -> bool,
+    ) -> Vec<(Ticket, Waiting<T>)> {
+        let mut ahead = 0;
+        let mut late = Vec::new();
+        for (at, waiting) in &self.list {
+            match is_late(ahead, waiting.until) {
+                true => late.push(*at),
+                false => ahead += 1,
+            }
+        }
+        late.into_iter().filter_map(|at| self.take(at)).collect()
+    }
+
     /// When the first request is refused.
     pub(crate) fn deadline(&self) -> Option<Instant> {
         self.until.first().map(|(until, _)| *until)
--- a/crates/request/tests/pace.rs
+++ b/crates/request/tests/pace.rs
@@ -281,3 +281,26 @@
     dispatcher.set_endpoints(targets(start + 5 * SECOND));
     expect_that!(ask(&mut dispatcher, None, start + 6 * SECOND), none());
 }
+
+/// Guards against requests that wait at a target which has named a limit meanwhile, until a turn that comes
+/// too late for them.
+#[gtest]
+fn a_new_limit_refuses_what_waits_in_vain_at_once() {
+    let now = Instant::now();
+    let config = GateConfig { slots: 1, queue: 20, queue_wait: SECOND, ..GateConfig::default() };
+    let mut gate = Gate::new(config);
+    let long = Arrival { deadline: now + 2 * SECOND, ..call(now) };
+    let Admission::Run(permit) = gate.offer(long, now) else { panic!("not run") };
+    for _ in 0..20 {
+        assert_that!(gate.offer(long, now), matches_pattern!(Admission::Wait(_)));
+    }
+    gate.hear(Some(rate("10")), now, now + ms(10));
+    let wakes = gate.expire(now + ms(10));
+    // Ten have a turn within the second for which they wait.
+    expect_that!(wakes.len(), all!(ge(8), le(11)));
+    for wake in &wakes {
+        let Wake::Refuse { refusal, .. } = wake else { panic!("run") };
+        expect_that!((refusal.reason, refusal.outcome), eq((Reason::RateLimit, Outcome::NotRun)));
+    }
+    drop(gate.finish(permit, RunOutcome::NotStarted, now));
+}
