Know a target again when the daemon beside it numbers it anew

Cause: callers' daemons keep what they know of a target by host and index. The index counts the incarnations that the daemon beside the target has seen, so after a restart of that daemon the same incarnation may have another one; its limit, latency and requests in flight were forgotten, and a gate that had just started was told no limit. Change: a target of the same host, service and start is the same one, whatever its index. Test: request/pace callers_daemons_remember_the_limit_of_an_incarnation, with a new index; it failed before (no limit).

--- a/crates/request/src/balancer.rs
+++ b/crates/request/src/balancer.rs
@@ -94,12 +94,22 @@
             .collect();
         for endpoint in endpoints.iter().filter(|e| e.state != EndpointState::Dead) {
             let key = (endpoint.host.clone(), endpoint.target);
-            let target = match old.remove(&key) {
-                Some(mut target) if is_same_life(&target.endpoint, endpoint) => {
+            let same = |target: &Target| {
+                target.endpoint.host == endpoint.host
+                    && target.endpoint.service == endpoint.service
+                    && is_same_life(&target.endpoint, endpoint)
+            };
+            // A daemon that was restarted numbers its targets anew.
+            let known = match old.get(&key) {
+                Some(target) if same(target) => Some(key),
+                _ => old.iter().find(|(_, target)| same(target)).map(|(key, _)| key.clone()),
+            };
+            let target = match known.and_then(|key| old.remove(&key)) {
+                Some(mut target) => {
                     target.adopt(endpoint);
                     target
                 }
-                _ => {
+                None => {
                     self.next += 1;
                     Target::new(self.next, Arc::clone(endpoint))
                 }
--- a/crates/request/tests/pace.rs
+++ b/crates/request/tests/pace.rs
@@ -5,8 +5,8 @@
 use std::{collections::BTreeMap, ops::Range, time::Duration};
 
 use dw_request::{
-    Admission, Arrival, AttemptOutcome, Dispatcher, Gate, GateConfig, Goal, Load, Outcome, Permit,
-    Rate, Reason, Refusal, RunOutcome, Wake,
+    Admission, Arrival, AttemptOutcome, Dispatcher, Endpoint, Gate, GateConfig, Goal, Load,
+    Outcome, Permit, Rate, Reason, Refusal, RunOutcome, Wake,
 };
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, proptest};
@@ -278,6 +278,11 @@
     expect_that!(ask(&mut dispatcher, None, start + ms(10)), some(eq(rate("3"))));
     expect_that!(ask(&mut dispatcher, None, start + SECOND), some(eq(rate("3"))));
     expect_that!(ask(&mut dispatcher, Some(rate("3")), start + SECOND), none());
+    // The daemon beside the target was restarted and counts its targets anew.
+    expect_that!(ask(&mut dispatcher, Some(rate("4")), start + 2 * SECOND), some(eq(rate("3"))));
+    let moved = targets(start).into_iter().map(|old| Endpoint { target: 1, ..old });
+    dispatcher.set_endpoints(moved.collect());
+    expect_that!(ask(&mut dispatcher, Some(rate("4")), start + 2 * SECOND), some(eq(rate("4"))));
     dispatcher.set_endpoints(targets(start + 5 * SECOND));
     expect_that!(ask(&mut dispatcher, None, start + 6 * SECOND), none());
 }
