--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -102,9 +102,9 @@
                 return text(StatusCode::METHOD_NOT_ALLOWED, body);
             }
         };
-        if !self.proxy.drain_target(index, draining) {
+        let Some(draining) = self.proxy.drain_target(index, draining) else {
             return text(StatusCode::NOT_FOUND, "no such target\n".to_owned());
-        }
+        };
         let event = LocalEvent::TargetDraining { index, draining };
         // The node is gone only when the daemon is being closed.
         let _ = self.node.send(ToNode::Input(Input::Local(event))).await;
@@ -132,6 +132,8 @@
                 "in_flight": load.in_flight,
                 "queued": load.queued,
                 "shedding": load.shedding,
+                "leaving": load.leaving,
+                "limit": load.limit.map(dw_request::Rate::per_second),
             })
         };
         let targets: Vec<Value> = self.proxy.loads().into_iter().map(target).collect();
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -212,17 +212,16 @@
         }
     }
 
-    /// Refuses new work for one target, or takes it again; `false` if there is no such target.
-    pub(crate) fn drain_target(&self, index: u32, draining: bool) -> bool {
-        let target = u16::try_from(index).ok().and_then(|index| self.target(index));
-        if let Some(target) = &target {
-            target.set_draining(draining);
-            // Only an operator knows when a target that the settings list has started again.
-            if !draining && target.name.is_empty() {
-                target.forget_leaving();
-            }
+    /// Refuses new work for one target, or takes it again unless the target has said that it leaves; returns
+    /// whether it refuses work now, `None` if there is no such target.
+    pub(crate) fn drain_target(&self, index: u32, draining: bool) -> Option<bool> {
+        let target = self.target(u16::try_from(index).ok()?)?;
+        target.set_draining(draining);
+        // Only an operator knows when a target that the settings list has started again.
+        if !draining && target.name.is_empty() {
+            target.forget_leaving();
         }
-        target.is_some()
+        Some(draining || target.is_leaving())
     }
 
     /// Whether the target of an index has said that it is leaving.
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -150,13 +150,9 @@
     /// Refuses new work for the target of the given index, or takes it again, and tells the fleet;
     /// `false` if there is no such target.
     pub async fn drain_target(&self, index: u32, draining: bool) -> bool {
-        let known = self.proxy.drain_target(index, draining);
-        if known {
-            let leaving = u16::try_from(index).is_ok_and(|index| self.proxy.is_leaving(index));
-            let draining = draining || leaving;
-            self.tell(LocalEvent::TargetDraining { index, draining }).await;
-        }
-        known
+        let Some(draining) = self.proxy.drain_target(index, draining) else { return false };
+        self.tell(LocalEvent::TargetDraining { index, draining }).await;
+        true
     }
 
     /// Leaves in order: announces it, refuses new work as not run, waits up to the grace for what
