Add a fault soak of real daemons

dw_soak starts daemons of the users' platform as processes on loopback, beside stand-ins of the store, the targets and the callers, and plays a schedule from a seed: daemons killed, stopped and paused; targets that name limits, leave or crash; versions; a store that is down, slow, or comes back from an older copy. Faults overlap, callers keep their connections. Afterwards it checks what callers and targets saw: limits, leaving, at most once, not run, whole answers, stops in time, recovery. tests/checks breaks each promise once in a made-up history; tests/short plays 30 s.

--- /dev/null
+++ b/crates/soak/src/caller.rs
@@ -0,0 +1,110 @@
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    Answer, Sent,
+    net::{self, Place},
+    recorder::Recorder,
+    target::body_of,
+};
+
+/// Time that a caller states for its whole answer.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Beyond it a caller hangs up.
+const HANG_UP: Duration = Duration::from_secs(3);
+
+/// The longest time between two requests of one caller, on average half of it.
+const THINK: Duration = Duration::from_millis(160);
+
+/// Calls a host again and again over a connection that it keeps until the daemon closes it or is gone.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    place: Place,
+    recorder: Recorder,
+    next: Arc<AtomicU64>,
+    rng: SmallRng,
+}
+
+impl Caller {
+    /// A caller of a host; `next` numbers the requests of all callers.
+    pub(crate) fn new(place: Place, recorder: Recorder, next: Arc<AtomicU64>, seed: u64) -> Self {
+        Self { place, recorder, next, rng: SmallRng::seed_from_u64(seed) }
+    }
+
+    /// Sends requests until the task is ended.
+    pub(crate) async fn run(mut self) {
+        let mut conn: Option<SendRequest<Full<Bytes>>> = None;
+        loop {
+            sleep(THINK.mul_f64(self.rng.random())).await;
+            let mut sender = match conn.take().filter(|sender| !sender.is_closed()) {
+                Some(sender) => sender,
+                None => match net::connect(self.place.callers()).await {
+                    Ok(sender) => sender,
+                    // The daemon is down; its callers come back.
+                    Err(_) => continue,
+                },
+            };
+            if sender.ready().await.is_ok() && self.ask(&mut sender).await {
+                conn = Some(sender);
+            }
+        }
+    }
+
+    /// Sends one request; whether the connection can be used again.
+    async fn ask(&mut self, sender: &mut SendRequest<Full<Bytes>>) -> bool {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (id, once) = (format!("{number:x}"), self.rng.random_bool(0.4));
+        let (method, path) = match once {
+            true => (Method::POST, "/ledger/post"),
+            false => (Method::GET, "/board/list"),
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "soak.example")
+            .header("x-damaskwick-request-id", &id)
+            .header("x-damaskwick-deadline-ms", PATIENCE.as_millis().to_string())
+            .body(Full::from("twelve copies"));
+        let Ok(request) = request else { return false };
+        let sent = Sent { at: self.recorder.now(), host: self.place.idx, once };
+        self.recorder.history().sent.insert(number, sent);
+        let answer = timeout(HANG_UP, async {
+            let response = sender.send_request(request).await.ok()?;
+            self.read(response, &id).await
+        });
+        let Ok(Some((answer, kept))) = answer.await else { return false };
+        self.recorder.history().answers.insert(number, answer);
+        kept
+    }
+
+    async fn read(&self, response: Response<Incoming>, id: &str) -> Option<(Answer, bool)> {
+        let (head, body) = response.into_parts();
+        let text = |name: &str| {
+            head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+        };
+        let body = body.collect().await.ok()?.to_bytes();
+        let whole = body == body_of(id).as_bytes()
+            && text("x-damaskwick-request-id").as_deref() == Some(id);
+        let answer = Answer {
+            at: self.recorder.now(),
+            status: head.status.as_u16(),
+            target: text("x-damaskwick-response-stamp"),
+            whole,
+            leaving: text("server-leaving").is_some(),
+        };
+        Some((answer, text("connection").as_deref() != Some("close")))
+    }
+}
--- /dev/null
+++ b/crates/soak/src/check.rs
@@ -0,0 +1,172 @@
+use std::{collections::HashMap, time::Duration};
+
+use derive_more::Display;
+
+use crate::{History, Named, Sent};
+
+/// Length of the times over which a target's requests are counted, and the time after it first names its limit
+/// from which they count; from the users' rules.
+const WINDOW: Duration = Duration::from_secs(4);
+const STABLE: Duration = Duration::from_secs(3);
+
+/// Requests in a window beyond one and a half times what the target named; from the users' rules.
+const SLACK: f64 = 5.0;
+const FACTOR: f64 = 1.5;
+
+/// Time after an answer that says the target leaves in which it may still get new requests; from the users' rules.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// Share of the requests of the last seconds, after all faults, that must be served.
+const RECOVERED: f64 = 0.9;
+
+/// What is promised.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum Promise {
+    /// A target gets no more than the limit it names.
+    #[display("limit")]
+    Limit,
+    /// A target that says it leaves gets no new requests.
+    #[display("leaving")]
+    Leaving,
+    /// A request that may run once runs at most once.
+    #[display("once")]
+    Once,
+    /// What a refusal says has not run has not run.
+    #[display("not-run")]
+    NotRun,
+    /// A caller gets the whole answer to its own request.
+    #[display("whole")]
+    Whole,
+    /// A daemon that is told to stop ends in time.
+    #[display("stopped")]
+    Stopped,
+    /// Requests are served again after the faults.
+    #[display("recovered")]
+    Recovered,
+}
+
+/// A broken promise.
+#[derive(Clone, Debug, Display)]
+#[display("{promise}: {detail}")]
+pub struct Finding {
+    /// Which.
+    pub promise: Promise,
+    /// What was seen.
+    pub detail: String,
+}
+
+/// Every broken promise of a history; requests sent from `calm` on were sent after all faults.
+#[must_use]
+pub fn check(history: &History, calm: Duration) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    findings.extend(history.named.iter().filter_map(|named| limit(history, named)));
+    findings.extend(leaving(history));
+    findings.extend(runs(history));
+    findings.extend(answers(history));
+    let overdue = |host: &usize| Finding {
+        promise: Promise::Stopped,
+        detail: format!("the daemon of host {host} did not end after SIGTERM"),
+    };
+    findings.extend(history.overdue.iter().map(overdue));
+    findings.extend(recovered(history, calm));
+    findings
+}
+
+/// The most requests that a target got in a window while it named a limit, and those it may get.
+pub(crate) fn most(history: &History, named: &Named) -> (usize, f64) {
+    let times: Vec<_> = history
+        .visits
+        .iter()
+        .filter(|visit| visit.target == named.target)
+        .map(|visit| visit.at)
+        .filter(|at| (named.from + STABLE..named.until).contains(at))
+        .collect();
+    let within =
+        |first: usize| times[first..].iter().take_while(|at| **at < times[first] + WINDOW).count();
+    let most = (0..times.len()).map(within).max().unwrap_or_default();
+    (most, named.rate * WINDOW.as_secs_f64() * FACTOR + SLACK)
+}
+
+fn limit(history: &History, named: &Named) -> Option<Finding> {
+    let (most, allowed) = most(history, named);
+    let Named { target, rate, from, .. } = named;
+    let detail = format!(
+        "{target}, which named {rate} a second at {from:?}, got {most} in 4 s of {allowed}"
+    );
+    (count(most) > allowed).then_some(Finding { promise: Promise::Limit, detail })
+}
+
+/// Requests that a host took after it had passed on that their target leaves.
+fn leaving(history: &History) -> Vec<Finding> {
+    let mut told: HashMap<(usize, &str), Duration> = HashMap::new();
+    for (id, answer) in &history.answers {
+        if let (true, Some(target), Some(sent)) =
+            (answer.leaving, &answer.target, history.sent.get(id))
+        {
+            let at = told.entry((sent.host, target)).or_insert(answer.at);
+            *at = answer.at.min(*at);
+        }
+    }
+    let broken = history.visits.iter().filter_map(|visit| {
+        let sent = history.sent.get(&visit.id)?;
+        let at = *told.get(&(sent.host, visit.target.as_str()))?;
+        let excused = history.troubles.iter().any(|trouble| {
+            trouble.host == sent.host && trouble.until >= at && trouble.from <= sent.at
+        });
+        let detail = format!(
+            "host {} was told at {at:?} that {} leaves, and sent it a request of {:?}",
+            sent.host, visit.target, sent.at
+        );
+        (sent.at > at + DRAIN && !excused).then_some(Finding { promise: Promise::Leaving, detail })
+    });
+    broken.collect()
+}
+
+/// Requests that ran twice, or that ran although their caller was told that they did not.
+fn runs(history: &History) -> Vec<Finding> {
+    let mut runs: HashMap<u64, u32> = HashMap::new();
+    for visit in history.visits.iter().filter(|visit| visit.ran) {
+        *runs.entry(visit.id).or_default() += 1;
+    }
+    let mut findings = Vec::new();
+    for (id, count) in runs {
+        if history.sent.get(&id).is_some_and(|sent| sent.once) && count > 1 {
+            let detail = format!("request {id:x} ran {count} times");
+            findings.push(Finding { promise: Promise::Once, detail });
+        }
+        let refused = |status| matches!(status, 408 | 421 | 429 | 503);
+        if let Some(answer) = history.answers.get(&id)
+            && answer.target.is_none()
+            && refused(answer.status)
+        {
+            let detail = format!("request {id:x} ran and was answered {}", answer.status);
+            findings.push(Finding { promise: Promise::NotRun, detail });
+        }
+    }
+    findings
+}
+
+fn answers(history: &History) -> Vec<Finding> {
+    let broken = history.answers.iter().filter(|(_, answer)| {
+        (200..300).contains(&answer.status) && !(answer.whole && answer.target.is_some())
+    });
+    let finding = |(id, answer): (&u64, &crate::Answer)| Finding {
+        promise: Promise::Whole,
+        detail: format!("request {id:x} got {} with another body or no signature", answer.status),
+    };
+    broken.map(finding).collect()
+}
+
+fn recovered(history: &History, calm: Duration) -> Option<Finding> {
+    let late: Vec<(&u64, &Sent)> =
+        history.sent.iter().filter(|(_, sent)| sent.at >= calm).collect();
+    let good = |id: &u64| history.answers.get(id).is_some_and(|answer| answer.status == 200);
+    let served = late.iter().filter(|(id, _)| good(id)).count();
+    let detail = format!("{served} of {} requests after all faults were served", late.len());
+    (count(served) < RECOVERED * count(late.len()) || late.is_empty())
+        .then_some(Finding { promise: Promise::Recovered, detail })
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/soak/src/host.rs
@@ -0,0 +1,145 @@
+use std::{
+    fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Stdio,
+    time::Duration,
+};
+
+use http::Request;
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::{
+    process::{Child, Command},
+    time::{sleep, timeout},
+};
+
+use crate::net::{self, Place};
+
+/// The longest wait for a daemon that was told to stop; its grace is shorter.
+const STOP: Duration = Duration::from_secs(10);
+
+/// Time between two questions whether a daemon is ready.
+const ASK: Duration = Duration::from_millis(50);
+
+/// A daemon as a process of its own.
+#[derive(Debug)]
+pub(crate) struct Host {
+    place: Place,
+    program: PathBuf,
+    folder: PathBuf,
+    child: Option<Child>,
+}
+
+impl Host {
+    /// Writes the settings of a host that is not started yet.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub(crate) fn new(
+        place: Place,
+        service: &str,
+        store: SocketAddr,
+        program: &Path,
+        folder: &Path,
+    ) -> io::Result<Self> {
+        let [inbound, outbound, ready, control, target] =
+            [8624, 8629, 8625, 8620, 8628].map(|port| place.addr(port).to_string());
+        let settings = format!(
+            r#"[self]
+node_name = "host-{idx}"
+role = "sidecar"
+zone = "domain-{domain}"
+region = "soak"
+bootstrap = true
+app_addr = "{target}"
+service = "{service}"
+[self.limits]
+cpu_share = 0.2
+link_mbps = 1000.0
+[network]
+internal_ports = [7600,7615]
+seeds = []
+[network.listen_addrs]
+inbound = "{inbound}"
+outbound = "{outbound}"
+ready = "{ready}"
+control = "{control}"
+[platform]
+heartbeat_ms = 500
+[platform.platform]
+address = "{store}"
+form = "kv"
+[terms.bounds]
+grace_s = 4
+"#,
+            idx = place.idx,
+            domain = place.idx % 3,
+        );
+        fs::write(folder.join(format!("host-{}.toml", place.idx)), settings)?;
+        Ok(Self { place, program: program.into(), folder: folder.into(), child: None })
+    }
+
+    /// Starts the process. Its log goes to a file that all its processes write.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub(crate) fn start(&mut self) -> io::Result<()> {
+        let file = |end: &str| self.folder.join(format!("host-{}.{end}", self.place.idx));
+        let log = fs::File::options().create(true).append(true).open(file("log"))?;
+        let child = Command::new(&self.program)
+            .arg("--config")
+            .arg(file("toml"))
+            .stdout(Stdio::from(log.try_clone()?))
+            .stderr(Stdio::from(log))
+            .kill_on_drop(true)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Kills the process.
+    pub(crate) async fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Tells the process to stop and waits for its end; `false` if it had to be killed.
+    pub(crate) async fn stop(&mut self) -> bool {
+        self.signal(Signal::TERM);
+        let Some(mut child) = self.child.take() else { return true };
+        match timeout(STOP, child.wait()).await {
+            Ok(_) => true,
+            Err(_) => {
+                let _ = child.kill().await;
+                false
+            }
+        }
+    }
+
+    /// Lets the process stand still, or go on.
+    pub(crate) fn pause(&self, pause: bool) {
+        self.signal(if pause { Signal::STOP } else { Signal::CONT });
+    }
+
+    /// Waits until the daemon takes callers.
+    pub(crate) async fn wait_ready(&self) {
+        loop {
+            let asked =
+                net::send(self.place.ready(), Request::builder().uri("/-/ready"), String::new());
+            if asked.await.is_ok_and(|response| response.status().is_success()) {
+                return;
+            }
+            sleep(ASK).await;
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(Child::id).and_then(|id| i32::try_from(id).ok());
+        if let Some(pid) = id.and_then(Pid::from_raw) {
+            // It may have ended by itself.
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,161 @@
+use std::{collections::HashMap, time::Duration};
+
+use derive_more::Display;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+/// Time at the end without faults, in which everything recovers.
+pub(crate) const CALM: Duration = Duration::from_secs(10);
+
+/// Time between the end of the last fault and the requests that must be served again.
+pub(crate) const RECOVERY: Duration = Duration::from_secs(5);
+
+/// Time after a fault until the same daemon, target or store can have another one: a stop takes as long as the
+/// grace, and a start needs a moment.
+const AFTERMATH: Duration = Duration::from_secs(5);
+
+/// Something that goes wrong.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+pub enum Fault {
+    /// A daemon is killed, and starts again some time later.
+    #[display("kill")]
+    Kill {
+        /// Its host.
+        host: usize,
+    },
+    /// A daemon gets SIGTERM, and starts again once it has ended.
+    #[display("stop")]
+    Stop {
+        /// Its host.
+        host: usize,
+    },
+    /// A daemon stands still.
+    #[display("pause")]
+    Pause {
+        /// Its host.
+        host: usize,
+    },
+    /// A target names a limit.
+    #[display("limit")]
+    Limit {
+        /// Its host.
+        host: usize,
+        /// Requests a second.
+        rate: f64,
+    },
+    /// A target says that it leaves, ends, and is followed by another incarnation.
+    #[display("leave")]
+    Leave {
+        /// Its host.
+        host: usize,
+    },
+    /// A target dies, and is followed by another incarnation.
+    #[display("crash")]
+    Crash {
+        /// Its host.
+        host: usize,
+    },
+    /// The operator writes another version.
+    #[display("version")]
+    Version,
+    /// The store cannot be reached.
+    #[display("store-down")]
+    StoreDown,
+    /// The store answers late.
+    #[display("store-slow")]
+    StoreSlow,
+    /// The store comes back from an older copy.
+    #[display("store-older")]
+    StoreOlder,
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Plan {
+    /// Since the start.
+    pub at: Duration,
+    /// What.
+    pub fault: Fault,
+    /// How long it lasts.
+    pub time: Duration,
+}
+
+/// The faults of one run, in the order of their beginning.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Schedule {
+    /// All of them; they overlap.
+    pub plans: Vec<Plan>,
+}
+
+impl Schedule {
+    /// The schedule of a seed: about one fault a second and eight hosts, which end [`CALM`] before `time`.
+    #[must_use]
+    pub fn new(seed: u64, hosts: usize, time: Duration) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let last = time.saturating_sub(CALM);
+        let mut plans = Vec::new();
+        let mut at = Duration::from_secs(1);
+        let gap = Duration::from_secs_f64(8.0 / f64::from(u32::try_from(hosts).unwrap_or(8)));
+        let mut busy: HashMap<Object, Duration> = HashMap::new();
+        while at < last {
+            let fault = draw(&mut rng, hosts);
+            let most = longest(fault).min(last.saturating_sub(at));
+            let time = most.mul_f64(rng.random_range(0.3..1.0));
+            // One fault at a time befalls the same daemon, target or store; all others overlap.
+            let until = busy.entry(object(fault)).or_default();
+            if *until <= at {
+                *until = at + time + AFTERMATH;
+                plans.push(Plan { at, fault, time });
+            }
+            at += gap.mul_f64(rng.random_range(0.2..1.8));
+        }
+        Self { plans }
+    }
+}
+
+/// What a fault befalls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Object {
+    Daemon(usize),
+    Target(usize),
+    Store,
+}
+
+const fn object(fault: Fault) -> Object {
+    match fault {
+        Fault::Kill { host } | Fault::Stop { host } | Fault::Pause { host } => Object::Daemon(host),
+        Fault::Limit { host, .. } | Fault::Leave { host } | Fault::Crash { host } => {
+            Object::Target(host)
+        }
+        Fault::Version | Fault::StoreDown | Fault::StoreSlow | Fault::StoreOlder => Object::Store,
+    }
+}
+
+fn draw(rng: &mut SmallRng, hosts: usize) -> Fault {
+    let host = rng.random_range(0..hosts);
+    match rng.random_range(0..16) {
+        0 | 1 => Fault::Kill { host },
+        2 | 3 => Fault::Stop { host },
+        4 => Fault::Pause { host },
+        5..=9 => {
+            let rates = [0.0, 0.5, 2.0, 5.0, 12.5, 30.0];
+            Fault::Limit { host, rate: rates[rng.random_range(0..rates.len())] }
+        }
+        10 => Fault::Leave { host },
+        11 => Fault::Crash { host },
+        12 => Fault::Version,
+        13 => Fault::StoreDown,
+        14 => Fault::StoreSlow,
+        _ => Fault::StoreOlder,
+    }
+}
+
+/// How long a fault lasts at most.
+const fn longest(fault: Fault) -> Duration {
+    match fault {
+        Fault::Limit { .. } => Duration::from_secs(15),
+        Fault::Kill { .. } | Fault::Stop { .. } | Fault::Crash { .. } => Duration::from_secs(2),
+        Fault::Leave { .. } | Fault::StoreDown | Fault::StoreSlow => Duration::from_secs(4),
+        Fault::Pause { .. } | Fault::StoreOlder => Duration::from_secs(3),
+        Fault::Version => Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,341 @@
+use std::{
+    collections::BTreeMap,
+    fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use dw_fakes::{RunningStandin, Standin};
+use futures_util::future::join_all;
+use thiserror::Error;
+use tokio::{
+    sync::Mutex,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    Fault, Finding, History, Named, Plan, Schedule, Trouble,
+    caller::Caller,
+    check,
+    check::most,
+    host::Host,
+    net::Place,
+    recorder::Recorder,
+    schedule::RECOVERY,
+    target::{HEARTBEAT, Life, Target},
+};
+
+/// The services; hosts have them in turn.
+const SERVICES: [&str; 2] = ["board", "ledger"];
+
+/// The longest wait for the fleet to start; far above what a loaded machine needs.
+const START: Duration = Duration::from_secs(30);
+
+/// Time for the targets to become known before callers come.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Time in which a target that leaves may be told so by its own reports only after its answers say so.
+const NOTICE: Duration = HEARTBEAT;
+
+/// Time until the operator writes again after the store came back from an older copy.
+const REWRITE: Duration = Duration::from_millis(300);
+
+/// Delay of each call while the store is slow.
+const SLOW: Duration = Duration::from_millis(300);
+
+/// Why a run could not be played.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// A file, a socket or a process.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The daemon's program is not where it is built.
+    #[error("{0} is missing; build it with: cargo build -p dw_sidecar")]
+    Program(PathBuf),
+    /// The store's stand-in refused the configuration.
+    #[error("the configuration cannot be written: {0}")]
+    Configuration(String),
+    /// Not every daemon took callers in time.
+    #[error("the fleet did not start in {START:?}")]
+    Start,
+}
+
+/// What a run showed.
+#[derive(Debug)]
+pub struct Report {
+    /// Faults played, by kind.
+    pub faults: BTreeMap<String, u32>,
+    /// What callers and targets saw.
+    pub history: History,
+    /// Broken promises.
+    pub findings: Vec<Finding>,
+}
+
+impl Report {
+    /// Requests, and those that were answered with success.
+    #[must_use]
+    pub fn served(&self) -> (usize, usize) {
+        let good = self.history.answers.values().filter(|answer| answer.status == 200).count();
+        (self.history.sent.len(), good)
+    }
+
+    /// The target that got the most in 4 s of what its limit allows, as a share of that.
+    #[must_use]
+    pub fn fullest(&self) -> f64 {
+        let share = |named: &Named| {
+            let (most, allowed) = most(&self.history, named);
+            f64::from(u32::try_from(most).unwrap_or(u32::MAX)) / allowed
+        };
+        self.history.named.iter().map(share).fold(0.0, f64::max)
+    }
+}
+
+/// A fleet on loopback that plays one schedule.
+#[derive(Debug)]
+pub struct World {
+    hosts: usize,
+    callers: usize,
+    time: Duration,
+    folder: PathBuf,
+    net: u8,
+}
+
+impl World {
+    /// A fleet that keeps its logs in a folder; `net` tells fleets apart that run at the same time, 0 to 100.
+    #[must_use]
+    pub fn new(folder: &Path, net: u8) -> Self {
+        Self { hosts: 8, callers: 6, time: Duration::from_secs(60), folder: folder.into(), net }
+    }
+
+    /// The number of hosts, 8 by default.
+    #[must_use]
+    pub fn with_hosts(self, hosts: usize) -> Self {
+        Self { hosts, ..self }
+    }
+
+    /// Callers of each host, 6 by default.
+    #[must_use]
+    pub fn with_callers(self, callers: usize) -> Self {
+        Self { callers, ..self }
+    }
+
+    /// How long callers come, 60 s by default.
+    #[must_use]
+    pub fn with_time(self, time: Duration) -> Self {
+        Self { time, ..self }
+    }
+
+    /// Plays the schedule and checks what was seen.
+    ///
+    /// # Errors
+    /// The fleet could not be started.
+    pub async fn play(&self, schedule: &Schedule, seed: u64) -> Result<Report, Error> {
+        fs::create_dir_all(&self.folder)?;
+        let fleet = Arc::new(Fleet::start(self).await?);
+        let begin = fleet.recorder.now();
+        let next = Arc::new(AtomicU64::new(1));
+        let mut callers = JoinSet::new();
+        for idx in 0..self.hosts * self.callers {
+            let place = Place::new(idx % self.hosts, self.net);
+            let seed = seed.wrapping_mul(1_000).wrapping_add(idx as u64);
+            let caller = Caller::new(place, fleet.recorder.clone(), next.clone(), seed);
+            callers.spawn(caller.run());
+        }
+        let mut faults = JoinSet::new();
+        let mut counts = BTreeMap::new();
+        for plan in schedule.plans.iter().copied() {
+            *counts.entry(plan.fault.to_string()).or_default() += 1;
+            let fleet = fleet.clone();
+            faults.spawn(async move {
+                sleep(plan.at).await;
+                fleet.fault(plan).await
+            });
+        }
+        sleep(self.time).await;
+        callers.shutdown().await;
+        for result in faults.join_all().await {
+            result?;
+        }
+        fleet.close().await;
+        let history = fleet.recorder.history().clone();
+        let findings = check(&history, begin + self.time.saturating_sub(RECOVERY));
+        Ok(Report { faults: counts, history, findings })
+    }
+}
+
+/// The processes and stand-ins of a run.
+struct Fleet {
+    store: RunningStandin,
+    recorder: Recorder,
+    hosts: Vec<Mutex<Host>>,
+    targets: Vec<(Target, Mutex<Option<Life>>)>,
+    version: Mutex<u64>,
+}
+
+impl Fleet {
+    async fn start(world: &World) -> Result<Self, Error> {
+        let program = program()?;
+        let addr = SocketAddr::from(([127, 77, world.net, 254], 8627));
+        let store = Standin::new().with_addr(addr).start().await?;
+        let recorder = Recorder::new();
+        let (mut hosts, mut targets) = (Vec::new(), Vec::new());
+        for idx in 0..world.hosts {
+            let (place, service) = (Place::new(idx, world.net), SERVICES[idx % SERVICES.len()]);
+            let mut host = Host::new(place, service, addr, &program, &world.folder)?;
+            host.start()?;
+            let target = Target::new(place, service, recorder.clone());
+            let life = target.start().await?;
+            hosts.push(Mutex::new(host));
+            targets.push((target, Mutex::new(Some(life))));
+        }
+        let fleet = Self { store, recorder, hosts, targets, version: Mutex::new(0) };
+        fleet.configure().await?;
+        for host in &fleet.hosts {
+            let host = host.lock().await;
+            timeout(START, host.wait_ready()).await.map_err(|_| Error::Start)?;
+        }
+        sleep(SETTLE).await;
+        Ok(fleet)
+    }
+
+    /// The operator writes another version.
+    async fn configure(&self) -> Result<(), Error> {
+        let mut version = self.version.lock().await;
+        *version += 1;
+        self.store.write("op/config", config(*version)).map_err(Error::Configuration)
+    }
+
+    async fn fault(&self, Plan { fault, time, .. }: Plan) -> Result<(), Error> {
+        match fault {
+            Fault::Kill { host } => {
+                self.disturb(host, async |host: &mut Host| {
+                    host.kill().await;
+                    sleep(time).await;
+                    host.start()
+                })
+                .await?;
+            }
+            Fault::Stop { host: idx } => {
+                let mut ended = true;
+                self.disturb(idx, async |host: &mut Host| {
+                    ended = host.stop().await;
+                    sleep(time).await;
+                    host.start()
+                })
+                .await?;
+                if !ended {
+                    self.recorder.history().overdue.push(idx);
+                }
+            }
+            Fault::Pause { host } => {
+                self.disturb(host, async |host: &mut Host| {
+                    host.pause(true);
+                    sleep(time).await;
+                    host.pause(false);
+                    Ok(())
+                })
+                .await?;
+            }
+            Fault::Limit { host, rate } => self.limit(host, rate, time).await,
+            Fault::Leave { host } => {
+                let (target, _) = &self.targets[host];
+                target.leave();
+                sleep(NOTICE + time).await;
+                target.say_goodbye().await;
+                self.replace(host, Duration::from_secs(1)).await?;
+            }
+            Fault::Crash { host } => self.replace(host, time).await?,
+            Fault::Version => self.configure().await?,
+            Fault::StoreDown => {
+                self.store.down().await;
+                sleep(time).await;
+                self.store.up().await;
+            }
+            Fault::StoreSlow => {
+                self.store.slow(SLOW);
+                sleep(time).await;
+                self.store.slow(Duration::ZERO);
+            }
+            Fault::StoreOlder => {
+                let copy = self.store.snapshot();
+                sleep(time).await;
+                self.store.restore(&copy).await;
+                sleep(REWRITE).await;
+                self.configure().await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Does something to a daemon, and writes down from when until when it did not work.
+    async fn disturb(
+        &self,
+        idx: usize,
+        act: impl AsyncFnOnce(&mut Host) -> io::Result<()>,
+    ) -> Result<(), Error> {
+        let from = self.recorder.now();
+        let mut host = self.hosts[idx].lock().await;
+        act(&mut host).await?;
+        timeout(START, host.wait_ready()).await.map_err(|_| Error::Start)?;
+        let trouble = Trouble { host: idx, from, until: self.recorder.now() };
+        self.recorder.history().troubles.push(trouble);
+        Ok(())
+    }
+
+    /// A target names a limit for a while.
+    async fn limit(&self, host: usize, rate: f64, time: Duration) {
+        let (target, _) = &self.targets[host];
+        let (name, from) = (target.name(), self.recorder.now());
+        target.set_limit(Some(rate));
+        sleep(time).await;
+        let until = self.recorder.now();
+        target.set_limit(None);
+        self.recorder.history().named.push(Named { target: name, rate, from, until });
+    }
+
+    /// A target ends, and another incarnation takes its address some time later.
+    async fn replace(&self, host: usize, down: Duration) -> Result<(), Error> {
+        let (target, life) = &self.targets[host];
+        let mut life = life.lock().await;
+        if let Some(life) = life.take() {
+            life.close().await;
+        }
+        sleep(down).await;
+        *life = Some(target.start().await?);
+        Ok(())
+    }
+
+    /// Ends every process and stand-in.
+    async fn close(&self) {
+        join_all(self.hosts.iter().map(|host| async { host.lock().await.stop().await })).await;
+        for (_, life) in &self.targets {
+            if let Some(life) = life.lock().await.take() {
+                life.close().await;
+            }
+        }
+    }
+}
+
+/// The daemon's program, beside this one or, for a test, one folder above.
+fn program() -> Result<PathBuf, Error> {
+    let own = std::env::current_exe()?;
+    let folders = own.ancestors().skip(1).take(2);
+    let found = folders.map(|folder| folder.join("damaskwick-sidecar")).find(|path| path.exists());
+    found.ok_or_else(|| Error::Program(own.with_file_name("damaskwick-sidecar")))
+}
+
+fn config(version: u64) -> String {
+    // Something that callers do not notice differs from version to version.
+    let timeout = 1_500 + version % 7;
+    format!(
+        r#"{{"version":"r{version}","services":[{{"name":"board"}},{{"name":"ledger"}}],"limits":{{}},
+        "virtual_hosts":[{{"host":"soak.example","paths":[
+          {{"name":"list","path_prefix":"/board/","kind":"safe","timeout_ms":{timeout},
+            "target_latency_ms":200,"priority":2,"service":"board","max_attempts":2}},
+          {{"name":"post","path_prefix":"/ledger/","kind":"unsafe","timeout_ms":{timeout},
+            "target_latency_ms":250,"priority":1,"service":"ledger","max_attempts":2}}]}}]}}"#
+    )
+}
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,108 @@
+//! Each check of the soak against a history that keeps its promise, and one that breaks it.
+
+use std::time::Duration;
+
+use dw_soak::{Answer, History, Named, Promise, Sent, Trouble, Visit, check};
+use googletest::prelude::*;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// When all faults are over.
+const CALM: Duration = ms(20_000);
+
+/// A request that is sent to host 0 at `at`, reaches the target and is answered.
+fn serve(history: &mut History, id: u64, at: Duration, status: u16) {
+    history.sent.insert(id, Sent { at, host: 0, once: true });
+    let visit = Visit { at: at + ms(1), target: "i-1".to_owned(), id, ran: status == 200 };
+    history.visits.push(visit);
+    let target = (status == 200).then(|| "i-1".to_owned());
+    let answer = Answer { at: at + ms(20), status, target, whole: status == 200, leaving: false };
+    history.answers.insert(id, answer);
+}
+
+/// Twenty requests a second for 25 s.
+fn calm() -> History {
+    let mut history = History::default();
+    for id in 0..500 {
+        serve(&mut history, id, ms(id * 50), 200);
+    }
+    history
+}
+
+fn broken(history: &History) -> Vec<Promise> {
+    let mut promises: Vec<_> = check(history, CALM).iter().map(|f| f.promise).collect();
+    promises.dedup();
+    promises
+}
+
+/// Guards against checks that find what is not there.
+#[gtest]
+fn a_good_history_breaks_nothing() {
+    expect_that!(broken(&calm()), is_empty());
+}
+
+/// Guards against a check that lets too many requests pass for a limit.
+#[gtest]
+fn too_many_requests_for_a_limit_are_found() {
+    let named = |rate| Named { target: "i-1".to_owned(), rate, from: ms(2_000), until: ms(15_000) };
+    let mut history = calm();
+    history.named = vec![named(13.0)];
+    // 80 in 4 s, of 83 and of 65.
+    expect_that!(broken(&history), is_empty());
+    history.named = vec![named(10.0)];
+    expect_that!(broken(&history), elements_are![eq(&Promise::Limit)]);
+}
+
+/// Guards against a check that misses new work for a target that leaves.
+#[gtest]
+fn new_requests_for_a_target_that_leaves_are_found() {
+    let mut history = calm();
+    if let Some(answer) = history.answers.get_mut(&490) {
+        answer.leaving = true;
+    }
+    // The requests of the half second after it may still reach the target.
+    expect_that!(broken(&history), is_empty());
+    if let Some(answer) = history.answers.get_mut(&400) {
+        answer.leaving = true;
+    }
+    expect_that!(broken(&history), elements_are![eq(&Promise::Leaving)]);
+    history.troubles = vec![Trouble { host: 0, from: ms(20_100), until: ms(20_500) }];
+    expect_that!(broken(&history), is_empty());
+}
+
+/// Guards against checks that miss a second run, and a run of what was refused as not run.
+#[gtest]
+fn runs_that_were_not_to_be_are_found() {
+    let mut history = calm();
+    let visit = history.visits[7].clone();
+    history.visits.push(visit);
+    expect_that!(broken(&history), elements_are![eq(&Promise::Once)]);
+    let mut history = calm();
+    if let Some(answer) = history.answers.get_mut(&7) {
+        (answer.status, answer.target) = (503, None);
+    }
+    expect_that!(broken(&history), elements_are![eq(&Promise::NotRun)]);
+}
+
+/// Guards against a check that misses an answer which is not the whole one of its own request.
+#[gtest]
+fn answers_of_others_are_found() {
+    let mut history = calm();
+    if let Some(answer) = history.answers.get_mut(&7) {
+        answer.whole = false;
+    }
+    expect_that!(broken(&history), elements_are![eq(&Promise::Whole)]);
+}
+
+/// Guards against checks that miss a fleet which does not come back, and a stop that hangs.
+#[gtest]
+fn a_fleet_that_stays_down_is_found() {
+    let mut history = calm();
+    for id in 400..460 {
+        history.answers.remove(&id);
+    }
+    history.overdue = vec![3];
+    expect_that!(broken(&history), elements_are![eq(&Promise::Stopped), eq(&Promise::Recovered)]);
+}
