--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -248,6 +248,14 @@
         number
     }
 
+    /// The operator writes the newest version once more.
+    pub(crate) fn rewrite(&mut self) {
+        let newest = self.accepted.last().expect("a version").clone();
+        let parent = self.accepted.iter().rev().nth(1).map(|v| v.hash).unwrap_or_default();
+        let event = self.platform.write(&newest, parent);
+        self.notify(&event);
+    }
+
     /// Puts an arbitrary version in place of the platform's head.
     pub(crate) fn overwrite(&mut self, version: &Version, parent: Hash) {
         let event = self.platform.write(version, parent);
--- a/crates/mesh/tests/harness/platform.rs
+++ b/crates/mesh/tests/harness/platform.rs
@@ -9,6 +9,15 @@
 use dw_tables::{Hash, Head, PART_LIMIT, Version, split_parts};
 use tokio::time::Instant;
 
+/// An older copy of the store.
+#[derive(Clone)]
+pub(crate) struct Copy {
+    head: Option<Head>,
+    revision: u64,
+    slots: BTreeMap<(String, u32), Slot>,
+}
+
+#[derive(Clone)]
 struct Slot {
     record: RelayRecord,
     owner: (usize, u64),
@@ -56,6 +65,20 @@
         PlatformEvent::HeadRead { head, revision: self.revision }
     }
 
+    /// Copies what the store holds.
+    pub(crate) fn copy(&self) -> Copy {
+        Copy { head: self.head.clone(), revision: self.revision, slots: self.slots.clone() }
+    }
+
+    /// Comes back from a copy. What was written since is gone and its revisions are given out again; leases
+    /// of the copy have run on, or all are gone.
+    pub(crate) fn restore(&mut self, copy: Copy, leases: bool) {
+        let Copy { head, revision, slots } = copy;
+        (self.head, self.revision) = (head, revision);
+        self.slots = if leases { slots } else { BTreeMap::new() };
+        self.watches.clear();
+    }
+
     /// Calls of a kind that a host has made so far.
     pub(crate) fn count(&self, host: usize, kind: PlatformCallKind) -> u64 {
         self.callers.get(&(host, kind)).copied().unwrap_or(0)
