Acquit a request of crashing targets once a target has answered it

Cause: a request counts as what crashes targets once it was in flight at the deaths of two. Popular requests are alike (method, path, body), so any two crashes within ten minutes convict them; the limit of 32 suspects does not help where few requests differ. Change: an answer to the request by any target acquits it of the deaths before. A request that really crashes each target that runs it is never answered.

--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -317,6 +317,9 @@
         if let (AttemptOutcome::Unknown { .. }, Some(print)) = (outcome, flight.print) {
             self.lost.push(&flight.endpoint, print, now);
         }
+        if let (AttemptOutcome::Answered { .. }, Some(print)) = (outcome, flight.print) {
+            self.poison.acquit(print);
+        }
         let movable = self.is_movable(outcome);
         let Some(upstream) = self.upstreams.get_mut(&flight.pool) else { return };
         let uid = flight.uid;
--- a/crates/request/src/poison.rs
+++ b/crates/request/src/poison.rs
@@ -113,6 +113,14 @@
         new
     }
 
+    /// A target answered the request, so it is not what crashes those that run it: the deaths before count
+    /// no more against it. Otherwise two crashes within ten minutes would have a popular request refused.
+    pub fn acquit(&mut self, print: Fingerprint) {
+        for (_, suspects) in &mut self.deaths {
+            suspects.prints.retain(|suspect| *suspect != print);
+        }
+    }
+
     /// Whether the request was in flight at the deaths of two different targets.
     fn is_convicted(&self, print: Fingerprint) -> bool {
         let mut deaths = self.deaths.iter().filter(|(_, s)| s.prints.contains(&print));
--- a/crates/request/tests/poison.rs
+++ b/crates/request/tests/poison.rs
@@ -122,3 +122,29 @@
     expect_that!(Fingerprint::from_bytes(print.to_bytes()), eq(print));
     expect_that!(get("/lookup").fingerprint(), none());
 }
+
+/// Guards against a popular request that is refused for ten minutes because targets crashed twice while it was
+/// in flight there, although other targets answered it in between.
+#[gtest]
+fn a_request_that_targets_answer_is_not_refused() {
+    let start = Instant::now();
+    let hosts = ["a", "b", "c"].map(|host| endpoint(host, "portland", "new-england", start));
+    let mut d = dispatcher(1, two_routes(), hosts.to_vec());
+    let popular = RequestInfo { body: Some(&[7; 32]), ..get("/lookup") };
+    let print = popular.fingerprint();
+    for round in 0..4 {
+        let now = start + ms(60_000 + round * 5_000);
+        let attempt = forwarded(d.begin(popular, now));
+        d.settle(attempt.id, unknown(Reason::TargetDied), now);
+        let host = if round % 2 == 0 { "a" } else { "b" };
+        d.poison_mut().report(death(host, round), print, now);
+        let attempt = forwarded(d.begin(popular, now));
+        d.settle(attempt.id, answered(200), now);
+    }
+    // Two crashes with no answer between them still count.
+    let now = start + ms(90_000);
+    for host in ["a", "b"] {
+        d.poison_mut().report(death(host, 9), print, now);
+    }
+    expect_that!(refused(d.begin(popular, now)).reason, eq(Reason::Poisoned));
+}
