End the processes of a soak when it is told to stop

SIGTERM ended the soak alone; its daemons went on. SIGKILL still leaves them: ending with the parent needs a call that Rust offers as unsafe only.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,9 +1,13 @@
 //! Plays fault schedules against real daemons and prints what they broke.
 
-use std::{env, fs, process::ExitCode, time::Duration};
+use std::{env, fs, future::pending, process::ExitCode, time::Duration};
 
 use dw_soak::{Error, Report, Schedule, World};
 use gumdrop::Options;
+use tokio::signal::{
+    ctrl_c,
+    unix::{SignalKind, signal},
+};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -33,9 +37,29 @@
         print("a run takes 20 s or more and has 2 to 200 hosts");
         return ExitCode::from(2);
     }
+    // The processes of a run end with it, also when the soak itself is told to stop.
+    tokio::select! {
+        code = play_all(&args) => code,
+        () = told_to_stop() => {
+            print("told to stop; the run is not counted");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn told_to_stop() {
+    let Ok(mut term) = signal(SignalKind::terminate()) else { return pending().await };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = ctrl_c() => {}
+    }
+}
+
+async fn play_all(args: &Args) -> ExitCode {
     let mut broken = 0;
     for seed in args.seed..args.seed.saturating_add(args.seeds) {
-        match play(&args, seed).await {
+        match play(args, seed).await {
             Ok(report) => broken += u32::from(!report.findings.is_empty()),
             Err(error) => {
                 print(&format!("seed {seed}: {error}"));
