--- a/crates/bench/src/model/report.rs
+++ b/crates/bench/src/model/report.rs
@@ -67,24 +67,35 @@
     println!("worth of {} in windows of 2 s: {}\n", first.name, over_time.join(" "));
 }
 
-/// Prints what targets got that named a limit: the worst of all seeds.
+/// Limits that are printed; the others are closer to what was named.
+const LIMITS: usize = 8;
+
+/// Prints what targets got that named a limit, those first that got most beyond it: the worst of all seeds.
 #[expect(clippy::print_stdout, reason = "the report is the output of the bench")]
 fn print_limits(row: &Row) {
     let count = row.runs.first().map_or(0, |run| run.limits.len());
-    for idx in 0..count {
-        let all: Vec<_> = row.runs.iter().map(|run| run.limits[idx]).collect();
-        let excess = all.iter().map(|limit| limit.excess).fold(f64::MIN, f64::max);
-        let got = row.mean(|run| run.limits[idx].got);
-        let lifted = all.iter().filter_map(|limit| limit.lifted).fold(0.0, f64::max);
-        let seen = all.iter().filter(|limit| limit.lifted.is_some()).count();
+    let excess =
+        |idx: &usize| row.runs.iter().map(|run| run.limits[*idx].excess).fold(f64::MIN, f64::max);
+    let mut order: Vec<usize> = (0..count).collect();
+    order.sort_by(|a, b| excess(b).total_cmp(&excess(a)));
+    for idx in order.iter().take(LIMITS) {
+        let all: Vec<_> = row.runs.iter().map(|run| run.limits[*idx]).collect();
+        let got = row.mean(|run| run.limits[*idx].got);
+        let lifted: Vec<f64> = all.iter().filter_map(|limit| limit.lifted).collect();
         println!(
-            "host {} named {} a second and got {got:.1}; most in 4 s: {excess:+.0}; more again after at \
-             most {lifted:.2} s in {seen} of {} seeds",
+            "host {} named {} a second and got {got:.1}; most in 4 s: {:+.0}; more again after at most \
+             {:.2} s in {} of {} seeds",
             all[0].host,
             all[0].rate,
+            excess(idx),
+            lifted.iter().copied().fold(0.0, f64::max),
+            lifted.len(),
             all.len()
         );
     }
+    if count > LIMITS {
+        println!("and {} more limits", count - LIMITS);
+    }
 }
 
 fn share(part: u32, whole: u32) -> f64 {
--- a/crates/bench/src/model/scenario.rs
+++ b/crates/bench/src/model/scenario.rs
@@ -41,6 +41,13 @@
     pub(crate) slots: u32,
     /// How fast it works.
     pub(crate) speed: f64,
+    /// Hosts like this one, this one included.
+    #[serde(default = "one")]
+    count: usize,
+}
+
+const fn one() -> usize {
+    1
 }
 
 /// The requests of one route.
@@ -160,7 +167,9 @@
         let text = fs::read_to_string(path)?;
         let value = parse_to_serde_value(&text, &ParseOptions::default())?;
         let value = value.ok_or("the scenario is empty")?;
-        let scenario: Self = serde_json::from_value(value)?;
+        let mut scenario: Self = serde_json::from_value(value)?;
+        let alike = |host: Host| std::iter::repeat_n(host.clone(), host.count);
+        scenario.hosts = scenario.hosts.into_iter().flat_map(alike).collect();
         scenario.check().map_err(|finding| format!("{path}: {finding}"))?;
         Ok(scenario)
     }
