Name the limit in the explanation of a refusal for it

damaskwick explain told a refusal for a limit like one of a full target, with one slot. It says now how many requests a second the target takes. Test: cli/explain a_refusal_for_a_limit_names_it; the last words were missing before.

--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -51,9 +51,14 @@
 fn at_target(line: &Line) -> String {
     let host = &line.host;
     if line.kind == Some(Kind::TurnedAway) {
+        let limit = line.text(Field::Limit);
+        let limit = match limit.is_empty() {
+            true => String::new(),
+            false => format!("; the target takes {limit} requests a second"),
+        };
         return format!(
             "{host} turned it away, {}: {} of {} slots taken and {} waiting, {} ms of waiting and \
-             {} ms of service expected, {} ms left",
+             {} ms of service expected, {} ms left{limit}",
             line.text(Field::Reason),
             number(line, Field::InFlight),
             number(line, Field::Slots),
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -30,6 +30,29 @@
     tool(&Memory::default(), &Daemons::default(), "", &format!("explain {line}")).await
 }
 
+/// Guards against a refusal for a limit that is told like one of a full target.
+#[gtest]
+#[tokio::test]
+async fn a_refusal_for_a_limit_names_it() {
+    let dir = dir("explain_limit");
+    let entry = log(
+        &dir,
+        "h1",
+        &[
+            r#"01.000 "event":"placed","request":"r1","target":"h2","attempt":1,"limit":"5""#,
+            r#"01.004 "event":"attempt-failed","request":"r1","target":"h2","reason":"rate-limit","outcome":"not-run","took_ms":4"#,
+            r#"01.004 "event":"refused","request":"r1","reason":"rate-limit","outcome":"not-run","status":503,"retry_ms":20"#,
+        ],
+    );
+    let away = r#"01.002 "event":"turned-away","request":"r1","reason":"rate-limit","in_flight":0,"slots":1,"limit":"5","wait_ms":169"#;
+    let target = log(&dir, "h2", &[away]);
+    let (exit, text) = explain(&format!("r1 {entry} {target}")).await;
+    expect_that!(exit, eq(Exit::Ok));
+    let first = text.lines().next().unwrap_or_default();
+    expect_that!(first, contains_substring("h2 turned it away, rate-limit: 0 of 1 slots"));
+    expect_that!(first, ends_with("the target takes 5 requests a second"));
+}
+
 /// Guards against a refusal whose story does not say how full the target was.
 #[gtest]
 #[tokio::test]
