Disturb the links to targets and the store in the soak

A link of loopback lies between each daemon and its target: it delays, ends the open connections, or lets them go silent for good while new ones work. The store's open connections go silent too.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod check;
 mod history;
 mod host;
+mod link;
 mod net;
 mod recorder;
 mod schedule;
--- a/crates/soak/src/net.rs
+++ b/crates/soak/src/net.rs
@@ -49,10 +49,15 @@
         self.addr(8625)
     }
 
-    /// Where the target serves.
+    /// Where the daemon reaches the target, over a link.
     pub(crate) fn target(self) -> SocketAddr {
         self.addr(8628)
     }
+
+    /// Where the target serves.
+    pub(crate) fn behind(self) -> SocketAddr {
+        self.addr(8638)
+    }
 }
 
 /// A connection for requests, one after the other.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -54,6 +54,27 @@
         /// Its host.
         host: usize,
     },
+    /// Answers of a target, and requests to it, come late.
+    #[display("delay")]
+    Delay {
+        /// Its host.
+        host: usize,
+    },
+    /// The connections to a target end.
+    #[display("reset")]
+    Reset {
+        /// Its host.
+        host: usize,
+    },
+    /// The connections to a target go silent for good; new ones work.
+    #[display("silence")]
+    Silence {
+        /// Its host.
+        host: usize,
+    },
+    /// The connections to the store go silent for good; new ones work.
+    #[display("store-silence")]
+    StoreSilence,
     /// The operator writes another version.
     #[display("version")]
     Version,
@@ -117,6 +138,7 @@
 enum Object {
     Daemon(usize),
     Target(usize),
+    Link(usize),
     Store,
 }
 
@@ -126,13 +148,20 @@
         Fault::Limit { host, .. } | Fault::Leave { host } | Fault::Crash { host } => {
             Object::Target(host)
         }
-        Fault::Version | Fault::StoreDown | Fault::StoreSlow | Fault::StoreOlder => Object::Store,
+        Fault::Delay { host } | Fault::Reset { host } | Fault::Silence { host } => {
+            Object::Link(host)
+        }
+        Fault::Version
+        | Fault::StoreDown
+        | Fault::StoreSlow
+        | Fault::StoreSilence
+        | Fault::StoreOlder => Object::Store,
     }
 }
 
 fn draw(rng: &mut SmallRng, hosts: usize) -> Fault {
     let host = rng.random_range(0..hosts);
-    match rng.random_range(0..16) {
+    match rng.random_range(0..20) {
         0 | 1 => Fault::Kill { host },
         2 | 3 => Fault::Stop { host },
         4 => Fault::Pause { host },
@@ -145,7 +174,11 @@
         12 => Fault::Version,
         13 => Fault::StoreDown,
         14 => Fault::StoreSlow,
-        _ => Fault::StoreOlder,
+        15 => Fault::StoreOlder,
+        16 => Fault::Delay { host },
+        17 => Fault::Reset { host },
+        18 => Fault::Silence { host },
+        _ => Fault::StoreSilence,
     }
 }
 
@@ -154,8 +187,12 @@
     match fault {
         Fault::Limit { .. } => Duration::from_secs(15),
         Fault::Kill { .. } | Fault::Stop { .. } | Fault::Crash { .. } => Duration::from_secs(2),
-        Fault::Leave { .. } | Fault::StoreDown | Fault::StoreSlow => Duration::from_secs(4),
+        Fault::Leave { .. } | Fault::StoreDown | Fault::StoreSlow | Fault::Delay { .. } => {
+            Duration::from_secs(4)
+        }
         Fault::Pause { .. } | Fault::StoreOlder => Duration::from_secs(3),
-        Fault::Version => Duration::ZERO,
+        Fault::Version | Fault::Reset { .. } | Fault::Silence { .. } | Fault::StoreSilence => {
+            Duration::ZERO
+        }
     }
 }
--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -12,12 +12,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpListener,
+    sync::watch,
     task::JoinSet,
     time::{MissedTickBehavior, interval, sleep},
 };
 
 use crate::{
     Visit,
+    link::{Disturbance, Link},
     net::{self, Place},
     recorder::Recorder,
 };
@@ -43,6 +45,8 @@
     service: &'static str,
     recorder: Recorder,
     state: Mutex<State>,
+    /// What is done to the link between the daemon and the target.
+    link: watch::Sender<Disturbance>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -73,7 +77,8 @@
 impl Target {
     /// A target that does not serve yet.
     pub(crate) fn new(place: Place, service: &'static str, recorder: Recorder) -> Self {
-        Self(Arc::new(Inner { place, service, recorder, state: Mutex::default() }))
+        let (state, link) = (Mutex::default(), watch::Sender::default());
+        Self(Arc::new(Inner { place, service, recorder, state, link }))
     }
 
     /// Starts an incarnation.
@@ -81,7 +86,9 @@
     /// # Errors
     /// Its address cannot be bound.
     pub(crate) async fn start(&self) -> io::Result<Life> {
-        let listener = TcpListener::bind(self.0.place.target()).await?;
+        let place = self.0.place;
+        let listener = TcpListener::bind(place.behind()).await?;
+        let link = Link::new(place.target(), place.behind(), self.0.link.subscribe()).await?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let mut state = self.lock();
         let lives = state.lives + 1;
@@ -90,6 +97,7 @@
         drop(state);
         let mut tasks = JoinSet::new();
         tasks.spawn(self.clone().serve(listener));
+        tasks.spawn(link.run());
         tasks.spawn(self.clone().report());
         Ok(Life { tasks })
     }
@@ -104,6 +112,11 @@
         self.lock().limit = limit;
     }
 
+    /// Disturbs the link between the daemon and the target.
+    pub(crate) fn disturb(&self, change: impl FnOnce(&mut Disturbance)) {
+        self.0.link.send_modify(change);
+    }
+
     /// Says from now on that it leaves.
     pub(crate) fn leave(&self) {
         self.lock().leaving = true;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -43,6 +43,9 @@
 /// Time until the operator writes again after the store came back from an older copy.
 const REWRITE: Duration = Duration::from_millis(300);
 
+/// Delay in each direction of a link that is disturbed so.
+const LATE: Duration = Duration::from_millis(60);
+
 /// Delay of each call while the store is slow.
 const SLOW: Duration = Duration::from_millis(300);
 
@@ -248,6 +251,15 @@
                 self.replace(host, Duration::from_secs(1)).await?;
             }
             Fault::Crash { host } => self.replace(host, time).await?,
+            Fault::Delay { host } => {
+                let (target, _) = &self.targets[host];
+                target.disturb(|link| link.delay = LATE);
+                sleep(time).await;
+                target.disturb(|link| link.delay = Duration::ZERO);
+            }
+            Fault::Reset { host } => self.targets[host].0.disturb(|link| link.resets += 1),
+            Fault::Silence { host } => self.targets[host].0.disturb(|link| link.silences += 1),
+            Fault::StoreSilence => self.store.silence(),
             Fault::Version => self.configure().await?,
             Fault::StoreDown => {
                 self.store.down().await;
