--- a/crates/daemon/tests/admin.rs
+++ b/crates/daemon/tests/admin.rs
@@ -9,6 +9,11 @@
 use serde_json::{Value, json};
 use support::{Act, fetch, get, header, send, served, settings, start};
 
+/// Targets that take no new work, as the fleet knows.
+fn draining(members: &MemberTable) -> usize {
+    members.iter().flat_map(|m| &m.targets).filter(|target| target.draining).count()
+}
+
 /// Guards against an API whose answers do not say what the daemon serves and does.
 #[gtest]
 #[tokio::test]
@@ -67,9 +72,6 @@
 async fn drains_one_target_and_takes_it_back() -> Result<()> {
     let (_standin, raw, running) = served(Act::Echo).await;
     let addrs = running.addrs();
-    let draining = |members: &MemberTable| {
-        members.iter().flat_map(|m| &m.targets).filter(|target| target.draining).count()
-    };
     let drain = |method: &str| {
         Request::builder().method(method).uri("/targets/0/drain").header("host", "admin")
     };
@@ -96,9 +98,6 @@
 async fn a_target_that_said_it_leaves_is_taken_back_by_the_operator() -> Result<()> {
     let (_standin, raw, running) = served(Act::Leave).await;
     let addrs = running.addrs();
-    let draining = |members: &MemberTable| {
-        members.iter().flat_map(|m| &m.targets).filter(|target| target.draining).count()
-    };
     send(addrs.callers, get("/lookup")).await;
     running.wait_members(|m| draining(m) == 1).await;
     let response = send(addrs.callers, get("/lookup")).await;
--- a/crates/mesh/tests/durable.rs
+++ b/crates/mesh/tests/durable.rs
@@ -6,33 +6,18 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dw_mesh::{LocalEvent, PlatformCallKind, PresetName};
+use dw_mesh::{LocalEvent, PlatformCallKind};
 use dw_tables::Hash;
-use harness::{World, version};
+use harness::{World, versions::version};
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-/// Hosts that know each other through the platform's relay records only.
-fn world(seed: u64, sizes: &[usize]) -> World {
-    let mut world = World::new(seed, PresetName::Verband, sizes);
-    for host in &mut world.hosts {
-        host.cfg.preset.durable = true;
-        host.cfg.preset.join_spread = ms(200);
-        host.cfg.join.clear();
-    }
-    world.apply();
-    (0..world.hosts.len()).for_each(|id| world.start(id));
-    world.run(ms(15_000));
-    world.expect_settled();
-    world
-}
-
 /// Guards against a restarted fleet whose hosts wait for floors that no peer remembers.
 #[test]
 fn a_restarted_fleet_serves_at_once() {
-    let mut world = world(1, &[4, 4]);
+    let mut world = World::durable(1, &[4, 4]);
     world.apply();
     world.run(ms(4000));
     (0..8).for_each(|id| world.crash(id));
@@ -48,7 +33,7 @@
 /// read at its start.
 #[test]
 fn a_host_that_no_peer_admits_follows_the_platform() {
-    let mut world = world(2, &[4, 4]);
+    let mut world = World::durable(2, &[4, 4]);
     world.crash(7);
     world.cut(&[7], &[0, 1, 2, 3, 4, 5, 6]);
     world.cut(&[0, 1, 2, 3, 4, 5, 6], &[7]);
@@ -64,7 +49,7 @@
 /// Guards against versions without parents that are taken for forks.
 #[test]
 fn a_version_without_a_parent_follows() {
-    let mut world = world(3, &[3]);
+    let mut world = World::durable(3, &[3]);
     let next = version(2, "accepted");
     world.accepted.push(Arc::new(next.clone()));
     world.overwrite(&next, Hash::default());
@@ -80,7 +65,7 @@
 #[test]
 fn a_host_that_starts_beside_failed_peers_serves_soon() {
     for platform in [true, false] {
-        let mut world = world(4, &[6]);
+        let mut world = World::durable(4, &[6]);
         world.crash(5);
         world.hosts[5].cfg.join = world.hosts[..2].iter().map(|host| host.cfg.peer).collect();
         if !platform {
@@ -98,7 +83,7 @@
 /// serves nothing yet.
 #[test]
 fn a_host_without_a_version_goes_on_reading_the_platform() {
-    let mut world = world(5, &[6]);
+    let mut world = World::durable(5, &[6]);
     world.crash(5);
     world.hosts[5].cfg.join = world.hosts[..2].iter().map(|host| host.cfg.peer).collect();
     world.cut_platform(&[5]);
@@ -125,7 +110,7 @@
 
 /// The members that each host takes for live a second after a restart of a fleet of eight.
 fn live_after_restart(seed: u64) -> Vec<usize> {
-    let mut world = world(seed, &[3, 1, 4]);
+    let mut world = World::durable(seed, &[3, 1, 4]);
     (0..8).for_each(|id| world.crash(id));
     world.run(ms(1000));
     for id in 0..8 {
@@ -166,7 +151,7 @@
 #[test]
 fn hosts_behind_a_silent_one_get_the_version_soon() {
     for seed in 30..50 {
-        let mut world = world(seed, &[30]);
+        let mut world = World::durable(seed, &[30]);
         let number = world.apply();
         world.run(ms(30 + seed % 5 * 10));
         let silent: Vec<usize> = (0..30)
@@ -189,7 +174,7 @@
 #[test]
 fn a_host_that_the_platform_turns_away_is_found_by_its_peers() {
     for planned in [true, false] {
-        let mut world = world(6, &[4, 4]);
+        let mut world = World::durable(6, &[4, 4]);
         if planned {
             world.local(3, LocalEvent::StartDrain);
             world.run(ms(300));
@@ -210,7 +195,7 @@
 /// Guards against a whole domain that waits for the platform, although other domains know its hosts.
 #[test]
 fn a_domain_that_the_platform_turns_away_is_found_by_the_others() {
-    let mut world = world(7, &[4, 4]);
+    let mut world = World::durable(7, &[4, 4]);
     (4..8).for_each(|id| world.crash(id));
     world.cut_platform(&[4, 5, 6, 7]);
     world.run(ms(500));
@@ -227,7 +212,7 @@
 /// others for seconds: it refused requests because it had no targets.
 #[test]
 fn a_host_that_joins_through_a_newcomer_soon_knows_the_others() {
-    let mut world = world(8, &[4, 4]);
+    let mut world = World::durable(8, &[4, 4]);
     [6, 7].into_iter().for_each(|id| world.crash(id));
     world.cut_platform(&[6, 7]);
     let others = [0, 1, 2, 3, 4, 5];
@@ -248,7 +233,7 @@
 /// write it, and take each refusal for a platform that is down.
 #[test]
 fn a_head_that_went_back_is_left_to_the_operator() {
-    let mut world = world(50, &[4, 3]);
+    let mut world = World::durable(50, &[4, 3]);
     let first = world.accepted[0].clone();
     let newest = world.apply();
     world.run(ms(4000));
--- a/crates/mesh/tests/eras.rs
+++ b/crates/mesh/tests/eras.rs
@@ -6,28 +6,12 @@
 
 use std::time::Duration;
 
-use dw_mesh::PresetName;
 use harness::{Faults, World};
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-/// Hosts that know each other through the store's relay records only.
-fn world(seed: u64, sizes: &[usize]) -> World {
-    let mut world = World::new(seed, PresetName::Verband, sizes);
-    for host in &mut world.hosts {
-        host.cfg.preset.durable = true;
-        host.cfg.preset.join_spread = ms(200);
-        host.cfg.join.clear();
-    }
-    world.apply();
-    (0..world.hosts.len()).for_each(|id| world.start(id));
-    world.run(ms(15_000));
-    world.expect_settled();
-    world
-}
-
 /// The store is away for a moment and comes back from a copy that is some seconds old; some time later the
 /// operator writes again.
 fn drill(world: &mut World, between: impl Fn(&mut World)) {
@@ -54,7 +38,7 @@
 #[test]
 fn no_host_goes_back_with_the_store() {
     for seed in 300..310 {
-        let mut world = world(seed, &[4, 3, 3]);
+        let mut world = World::durable(seed, &[4, 3, 3]);
         for _ in 0..3 {
             drill(&mut world, |_| ());
             world.run(ms(4_000));
@@ -73,7 +57,7 @@
 #[test]
 fn a_host_that_starts_as_the_store_went_back_serves_no_less_than_before() {
     for seed in 320..330 {
-        let mut world = world(seed, &[4, 3, 3]);
+        let mut world = World::durable(seed, &[4, 3, 3]);
         drill(&mut world, |world| {
             world.crash(1);
             world.start(1);
@@ -85,7 +69,7 @@
 
 /// Random drills beside kills, cuts, lost messages and versions, then a time without faults.
 fn run(seed: u64) {
-    let mut world = world(seed, &[5, 4, 3]);
+    let mut world = World::durable(seed, &[5, 4, 3]);
     // A host that starts right then may serve less; another test is for that.
     world.may_forget = true;
     let count = world.hosts.len();
--- a/crates/mesh/tests/faults.rs
+++ b/crates/mesh/tests/faults.rs
@@ -8,7 +8,7 @@
 
 use dw_mesh::{Counter, Fingerprint, Force, LocalEvent, MemberState, PlatformCallKind, PresetName};
 use dw_tables::Hash;
-use harness::{World, version};
+use harness::{World, versions::version};
 
 const fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -6,7 +6,7 @@
 mod checks;
 pub(crate) mod link;
 mod platform;
-mod versions;
+pub(crate) mod versions;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -19,14 +19,12 @@
     Action, Counter, Force, Input, LocalEvent, Node, NodeConfig, PlatformCallKind, PlatformEvent,
     Preset, PresetName,
 };
-use dw_tables::{Hash, Version, VersionMark, validate};
+use dw_tables::{Version, VersionMark, validate};
 use dw_wire::{decode_packet, encode_packet};
 use link::Link;
 use platform::Store;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::time::Instant;
-pub(crate) use versions::version;
-use versions::with_rows;
 
 /// Faults of the network.
 #[derive(Clone, Debug)]
@@ -165,6 +163,22 @@
         world
     }
 
+    /// The same on a platform that loses nothing it acknowledged; hosts know each other through its relay
+    /// records only.
+    pub(crate) fn durable(seed: u64, sizes: &[usize]) -> Self {
+        let mut world = Self::new(seed, PresetName::Verband, sizes);
+        for host in &mut world.hosts {
+            host.cfg.preset.durable = true;
+            host.cfg.preset.join_spread = Duration::from_millis(200);
+            host.cfg.join.clear();
+        }
+        world.apply();
+        (0..world.hosts.len()).for_each(|id| world.start(id));
+        world.run(Duration::from_secs(15));
+        world.expect_settled();
+        world
+    }
+
     pub(crate) fn random(&mut self, bound: usize) -> usize {
         self.rng.random_range(0..bound)
     }
@@ -237,31 +251,6 @@
         (0..self.hosts.len()).filter(|id| self.hosts[*id].cfg.domain.as_str() == domain).collect()
     }
 
-    /// Operators accept the next version.
-    pub(crate) fn apply(&mut self) -> u64 {
-        let parent = self.accepted.last().map(|v| v.hash).unwrap_or_default();
-        let number = self.accepted.len() as u64 + 1;
-        let version = Arc::new(with_rows(version(number, "accepted"), self.rows));
-        let event = self.platform.write(&version, parent);
-        self.accepted.push(version);
-        self.notify(&event);
-        number
-    }
-
-    /// The operator writes the newest version once more.
-    pub(crate) fn rewrite(&mut self) {
-        let newest = self.accepted.last().expect("a version").clone();
-        let parent = self.accepted.iter().rev().nth(1).map(|v| v.hash).unwrap_or_default();
-        let event = self.platform.write(&newest, parent);
-        self.notify(&event);
-    }
-
-    /// Puts an arbitrary version in place of the platform's head.
-    pub(crate) fn overwrite(&mut self, version: &Version, parent: Hash) {
-        let event = self.platform.write(version, parent);
-        self.notify(&event);
-    }
-
     fn notify(&mut self, event: &PlatformEvent) {
         for (id, process) in self.platform.watches.clone() {
             if self.platform.reachable(id) {
--- a/crates/mesh/tests/harness/versions.rs
+++ b/crates/mesh/tests/harness/versions.rs
@@ -1,6 +1,10 @@
 //! Versions for the simulated fleet.
 
-use dw_tables::{Tables, Version, parse_pools, parse_routes};
+use std::sync::Arc;
+
+use dw_tables::{Hash, Tables, Version, parse_pools, parse_routes};
+
+use super::World;
 
 /// A version with the given number and a text that makes its hash differ.
 pub(crate) fn version(number: u64, text: &str) -> Version {
@@ -15,7 +19,7 @@
 }
 
 /// Adds routes that are the same in each version.
-pub(crate) fn with_rows(version: Version, rows: usize) -> Version {
+fn with_rows(version: Version, rows: usize) -> Version {
     let mut tables = version.tables;
     for idx in 0..rows as u64 {
         let mut route = tables.routes[0].clone();
@@ -28,3 +32,30 @@
     }
     Version::new(version.number, tables)
 }
+
+impl World {
+    /// Operators accept the next version.
+    pub(crate) fn apply(&mut self) -> u64 {
+        let parent = self.accepted.last().map(|v| v.hash).unwrap_or_default();
+        let number = self.accepted.len() as u64 + 1;
+        let version = Arc::new(with_rows(version(number, "accepted"), self.rows));
+        let event = self.platform.write(&version, parent);
+        self.accepted.push(version);
+        self.notify(&event);
+        number
+    }
+
+    /// The operator writes the newest version once more.
+    pub(crate) fn rewrite(&mut self) {
+        let newest = self.accepted.last().expect("a version").clone();
+        let parent = self.accepted.iter().rev().nth(1).map(|v| v.hash).unwrap_or_default();
+        let event = self.platform.write(&newest, parent);
+        self.notify(&event);
+    }
+
+    /// Puts an arbitrary version in place of the platform's head.
+    pub(crate) fn overwrite(&mut self, version: &Version, parent: Hash) {
+        let event = self.platform.write(version, parent);
+        self.notify(&event);
+    }
+}
