--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,4 +18,4 @@
 pub use check::{Finding, Promise, check};
 pub use history::{Answer, History, Named, Sent, Trouble, Visit};
 pub use schedule::{Fault, Plan, Schedule};
-pub use world::{Error, Report, World};
+pub use world::{Error, Fullest, Report, World};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -84,8 +84,8 @@
     let faults: Vec<_> =
         report.faults.iter().map(|(fault, count)| format!("{fault} {count}")).collect();
     print(&format!(
-        "seed {seed}: {served} of {sent} requests served, fullest limit {:.2} of what it allows; {}",
-        report.fullest(),
+        "seed {seed}: {served} of {sent} requests served; fullest limit: {}; {}",
+        report.fullest().map_or_else(|| "none".to_owned(), |fullest| fullest.to_string()),
         faults.join(", ")
     ));
     if report.findings.is_empty() {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use derive_more::Display;
 use dw_fakes::{RunningStandin, Standin};
 use futures_util::future::join_all;
 use thiserror::Error;
@@ -85,14 +86,34 @@
         (self.history.sent.len(), good)
     }
 
-    /// The target that got the most in 4 s of what its limit allows, as a share of that.
+    /// What the target got in 4 s that got the most of what its limit allows; `None` if none named one.
     #[must_use]
-    pub fn fullest(&self) -> f64 {
-        let share = |named: &Named| {
-            let (most, allowed) = most(&self.history, named);
-            f64::from(u32::try_from(most).unwrap_or(u32::MAX)) / allowed
-        };
-        self.history.named.iter().map(share).fold(0.0, f64::max)
+    pub fn fullest(&self) -> Option<Fullest> {
+        let all = self.history.named.iter().map(|named| {
+            let (got, allowed) = most(&self.history, named);
+            Fullest { target: named.target.clone(), rate: named.rate, got, allowed }
+        });
+        all.max_by(|a, b| a.share().total_cmp(&b.share()))
+    }
+}
+
+/// What a target got in 4 s while it named a limit.
+#[derive(Clone, Debug, Display)]
+#[display("{got} of {allowed} requests in 4 s for {target}, which named {rate} a second")]
+pub struct Fullest {
+    /// Its incarnation.
+    pub target: String,
+    /// Requests a second that it named.
+    pub rate: f64,
+    /// Requests that it got.
+    pub got: usize,
+    /// Requests that it may get.
+    pub allowed: f64,
+}
+
+impl Fullest {
+    fn share(&self) -> f64 {
+        f64::from(u32::try_from(self.got).unwrap_or(u32::MAX)) / self.allowed
     }
 }
 
