Show a limit that a restarted daemon was told once its target names it

Cause: news were told by comparing the limit in force before and after a response. A daemon that had taken the limit over from a caller's daemon saw no difference when its target named the same one, so neither the log nor damaskwick_target_limit had it until it changed. Change: what the target itself has named is compared. Decisions are as before. Test: request/pace a_restarted_gate_keeps_to_what_others_were_told asks for both; Gate::named is new.

--- a/crates/daemon/src/proxy/slot.rs
+++ b/crates/daemon/src/proxy/slot.rs
@@ -173,14 +173,16 @@
         let now = Instant::now();
         let mut state = self.lock();
         let mut news = Vec::new();
-        let old = state.gate.limit();
+        let (limit, named) = (state.gate.limit(), state.gate.named());
         state.gate.hear(notice.limit, handed, now);
-        let limit = state.gate.limit();
-        if limit != old {
-            news.push(limit.map_or(Saying::Unlimited, Saying::Limited));
+        let changed = state.gate.limit() != limit;
+        if changed {
             let wakes = state.gate.expire(now);
             state.wake(wakes);
         }
+        if state.gate.named() != named {
+            news.push(state.gate.named().map_or(Saying::Unlimited, Saying::Limited));
+        }
         if notice.leaving && !self.leaving.swap(true, Ordering::Relaxed) {
             news.push(Saying::Leaving);
         }
@@ -190,7 +192,7 @@
             news.push(Saying::Unreadable);
         }
         drop(state);
-        if limit != old {
+        if changed {
             // The next request is due at another time.
             self.changed.notify_one();
         }
--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -132,6 +132,12 @@
         self.pace.rate()
     }
 
+    /// The limit that the target itself has named since the gate exists.
+    #[must_use]
+    pub fn named(&self) -> Option<Rate> {
+        self.pace.named()
+    }
+
     /// Decides on an arrival. Call [`Self::deadline`] again afterwards: a request that lost its
     /// place to a deeper call is refused by the next [`Self::expire`].
     pub fn offer(&mut self, arrival: Arrival, now: Instant) -> Admission {
--- a/crates/request/src/pace.rs
+++ b/crates/request/src/pace.rs
@@ -51,6 +51,11 @@
         self.limit.map(|limit| limit.rate)
     }
 
+    /// The same if the target itself named it, and not only another daemon.
+    pub(crate) fn named(&self) -> Option<Rate> {
+        self.limit.filter(|limit| limit.named.is_some()).map(|limit| limit.rate)
+    }
+
     /// Takes over what a response says, `None` if it names no limit. Its request was handed over at
     /// `handed`.
     pub(crate) fn hear(&mut self, said: Option<Rate>, handed: Instant, now: Instant) {
--- a/crates/request/tests/pace.rs
+++ b/crates/request/tests/pace.rs
@@ -241,6 +241,10 @@
     let runs = admissions.iter().filter(|a| matches!(a, Admission::Run(_))).count();
     expect_that!(runs, eq(1));
     expect_that!(gate.load().limit, some(eq(rate("2"))));
+    // For the log and the metrics the target has not named it to this daemon yet.
+    expect_that!(gate.named(), none());
+    gate.hear(Some(rate("2")), now, now + ms(60));
+    expect_that!(gate.named(), some(eq(rate("2"))));
 }
 
 /// Guards against a limit of an earlier incarnation that others still believe in and that outlasts the first
