--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -38,7 +38,8 @@
 /// Time for the targets to become known before callers come.
 const SETTLE: Duration = Duration::from_secs(2);
 
-/// Time in which a target that leaves may be told so by its own reports only after its answers say so.
+/// The shortest time between a target's first answer that says it leaves and its end, so that its reports have
+/// said so too.
 const NOTICE: Duration = HEARTBEAT;
 
 /// Time until the operator writes again after the store came back from an older copy.
