Count the gate's queue for a limit only where there is one, and check the deadline once

Each request that had to wait walked the queue a second time for a limit that most targets do not name, and the deadline was checked by two conditions that differed in the reason alone.

--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -244,6 +244,10 @@
 
     /// The wait of a request of this rank for its turn under the limit that the target names.
     fn pace_wait(&self, rank: Rank, now: Instant) -> Duration {
+        // Without a limit the queue need not be counted.
+        if self.pace.rate().is_none() {
+            return Duration::ZERO;
+        }
         self.pace.wait(count(self.queue.ahead(rank).count()), now)
     }
 
@@ -323,11 +327,8 @@
         let (slot, turn) = (self.wait(rank), self.pace_wait(rank, now));
         let wait = slot.max(turn);
         let limited = turn > slot;
-        if limited && now + wait + work.least > arrival.deadline {
-            return Err(Reason::RateLimit);
-        }
         if now + wait + work.least > arrival.deadline {
-            return Err(Reason::DeadlineUnmet);
+            return Err(if limited { Reason::RateLimit } else { Reason::DeadlineUnmet });
         }
         let bounded = self.config.policies.waits && !work.short;
         let share = |part| arrival.goal.filter(|_| bounded).map(|g| g.objective.mul_f64(part));
