Ask several sources for a version, over new connections, before its deadline

Cause: a host that lacks a version asked one source at a time for 0.5 s over the open connection, forgot the source, and learned of the next one from a probe.

Change: the wait follows from the time left until the version is to be in force, sources that missed are kept and asked after others, one, two, then four at once, and a pull goes over a new connection if the last ones were not answered or the peer sent no frame within the last second. The open connection is left to end by itself. The time comes from the platform's settings.

Ruled out: a shorter timeout alone (slow links send rows twice), and reading the store (0.4 to 1 MB each).

--- a/crates/daemon/src/link/tcp.rs
+++ b/crates/daemon/src/link/tcp.rs
@@ -42,6 +42,12 @@
         /// The frame.
         frame: Frame,
     },
+    /// Send later frames on a new connection. The open one is left to end by itself: it may only be
+    /// slow, and what is on its way on it may still arrive.
+    Renew {
+        /// The peer's listening address.
+        to: SocketAddr,
+    },
     /// An accepted connection said which peer it comes from.
     Known {
         /// The peer's listening address.
@@ -94,6 +100,9 @@
                         self.counters.dropped();
                     }
                 }
+                ToLinks::Renew { to } => {
+                    peers.remove(&to);
+                }
                 ToLinks::Known { from, outbox } => {
                     peers.retain(|_, outbox| !outbox.is_closed());
                     // An older one may lead to a process that has ended without closing it.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -102,6 +102,9 @@
             Action::SendFrame { to, frame } => {
                 let _ = self.links.send(ToLinks::Send { to, frame }).await;
             }
+            Action::Reconnect { to } => {
+                let _ = self.links.send(ToLinks::Renew { to }).await;
+            }
             Action::Platform(call) => {
                 let _ = self.platform.send(call).await;
             }
--- a/crates/mesh/src/io.rs
+++ b/crates/mesh/src/io.rs
@@ -258,6 +258,11 @@
         /// The frame.
         frame: Frame,
     },
+    /// Send what follows to a peer over a new connection, because the open one may have fallen silent.
+    Reconnect {
+        /// The peer.
+        to: SocketAddr,
+    },
     /// Call the platform.
     Platform(PlatformCall),
     /// Serve this version from now on.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,6 +7,7 @@
 mod config;
 mod convert;
 mod counter;
+mod fetch;
 mod fleet;
 mod gossip;
 mod hash;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -176,6 +176,7 @@
 
     fn on_frame(&mut self, from: SocketAddr, frame: Frame) {
         self.join.unheard.remove(&from);
+        self.note_frame(from);
         self.meet(from);
         let Some(body) = frame.body else {
             self.count(Counter::BadMessage);
--- a/crates/mesh/src/preset.rs
+++ b/crates/mesh/src/preset.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// The time in which an accepted version is to be in force everywhere at the target scale.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
 /// Which of the two metrics a deployment favours.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -38,6 +41,8 @@
     /// The longest wait of a node that starts before it reads the relay records, so that the hosts
     /// of a restarted domain do not all read them at once.
     pub join_spread: Duration,
+    /// The time in which an accepted version is to be in force on each host.
+    pub in_force: Duration,
 }
 
 impl Preset {
@@ -54,6 +59,7 @@
                 doubt: Duration::from_secs(600),
                 durable: false,
                 join_spread: Duration::from_secs(1),
+                in_force: IN_FORCE,
             },
             PresetName::Verband => Self {
                 fan_out: 6,
@@ -64,6 +70,7 @@
                 doubt: Duration::from_secs(600),
                 durable: false,
                 join_spread: Duration::from_secs(1),
+                in_force: IN_FORCE,
             },
         }
     }
--- a/crates/mesh/src/pull.rs
+++ b/crates/mesh/src/pull.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use dw_tables::VersionMark;
@@ -6,8 +6,9 @@
 use tokio::time::Instant;
 
 use crate::{
-    Counter, Node, Note,
+    Action, Counter, Node, Note,
     convert::{mark_from_wire, mark_to_wire},
+    fetch::Fetch,
     store::{Release, Rows},
     timer::Timer,
 };
@@ -15,9 +16,9 @@
 /// Wait for all rows of a version, up to 1 MB.
 const SNAPSHOT_WAIT: Duration = Duration::from_secs(2);
 
-/// Wait for the rows that have changed, before another peer is asked: the first may have fallen silent
-/// after its offer. Rows that come later are taken all the same.
-const DELTA_WAIT: Duration = Duration::from_millis(500);
+/// Time after a frame from a peer in which the connection to it counts as working. A pull over one that
+/// has been quiet for longer, which may have fallen silent, takes a new connection at once.
+const TRUST: Duration = Duration::from_secs(1);
 
 /// Time in which a second transfer to the same peer is not started.
 const TRANSFER_TIME: Duration = Duration::from_millis(200);
@@ -31,18 +32,34 @@
 /// Peers that are known to hold more.
 const SOURCES: usize = 16;
 
+/// Peers that sent frames lately above which those that did not are removed.
+const HEARD: usize = 64;
+
 /// Time in which a refused version is not fetched again.
 const REJECT_TIME: Duration = Duration::from_secs(10);
 
 /// Time between two questions about a fork.
 const FORK_EVERY: Duration = Duration::from_secs(10);
 
-/// Fetching a newer version from a peer, and serving peers that fetch.
+/// A peer that is known to hold more.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    /// The version that it serves.
+    number: u64,
+    /// Rounds in which it did not answer in time.
+    misses: u32,
+}
+
+/// Fetching a newer version from peers, and serving peers that fetch.
 #[derive(Debug, Default)]
 pub(crate) struct Pulling {
-    sources: BTreeMap<SocketAddr, u64>,
-    /// The peer that was asked, and when.
-    current: Option<(SocketAddr, Instant)>,
+    sources: BTreeMap<SocketAddr, Source>,
+    /// The peers that were asked, and when.
+    asked: BTreeMap<SocketAddr, Instant>,
+    /// What is being fetched.
+    fetch: Option<Fetch>,
+    /// The peers that sent frames lately, and when.
+    heard: BTreeMap<SocketAddr, Instant>,
     /// Whether the next pull asks for all rows, because a delta did not apply.
     whole: bool,
     transfers: BTreeMap<SocketAddr, (Instant, bool)>,
@@ -75,23 +92,52 @@
         if number <= self.store.newest().number || from == self.me.peer || rejected {
             return;
         }
-        if self.pull.sources.len() >= SOURCES {
-            self.pull.sources.pop_first();
+        match self.pull.sources.get_mut(&from) {
+            Some(source) => source.number = source.number.max(number),
+            None => self.add_source(from, number),
         }
-        self.pull.sources.insert(from, number);
-        if self.pull.current.is_none() && !self.timers.is_set(Timer::Pull) {
-            self.start_pull(from);
+        if self.pull.asked.is_empty() && !self.timers.is_set(Timer::Pull) {
+            self.start_pull(&[from]);
+        }
+    }
+
+    /// Remembers a source in place of the one that failed most often, if there are too many.
+    fn add_source(&mut self, from: SocketAddr, number: u64) {
+        let sources = &mut self.pull.sources;
+        if sources.len() >= SOURCES {
+            let worst = sources.iter().max_by_key(|(_, source)| source.misses);
+            worst.map(|(addr, _)| *addr).and_then(|addr| sources.remove(&addr));
         }
+        sources.insert(from, Source { number, misses: 0 });
     }
 
-    fn start_pull(&mut self, from: SocketAddr) {
+    /// A frame came from a peer: the connection to it works.
+    pub(crate) fn note_frame(&mut self, from: SocketAddr) {
+        let now = self.now;
+        if self.pull.heard.len() >= HEARD {
+            self.pull.heard.retain(|_, at| *at + TRUST > now);
+        }
+        self.pull.heard.insert(from, now);
+    }
+
+    /// Asks peers, all of them over new connections if the last ones that were asked did not answer.
+    fn start_pull(&mut self, peers: &[SocketAddr]) {
+        let now = self.now;
         let mark = self.store.newest();
         let have = (mark.number > 0 && !self.pull.whole).then(|| mark_to_wire(mark));
         self.pull.whole = false;
-        self.pull.current = Some((from, self.now));
-        let wait = if have.is_some() { DELTA_WAIT } else { SNAPSHOT_WAIT };
-        self.timers.set(Timer::Pull, self.now + wait);
-        self.send_pull(from, have);
+        let fetch = *self.pull.fetch.get_or_insert(Fetch::new(now));
+        let limit = self.cfg.preset.in_force;
+        let wait = if have.is_some() { fetch.wait(limit, now) } else { SNAPSHOT_WAIT };
+        self.timers.set(Timer::Pull, now + wait);
+        for from in peers {
+            let works = self.pull.heard.get(from).is_some_and(|at| *at + TRUST > now);
+            if fetch.is_retry() || !works {
+                self.out.push(Action::Reconnect { to: *from });
+            }
+            self.pull.asked.insert(*from, now);
+            self.send_pull(*from, have.clone());
+        }
     }
 
     fn send_pull(&mut self, to: SocketAddr, have: Option<Mark>) {
@@ -100,55 +146,70 @@
 
     /// A pull was not answered, or is to be tried again.
     pub(crate) fn run_pull(&mut self) {
-        if let Some((from, asked)) = self.pull.current.take() {
-            self.count(Counter::PullTimeout);
-            self.note(Note::FetchLate { from, wait: self.now.saturating_duration_since(asked) });
-            self.pull.sources.remove(&from);
-        }
+        self.miss_asked();
         let newest = self.store.newest().number;
-        self.pull.sources.retain(|_, number| *number > newest);
-        // The source that holds most is asked first.
-        let best = self.pull.sources.iter().max_by_key(|(_, number)| **number);
-        if let Some(from) = best.map(|(addr, _)| *addr) {
-            self.start_pull(from);
+        self.pull.sources.retain(|_, source| source.number > newest);
+        // Whole rows are asked of one peer at a time: they may be 1 MB.
+        let width = match self.pull.fetch {
+            Some(fetch) if newest > 0 && !self.pull.whole => fetch.width(),
+            _ => 1,
+        };
+        let mut sources: Vec<_> = self.pull.sources.iter().collect();
+        // Those that failed least often first, then those that hold most.
+        sources.sort_by_key(|(_, source)| (source.misses, Reverse(source.number)));
+        let peers: Vec<_> = sources.into_iter().take(width).map(|(addr, _)| *addr).collect();
+        if !peers.is_empty() {
+            self.start_pull(&peers);
         }
     }
 
-    /// When the peer was asked, if it is the one that is asked now.
-    fn asked(&self, peer: SocketAddr) -> Option<Instant> {
-        self.pull.current.and_then(|(addr, at)| (addr == peer).then_some(at))
+    /// The peers that were asked have not answered in time.
+    fn miss_asked(&mut self) {
+        let asked = std::mem::take(&mut self.pull.asked);
+        if !asked.is_empty()
+            && let Some(fetch) = &mut self.pull.fetch
+        {
+            fetch.missed();
+        }
+        for (from, at) in asked {
+            self.count(Counter::PullTimeout);
+            self.note(Note::FetchLate { from, wait: self.now.saturating_duration_since(at) });
+            if let Some(source) = self.pull.sources.get_mut(&from) {
+                source.misses += 1;
+            }
+        }
     }
 
     /// Logs rows that arrived. A peer that was given up before it sent them counts from now.
     fn note_fetched(&mut self, from: SocketAddr, mark: VersionMark, bytes: usize) {
-        let asked = self.asked(from).unwrap_or(self.now);
+        let asked = self.pull.asked.get(&from).copied().unwrap_or(self.now);
         let took = self.now.saturating_duration_since(asked);
         self.note(Note::Fetched { number: mark.number, from, bytes, took });
     }
 
     /// A frame to a peer could not be sent.
     pub(crate) fn pull_failed(&mut self, to: SocketAddr) {
-        if self.asked(to).is_some() {
+        self.pull.sources.remove(&to);
+        if self.pull.asked.remove(&to).is_some() && self.pull.asked.is_empty() {
+            self.pull.fetch.iter_mut().for_each(Fetch::missed);
             self.timers.set(Timer::Pull, self.now);
-        } else {
-            self.pull.sources.remove(&to);
         }
     }
 
     /// A version arrived: sources that hold no more are dropped, the next one is asked.
     pub(crate) fn pull_done(&mut self) {
-        self.pull.current = None;
+        self.pull.asked.clear();
+        self.pull.fetch = None;
         self.timers.clear(Timer::Pull);
         let newest = self.store.newest().number;
-        self.pull.sources.retain(|_, number| *number > newest);
+        self.pull.sources.retain(|_, source| source.number > newest);
         if !self.pull.sources.is_empty() {
             self.timers.set(Timer::Pull, self.now);
         }
     }
 
     pub(crate) fn on_busy(&mut self, from: SocketAddr, busy: &Busy) {
-        if self.asked(from).is_some() {
-            self.pull.current = None;
+        if self.pull.asked.remove(&from).is_some() && self.pull.asked.is_empty() {
             let hint = Duration::from_millis(u64::from(busy.retry_ms)).min(SNAPSHOT_WAIT);
             let wait = hint + self.jitter(hint);
             self.timers.set(Timer::Pull, self.now + wait);
@@ -217,7 +278,7 @@
         let Some(version) = version else {
             self.note(Note::Detail(format!("delta to version {} does not apply", mark.number)));
             self.pull.whole = true;
-            self.start_pull(from);
+            self.start_pull(&[from]);
             return;
         };
         match self.check_rows(version) {
@@ -260,8 +321,9 @@
 
     /// A version was refused: it is not fetched again for some time, whoever serves it.
     fn reject(&mut self, number: u64) {
-        self.pull.current = None;
-        self.pull.sources.retain(|_, other| *other > number);
+        self.pull.asked.clear();
+        self.pull.fetch = None;
+        self.pull.sources.retain(|_, source| source.number > number);
         self.pull.rejected = Some((number, self.now + REJECT_TIME));
         self.timers.set(Timer::Pull, self.now + REJECT_TIME);
     }
--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -74,11 +74,16 @@
     pub(crate) faults: Faults,
     /// Pairs of hosts between which messages do not pass, by direction.
     pub(crate) cuts: BTreeSet<(usize, usize)>,
+    /// Pairs of hosts whose open connection passes nothing, and since when bytes on it wait to be
+    /// acknowledged. Datagrams and new connections work.
+    pub(crate) silent: BTreeMap<(usize, usize), Option<Instant>>,
     /// All versions that were accepted, in order.
     pub(crate) accepted: Vec<Arc<Version>>,
     /// Whether a process may serve less than its host once did. Only for tests in which no peer
     /// can remember it.
     pub(crate) may_forget: bool,
+    /// Time between two checks of what all nodes say about the version in force.
+    pub(crate) status_every: Duration,
     /// Routes of an accepted version that do not change.
     pub(crate) rows: usize,
     queue: BTreeMap<(Instant, u64), Event>,
@@ -89,6 +94,13 @@
     seed: u64,
 }
 
+/// Time after which a connection fails whose bytes are not acknowledged, as the daemon sets it.
+const UNACKED: Duration = Duration::from_millis(900);
+
+fn pair(a: usize, b: usize) -> (usize, usize) {
+    (a.min(b), a.max(b))
+}
+
 fn addr(host: usize, port: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, (host / 250) as u8, (host % 250) as u8 + 1], port))
 }
@@ -141,8 +153,10 @@
             platform: Store::default(),
             faults: Faults::default(),
             cuts: BTreeSet::new(),
+            silent: BTreeMap::new(),
             accepted: Vec::new(),
             may_forget: false,
+            status_every: Duration::from_millis(20),
             rows: 0,
             queue: BTreeMap::new(),
             seq: 0,
@@ -179,6 +193,21 @@
         world
     }
 
+    /// A fleet with the periods and widths of the platform's hosts; nothing runs yet.
+    pub(crate) fn sidecars(seed: u64, sizes: &[usize]) -> Self {
+        let mut world = Self::new(seed, PresetName::Cooperative, sizes);
+        for host in &mut world.hosts {
+            host.cfg.preset.durable = true;
+            host.cfg.preset.fan_out = 6;
+            host.cfg.preset.batch = Duration::from_millis(10);
+            host.cfg.preset.probe = Duration::from_millis(500);
+            host.cfg.preset.join_spread = Duration::from_millis(200);
+            host.cfg.preset.in_force = Duration::from_millis(2500);
+            host.cfg.join.clear();
+        }
+        world
+    }
+
     pub(crate) fn random(&mut self, bound: usize) -> usize {
         self.rng.random_range(0..bound)
     }
@@ -240,6 +269,30 @@
         }
     }
 
+    /// Has the open connection between two hosts pass nothing from now on.
+    pub(crate) fn silence(&mut self, a: usize, b: usize) {
+        self.silent.insert(pair(a, b), None);
+    }
+
+    /// Whether a frame is lost on a connection that has fallen silent. The connection fails, and is
+    /// replaced by the next frame, when the frame has not been acknowledged for `UNACKED`.
+    fn swallows(&mut self, from: usize, to: usize) -> bool {
+        let now = self.now;
+        let Some(waiting) = self.silent.get_mut(&pair(from, to)) else { return false };
+        let since = *waiting.get_or_insert(now);
+        if now >= since + UNACKED {
+            self.silent.remove(&pair(from, to));
+            return false;
+        }
+        if since == now {
+            let peer = self.hosts[to].cfg.peer;
+            let input = Input::SendFailed { to: peer, refused: false };
+            let process = Some(self.hosts[from].process);
+            self.enqueue(now + UNACKED, Event::Deliver { to: from, process, input });
+        }
+        true
+    }
+
     /// The hosts that hold a slot.
     pub(crate) fn holders(&self) -> Vec<usize> {
         let mut holders = self.platform.holders(self.now);
@@ -386,6 +439,10 @@
                     eprintln!("{:?} +{at} {}: {note:?}", self.now, self.hosts[id].cfg.host);
                 }
             }
+            Action::Reconnect { to } => {
+                let peer = self.hosts.iter().position(|host| host.cfg.peer == to);
+                peer.and_then(|peer| self.silent.remove(&pair(id, peer)));
+            }
             Action::Members(_) | Action::Refused(_) => {}
         }
     }
@@ -419,6 +476,9 @@
             }
             return;
         }
+        if frame && self.swallows(from, id) {
+            return;
+        }
         self.hosts[id].received += size;
         let at = self.receive(id, at, size);
         let event = |input: &Input| Event::Deliver { to: id, process: None, input: input.clone() };
@@ -458,9 +518,9 @@
         host.highest = host.highest.max(version.number);
     }
 
-    /// No node says in-force while a process serves less. Checked every 20 ms for all nodes.
+    /// No node says in-force while a process serves less.
     fn check_status(&mut self) {
-        if self.now < self.checked + Duration::from_millis(20) {
+        if self.now < self.checked + self.status_every {
             return;
         }
         self.checked = self.now;
--- a/crates/mesh/tests/narrow.rs
+++ b/crates/mesh/tests/narrow.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use dw_mesh::{Action, Input, LocalEvent, PlatformCallKind, PresetName};
+use dw_mesh::{Action, Input, LocalEvent, PlatformCallKind};
 use dw_wire::{Frame, FrameBody, Pull};
 use harness::{World, link::Link};
 
@@ -37,14 +37,8 @@
 
 /// The same with faster links at some hosts.
 fn start(seed: u64, wide: &[usize]) -> World {
-    let mut world = World::new(seed, PresetName::Cooperative, &[9, 5]);
+    let mut world = World::sidecars(seed, &[9, 5]);
     for host in &mut world.hosts {
-        host.cfg.preset.durable = true;
-        host.cfg.preset.fan_out = 6;
-        host.cfg.preset.batch = ms(10);
-        host.cfg.preset.probe = ms(500);
-        host.cfg.preset.join_spread = ms(200);
-        host.cfg.join.clear();
         host.cfg.link = NARROW;
         host.link = Some(Link::new(NARROW.into()));
     }
