Close connections to other daemons after 5 s without a request

Cause: a connection between daemons was looked at each 30 s and closed if no request was on it at that moment.

Change: a connection notes its last request, and one task closes those without any for the new setting `idle`, 5 s by default, in place of a timer for each connection. The test keeps one connection in use for longer than that and sees it closed afterwards.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -190,6 +190,7 @@
     tasks.spawn(node.run(node_out));
 
     tasks.spawn(proxy.clone().sweep());
+    tasks.spawn(proxy.clone().prune_hops(settings.idle.into()));
     tasks.spawn(proxy.clone().follow(view.clone()));
     let server = Server {
         proxy: proxy.clone(),
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -250,11 +250,18 @@
             self.keeper().expire(now);
             self.dispatcher().poison_mut().expire(now);
             lock(&self.prints).retain(|_, until| now < *until);
-            self.hops.prune();
             self.log.tick();
         }
     }
 
+    /// Closes connections to other daemons that are not in use, until the daemon is closed.
+    pub(crate) async fn prune_hops(self: Arc<Self>, idle: Duration) {
+        loop {
+            sleep(idle / 2).await;
+            self.hops.prune(idle);
+        }
+    }
+
     /// Closes the connections that are not in use.
     pub(crate) fn close_idle(&self) {
         for target in self.targets() {
--- a/crates/daemon/src/proxy/hop.rs
+++ b/crates/daemon/src/proxy/hop.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::TcpStream,
-    time::{Instant, sleep, timeout, timeout_at},
+    time::{Instant, timeout, timeout_at},
 };
 
 use super::{
@@ -45,9 +45,6 @@
 /// that cannot be reached go elsewhere at once.
 const CONNECT_PAUSE: Duration = Duration::from_millis(300);
 
-/// A connection without a request for this long is closed.
-const IDLE: Duration = Duration::from_secs(30);
-
 /// Requests in flight on the first connection above which a second one is opened.
 const SECOND_AT: usize = 64;
 
@@ -83,7 +80,34 @@
 #[derive(Clone)]
 struct Conn {
     sender: SendRequest<Payload>,
-    busy: Arc<AtomicUsize>,
+    usage: Arc<Usage>,
+}
+
+/// How a connection is used.
+struct Usage {
+    /// Requests in flight.
+    busy: AtomicUsize,
+    /// When the last request began or ended.
+    touched: Mutex<Instant>,
+}
+
+impl Usage {
+    fn new() -> Self {
+        Self { busy: AtomicUsize::new(0), touched: Mutex::new(Instant::now()) }
+    }
+
+    fn touch(&self) {
+        *lock(&self.touched) = Instant::now();
+    }
+
+    fn busy(&self) -> usize {
+        self.busy.load(Ordering::Relaxed)
+    }
+
+    /// Whether there was no request since that time.
+    fn is_idle_since(&self, since: Instant) -> bool {
+        self.busy() == 0 && *lock(&self.touched) <= since
+    }
 }
 
 impl HopPool {
@@ -119,7 +143,7 @@
                 Ok(conn) => conn,
                 Err(reason) => return Err(SendFault::not_sent(&reason, request)),
             };
-            let busy = Busy::new(conn.busy.clone());
+            let busy = Busy::new(conn.usage.clone());
             match conn.sender.try_send_request(request).await {
                 Ok(response) => return Ok(track(response, busy)),
                 Err(mut fault) => match fault.take_message() {
@@ -131,12 +155,20 @@
         Err(SendFault::not_sent(&"every connection was closed", request))
     }
 
-    /// Forgets the daemons to which no connection is open.
-    pub(crate) fn prune(&self) {
+    /// Closes connections without a request for `idle`, and forgets the daemons to which none is open.
+    pub(crate) fn prune(&self, idle: Duration) {
+        let mut peers = lock(&self.0.peers);
+        if let Some(since) = Instant::now().checked_sub(idle) {
+            // The sender in the list is the last one then, so the connection closes.
+            let close = |peer: &Arc<Peer>| {
+                lock(&peer.conns).retain(|conn| !conn.usage.is_idle_since(since));
+            };
+            peers.values().for_each(close);
+        }
         // A request that is being sent holds a second reference.
         let unused =
             |peer: &Arc<Peer>| Arc::strong_count(peer) == 1 && lock(&peer.conns).is_empty();
-        lock(&self.0.peers).retain(|_, peer| !unused(peer));
+        peers.retain(|_, peer| !unused(peer));
     }
 
     async fn checkout(&self, peer: &Arc<Peer>, addr: SocketAddr) -> Result<Conn, String> {
@@ -171,24 +203,13 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| e.to_string())?;
-        let conn = Conn { sender, busy: Arc::default() };
+        let conn = Conn { sender, usage: Arc::new(Usage::new()) };
         lock(&peer.conns).push(conn.clone());
-        let (peer, busy) = (peer.clone(), conn.busy.clone());
+        let (peer, usage) = (peer.clone(), conn.usage.clone());
         self.0.tasks.spawn(async move {
-            tokio::pin!(link);
-            loop {
-                tokio::select! {
-                    // A failed connection is reported by the requests on it.
-                    _ = &mut link => break,
-                    () = sleep(IDLE) => {
-                        // The sender in the list is the last one then, so the connection closes.
-                        if busy.load(Ordering::Relaxed) == 0 {
-                            peer.forget(&busy);
-                        }
-                    }
-                }
-            }
-            peer.forget(&busy);
+            // A failed connection is reported by the requests on it.
+            let _ = link.await;
+            peer.forget(&usage);
         });
         Ok(conn)
     }
@@ -199,17 +220,17 @@
     fn pick(&self) -> Option<Conn> {
         let mut conns = lock(&self.conns);
         conns.retain(|c| !c.sender.is_closed());
-        let conn = conns.iter().min_by_key(|c| c.busy.load(Ordering::Relaxed))?;
+        let conn = conns.iter().min_by_key(|c| c.usage.busy())?;
         let full = conns.len() >= CONNECTIONS;
-        (full || conn.busy.load(Ordering::Relaxed) < SECOND_AT).then(|| conn.clone())
+        (full || conn.usage.busy() < SECOND_AT).then(|| conn.clone())
     }
 
     fn any(&self) -> Option<Conn> {
         lock(&self.conns).iter().find(|c| !c.sender.is_closed()).cloned()
     }
 
-    fn forget(&self, busy: &Arc<AtomicUsize>) {
-        lock(&self.conns).retain(|c| !Arc::ptr_eq(&c.busy, busy));
+    fn forget(&self, usage: &Arc<Usage>) {
+        lock(&self.conns).retain(|c| !Arc::ptr_eq(&c.usage, usage));
     }
 }
 
@@ -218,18 +239,20 @@
 }
 
 /// Counts a request on a connection while it exists.
-struct Busy(Arc<AtomicUsize>);
+struct Busy(Arc<Usage>);
 
 impl Busy {
-    fn new(count: Arc<AtomicUsize>) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
+    fn new(usage: Arc<Usage>) -> Self {
+        usage.busy.fetch_add(1, Ordering::Relaxed);
+        usage.touch();
+        Self(usage)
     }
 }
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.touch();
+        self.0.busy.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -51,6 +51,9 @@
     /// Time without an answer to a ping after which a connection to another daemon counts as lost, with
     /// the requests on it.
     pub silence: Millis,
+    /// Time without a request after which a connection to another daemon is closed. Each open one costs
+    /// both daemons some 25 KB, and where load spills over a daemon meets every target of the fleet.
+    pub idle: Millis,
 }
 
 /// One target on the daemon's host.
@@ -102,6 +105,9 @@
 /// The default of `silence`. A host whose share of the processor is used up stands still for up to 100 ms.
 const SILENCE: Millis = Millis::new(350);
 
+/// The default of `idle`: several times the pause between two requests to a target of the own domain.
+const IDLE: Millis = Millis::new(5000);
+
 /// The default of `grace`: 30 s.
 const GRACE: Millis = Millis::new(30_000);
 
@@ -129,6 +135,7 @@
             linger: Millis::new(0),
             returns: Returns::default(),
             silence: SILENCE,
+            idle: IDLE,
         }
     }
 
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -239,6 +239,53 @@
     Ok(())
 }
 
+/// Guards against connections that stay open to each host that was ever needed, some 25 KB each, and against
+/// the end of those in regular use.
+#[gtest]
+#[tokio::test]
+async fn a_connection_is_closed_only_after_the_idle_time() -> Result<()> {
+    let standin = Standin::new().start().await?;
+    support::publish(standin.addr(), 1, support::tables()).await;
+    let mut settings = support::settings("p1", "portland").with_platform(vec![standin.addr()]);
+    settings.idle = Millis::new(1000);
+    let running = support::start(settings).await;
+    running.wait_version(1).await;
+    let data = TcpListener::bind("127.0.0.1:0").await?;
+    let peer = TcpListener::bind("127.0.0.1:0").await?;
+    let (peer, addr) = (peer.local_addr()?, data.local_addr()?);
+    let (opened, closed) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let (opens, closes) = (opened.clone(), closed.clone());
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = data.accept().await {
+            opens.fetch_add(1, Ordering::Relaxed);
+            let closes = closes.clone();
+            tokio::spawn(async move {
+                serve_slowly(stream, Duration::from_millis(1), Arc::default()).await;
+                closes.fetch_add(1, Ordering::Relaxed);
+            });
+        }
+    });
+    let link = join_with(running.addrs().peers, "p2", peer, addr, vec![tally()]).await?;
+    running.wait_members(|members| members.len() == 2).await;
+    for _ in 0..20 {
+        let response = support::send(running.addrs().callers, support::get("/lookup")).await;
+        expect_that!(response.status().as_u16(), eq(200));
+        sleep(Duration::from_millis(100)).await;
+    }
+    expect_that!(opened.load(Ordering::Relaxed), eq(1));
+    expect_that!(closed.load(Ordering::Relaxed), eq(0));
+
+    let until = Instant::now() + ANSWER;
+    while closed.load(Ordering::Relaxed) == 0 && Instant::now() < until {
+        sleep(Duration::from_millis(50)).await;
+    }
+    expect_that!(closed.load(Ordering::Relaxed), eq(1));
+    drop(link);
+    running.kill().await;
+    standin.close().await;
+    Ok(())
+}
+
 /// Guards against a process that is killed at the end of its grace because hosts that have failed do not
 /// take over its records, each for a second.
 #[gtest]
