Check the tables without a text for each number and a map for each route

Cause: every host checks every version. For each field with bounds a text was made for a message that is hardly ever needed, each route had a map and a list of its own in the check for shadowed routes, and the size was taken from a second copy of the canonical text, half a megabyte for 2,600 routes.

Change: the message is made when there is a fault, one map serves all routes, and the text is counted while it is written. What is found stays the same (tests of dw_tables).

--- a/crates/tables/src/check.rs
+++ b/crates/tables/src/check.rs
@@ -1,7 +1,7 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::{
-    Finding, Findings, Name, Place, Pool, Route, Tables,
+    Finding, Findings, Match, Name, Place, Pool, Route, Tables,
     field::Row,
     read::{Mark, Rows},
 };
@@ -147,28 +147,26 @@
 /// carries no meaning, because the canonical text sorts rows by name, so nothing else could decide
 /// between them.
 pub(crate) fn check_shadowed(routes: &Placed<'_, Route>, findings: &mut Findings) {
-    let mut taken: HashMap<(&Name, &Name), HashMap<&str, usize>> = HashMap::new();
+    let mut taken: HashMap<(&Name, &Name, &str), usize> = HashMap::with_capacity(routes.rows.len());
     for (idx, route) in routes.rows.iter().enumerate() {
         let fields = ["match.host", "match.path", "match.methods"];
         if !fields.iter().all(|path| routes.intact(idx, path)) {
             continue;
         }
-        let matches = &route.matches;
-        let methods: Vec<&str> = match matches.methods.as_slice() {
-            [] => vec![""],
-            list => list.iter().map(Name::as_str).collect(),
-        };
-        let group = taken.entry((&matches.host, &matches.path)).or_default();
-        let clashes: Vec<(&str, usize)> =
-            methods.iter().filter_map(|m| group.get(m).map(|first| (*m, *first))).collect();
+        let Match { host, path, methods } = &route.matches;
+        let any = methods.is_empty().then_some("");
+        let mut clashes = Vec::new();
+        for method in any.into_iter().chain(methods.iter().map(Name::as_str)) {
+            let first = *taken.entry((host, path, method)).or_insert(idx);
+            if first != idx {
+                clashes.push((method, first));
+            }
+        }
         if !clashes.is_empty() {
-            let message = shadow(routes, &clashes, methods.len());
+            let message = shadow(routes, &clashes, methods.len().max(1));
             let accepted = "a combination of host, path and methods that no other row takes";
             routes.report(findings, idx, "match.path", message, accepted.to_owned());
         }
-        for method in methods {
-            group.entry(method).or_insert(idx);
-        }
     }
 }
 
@@ -190,7 +188,7 @@
 
 /// Checks the size of the canonical text.
 pub(crate) fn check_size(tables: &Tables, findings: &mut Findings) {
-    let size = tables.canonical().len();
+    let size = tables.size();
     if size > MAX_TEXT {
         findings.push(Finding {
             place: Place { file: "tables".to_owned(), ..Place::default() },
--- a/crates/tables/src/kind.rs
+++ b/crates/tables/src/kind.rs
@@ -1,4 +1,4 @@
-use std::collections::HashSet;
+use std::{collections::HashSet, fmt::Display};
 
 use crate::{Bounds, Millis, Name, Share, field::Value};
 
@@ -77,18 +77,14 @@
             (Self::Path, Value::Text(text)) => path_fault(text),
             (Self::Methods, Value::List(list)) => methods_fault(list),
             (Self::Shares, Value::Shares(list)) => shares_fault(list),
-            (Self::Count(bounds), Value::Count(count)) => {
-                bounds_fault(bounds, count, &count.to_string())
-            }
-            (Self::Time(bounds), Value::Time(time)) => {
-                bounds_fault(bounds, time.get(), &time.to_string())
-            }
+            (Self::Count(bounds), Value::Count(count)) => bounds_fault(bounds, count, count),
+            (Self::Time(bounds), Value::Time(time)) => bounds_fault(bounds, time.get(), time),
             _ => None,
         }
     }
 }
 
-fn bounds_fault(bounds: Bounds, value: u64, shown: &str) -> Option<String> {
+fn bounds_fault(bounds: Bounds, value: u64, shown: impl Display) -> Option<String> {
     match value {
         0 if bounds.min > 0 => Some(format!("{shown} is a limit of zero")),
         v if v < bounds.min => Some(format!("{shown} is too small")),
--- a/crates/tables/src/tables.rs
+++ b/crates/tables/src/tables.rs
@@ -1,3 +1,5 @@
+use std::io;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -43,6 +45,13 @@
         serde_json::to_string(self).unwrap_or_default()
     }
 
+    /// Bytes of the canonical text.
+    pub(crate) fn size(&self) -> usize {
+        let mut count = Count(0);
+        // Counting cannot fail, and the rows can be written.
+        serde_json::to_writer(&mut count, self).map_or(0, |()| count.0)
+    }
+
     /// Reads canonical text.
     ///
     /// # Errors
@@ -52,6 +61,20 @@
     }
 }
 
+/// Counts what is written to it.
+struct Count(usize);
+
+impl io::Write for Count {
+    fn write(&mut self, data: &[u8]) -> io::Result<usize> {
+        self.0 += data.len();
+        Ok(data.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Reads both tables from JSON with comments and checks them.
 ///
 /// # Errors
