Close a connection to a target that sends bytes without end that are no response

Cause: hyper reads interim responses, and zeros in the size of a chunk, for as long as they come. A target in trouble that sends them held its request until the deadline and took the processor meanwhile: 20.7 and 22.9 MB in 1.5 s over loopback.

Whoever waits gets its refusal at once.

Tests: ten kinds of streams (status line, header, headers, interim responses, no HTTP at all, chunk size, chunk extension, trailers, one byte each 100 ms, bytes behind a whole response).

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -44,6 +44,7 @@
 mod hop;
 mod keep;
 mod leg;
+mod meter;
 mod notice;
 mod records;
 mod server;
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -11,6 +11,8 @@
 use http_body_util::{BodyExt, BodyStream, Empty, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::Incoming;
 
+use super::meter::Meter;
+
 /// The body of every request and response that passes through the proxy.
 pub(crate) type Payload = UnsyncBoxBody<Bytes, BodyFault>;
 
@@ -62,6 +64,8 @@
     framed: bool,
     left: Option<u64>,
     done: bool,
+    /// Told of each part of the body.
+    meter: Option<Meter>,
 }
 
 impl Checked {
@@ -70,7 +74,12 @@
         let framed = version == Version::HTTP_2;
         // HTTP/2 checks the length itself, and the response to HEAD states one without a body.
         let left = inner.size_hint().exact().filter(|_| !framed);
-        Self { inner, framed, left, done: false }
+        Self { inner, framed, left, done: false, meter: None }
+    }
+
+    /// Tells the meter of the connection about each part of the body.
+    pub(crate) fn with_meter(self, meter: Meter) -> Self {
+        Self { meter: Some(meter), ..self }
     }
 
     fn at_end(&self) -> Result<(), BodyFault> {
@@ -97,6 +106,7 @@
             Some(Ok(frame)) => {
                 let size = frame.data_ref().map_or(0, |data| data.len() as u64);
                 self.left = self.left.map(|left| left.saturating_sub(size));
+                self.meter.iter().for_each(Meter::reset);
                 Poll::Ready(Some(Ok(frame)))
             }
             Some(Err(_)) => {
--- a/crates/daemon/src/proxy/target.rs
+++ b/crates/daemon/src/proxy/target.rs
@@ -17,6 +17,7 @@
 use super::{
     body::{Checked, Ended, Payload, Tracked},
     fault::SendFault,
+    meter::{Meter, Metered},
 };
 use crate::{detect_silence, tasks::Tasks};
 
@@ -34,11 +35,17 @@
     addr: SocketAddr,
     // A lock and not a task: it is held for one push or pop, and a message for each request would
     // add two task switches to the path.
-    idle: Mutex<Vec<SendRequest<Payload>>>,
+    idle: Mutex<Vec<Conn>>,
     room: Arc<Semaphore>,
     tasks: Tasks,
 }
 
+/// An open connection.
+struct Conn {
+    sender: SendRequest<Payload>,
+    meter: Meter,
+}
+
 impl TargetPool {
     /// A pool of at most `connections` connections to `addr`.
     pub(crate) fn new(addr: SocketAddr, connections: u32, tasks: Tasks) -> Self {
@@ -57,12 +64,12 @@
         deadline: Instant,
     ) -> Result<Response<Payload>, SendFault> {
         for _ in 0..STALE_LIMIT {
-            let mut sender = match self.checkout(deadline).await {
-                Ok(sender) => sender,
+            let mut conn = match self.checkout(deadline).await {
+                Ok(conn) => conn,
                 Err(reason) => return Err(SendFault::not_sent(&reason, request)),
             };
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.keep(sender, response)),
+            match conn.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.keep(conn, response)),
                 Err(mut fault) => match fault.take_message() {
                     Some(message) => request = message,
                     None => return Err(SendFault::unknown(fault.error())),
@@ -77,15 +84,15 @@
         self.idle().clear();
     }
 
-    fn idle(&self) -> std::sync::MutexGuard<'_, Vec<SendRequest<Payload>>> {
+    fn idle(&self) -> std::sync::MutexGuard<'_, Vec<Conn>> {
         self.0.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn checkout(&self, deadline: Instant) -> Result<SendRequest<Payload>, String> {
+    async fn checkout(&self, deadline: Instant) -> Result<Conn, String> {
         loop {
-            let Some(mut sender) = self.idle().pop() else { break };
-            if !sender.is_closed() && sender.ready().await.is_ok() {
-                return Ok(sender);
+            let Some(mut conn) = self.idle().pop() else { break };
+            if !conn.sender.is_closed() && conn.sender.ready().await.is_ok() {
+                return Ok(conn);
             }
         }
         let room = timeout_at(deadline, self.0.room.clone().acquire_owned()).await;
@@ -97,30 +104,30 @@
             .unwrap_or_else(|_| Err("the target did not accept a connection".to_owned()))
     }
 
-    async fn connect(&self, permit: OwnedSemaphorePermit) -> Result<SendRequest<Payload>, String> {
+    async fn connect(&self, permit: OwnedSemaphorePermit) -> Result<Conn, String> {
         let stream = TcpStream::connect(self.0.addr).await.map_err(|e| e.to_string())?;
         detect_silence(&stream);
-        let (sender, conn) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+        let meter = Meter::default();
+        let stream = TokioIo::new(Metered::new(stream, meter.clone()));
+        let (sender, link) = handshake(stream).await.map_err(|e| e.to_string())?;
         self.0.tasks.spawn(async move {
             // A failed connection is reported by the request on it.
-            let _ = conn.await;
+            let _ = link.await;
             drop(permit);
         });
-        Ok(sender)
+        Ok(Conn { sender, meter })
     }
 
-    fn keep(
-        &self,
-        sender: SendRequest<Payload>,
-        response: Response<hyper::body::Incoming>,
-    ) -> Response<Payload> {
+    fn keep(&self, conn: Conn, response: Response<hyper::body::Incoming>) -> Response<Payload> {
         let version = response.version();
         let pool = self.clone();
+        conn.meter.reset();
+        let meter = conn.meter.clone();
         response.map(|body| {
-            let body = Checked::new(body, version).boxed_unsync();
+            let body = Checked::new(body, version).with_meter(meter).boxed_unsync();
             let tracked = Tracked::new(body, move |ended| {
                 if ended == Ended::Complete {
-                    pool.idle().push(sender);
+                    pool.idle().push(conn);
                 }
             });
             tracked.boxed_unsync()
--- /dev/null
+++ b/crates/daemon/tests/endless.rs
@@ -0,0 +1,238 @@
+//! Targets that send bytes which are no response, without end, until the other side closes.
+
+#![allow(clippy::expect_used, reason = "clippy allows it in test functions only, not in helpers")]
+
+mod support;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use dw_daemon::Running;
+use dw_fakes::{RunningStandin, Standin};
+use dw_tables::Millis;
+use googletest::prelude::*;
+use support::{connect, get, publish, send, settings, start, target, text};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+    time::{sleep, timeout},
+};
+
+/// The deadline of the routes.
+const DEADLINE: Duration = Duration::from_millis(1500);
+
+/// What a caller may wait beyond it on a busy machine.
+const SLACK: Duration = Duration::from_millis(1500);
+
+/// Bytes that a target may send on one connection before it is closed, above what the buffers of the
+/// sockets hold. A daemon that read on until the deadline would take a hundred times as much.
+const TAKEN: usize = 16 << 20;
+
+/// Bytes that are sent first, and then again and again.
+struct Stream {
+    first: &'static str,
+    unit: &'static str,
+    /// Pause between two units.
+    pause: Duration,
+}
+
+impl Stream {
+    const fn new(first: &'static str, unit: &'static str) -> Self {
+        Self { first, unit, pause: Duration::ZERO }
+    }
+
+    const fn with_pause(mut self, pause: Duration) -> Self {
+        self.pause = pause;
+        self
+    }
+}
+
+/// A target that answers each request with a stream.
+struct Endless {
+    addr: SocketAddr,
+    /// Bytes that were sent.
+    sent: Arc<AtomicUsize>,
+    /// Notified when a connection was closed under the stream.
+    closed: Arc<Notify>,
+}
+
+impl Endless {
+    async fn start(stream: Stream) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let addr = listener.local_addr().expect("addr");
+        let (sent, closed) = (Arc::<AtomicUsize>::default(), Arc::<Notify>::default());
+        let (count, done, stream) = (sent.clone(), closed.clone(), Arc::new(stream));
+        tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                let (count, done, stream) = (count.clone(), done.clone(), stream.clone());
+                tokio::spawn(async move {
+                    flood(socket, &stream, &count).await;
+                    done.notify_one();
+                });
+            }
+        });
+        Self { addr, sent, closed }
+    }
+}
+
+async fn flood(mut socket: TcpStream, stream: &Stream, count: &AtomicUsize) {
+    let mut head = [0; 4096];
+    if !matches!(socket.read(&mut head).await, Ok(1..)) {
+        return;
+    }
+    // Fast streams are sent in blocks, as a program in a loop sends them.
+    let block = match stream.pause.is_zero() {
+        true => stream.unit.repeat(16_384 / stream.unit.len()),
+        false => stream.unit.to_owned(),
+    };
+    let mut next = stream.first;
+    loop {
+        let (mut from, mut to) = socket.split();
+        let write = async {
+            to.write_all(next.as_bytes()).await.ok()?;
+            count.fetch_add(next.len(), Ordering::Relaxed);
+            if !stream.pause.is_zero() {
+                sleep(stream.pause).await;
+            }
+            Some(())
+        };
+        // A target that only writes would not see an orderly close before its next write.
+        let mut byte = [0; 1];
+        let open = tokio::select! {
+            written = write => written.is_some(),
+            _ = from.read(&mut byte) => false,
+        };
+        if !open {
+            return;
+        }
+        next = &block;
+    }
+}
+
+/// A daemon with one target.
+async fn served(addr: SocketAddr) -> (RunningStandin, Running) {
+    let standin = Standin::new().start().await.expect("the stand-in must start");
+    let mut tables = support::tables();
+    for route in &mut tables.routes {
+        route.deadline = Millis::new(u64::try_from(DEADLINE.as_millis()).expect("deadline"));
+    }
+    publish(standin.addr(), 1, tables).await;
+    let settings = settings("p1", "portland")
+        .with_platform(vec![standin.addr()])
+        .with_target(target("tally", addr));
+    let running = start(settings).await;
+    running.wait_version(1).await;
+    (standin, running)
+}
+
+/// The status of a whole answer to a caller; `None` for one that broke off.
+async fn whole_answer(addr: SocketAddr) -> Option<u16> {
+    let answer = connect(addr).await.send_request(get("/lookup")).await.ok()?;
+    let status = answer.status().as_u16();
+    text(answer).await.ok().map(|_| status)
+}
+
+/// Plays one request: the caller gets no complete success and is told in time, and the connection to the
+/// target is closed before it has taken much.
+async fn play(stream: Stream) -> Result<()> {
+    let endless = Endless::start(stream).await;
+    let (standin, running) = served(endless.addr).await;
+    let status = timeout(DEADLINE + SLACK, whole_answer(running.addrs().callers)).await?;
+    expect_that!(status, not(some(lt(400))));
+    timeout(SLACK, endless.closed.notified()).await?;
+    expect_that!(endless.sent.load(Ordering::Relaxed), le(TAKEN));
+    running.kill().await;
+    standin.close().await;
+    Ok(())
+}
+
+/// Guards against a status line that is read for as long as it comes.
+#[gtest]
+#[tokio::test]
+async fn a_status_line_without_end_is_not_read_on() -> Result<()> {
+    play(Stream::new("HTTP/1.1 200 ", "x")).await
+}
+
+/// Guards against one header that is read for as long as it comes.
+#[gtest]
+#[tokio::test]
+async fn a_header_without_end_is_not_read_on() -> Result<()> {
+    play(Stream::new("HTTP/1.1 200 OK\r\nx-note: ", "x")).await
+}
+
+/// Guards against headers that are collected for as long as they come.
+#[gtest]
+#[tokio::test]
+async fn headers_without_end_are_not_read_on() -> Result<()> {
+    play(Stream::new("HTTP/1.1 200 OK\r\n", "x-note: 1\r\n")).await
+}
+
+/// Guards against interim responses that hold a request past its deadline or take the processor.
+#[gtest]
+#[tokio::test]
+async fn interim_responses_without_end_are_not_read_on() -> Result<()> {
+    play(Stream::new("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n")).await
+}
+
+/// Guards against bytes that are no HTTP at all.
+#[gtest]
+#[tokio::test]
+async fn bytes_that_are_no_response_are_not_read_on() -> Result<()> {
+    play(Stream::new("\0", "\0\0\0\0")).await
+}
+
+/// Guards against the size of a chunk that is read for as long as its digits come.
+#[gtest]
+#[tokio::test]
+async fn a_chunk_size_without_end_is_not_read_on() -> Result<()> {
+    play(Stream::new("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0")).await
+}
+
+/// Guards against the extension of a chunk that is read for as long as it comes.
+#[gtest]
+#[tokio::test]
+async fn a_chunk_extension_without_end_is_not_read_on() -> Result<()> {
+    play(Stream::new("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4;", "x")).await
+}
+
+/// Guards against trailers that are collected for as long as they come.
+#[gtest]
+#[tokio::test]
+async fn trailers_without_end_are_not_read_on() -> Result<()> {
+    play(Stream::new("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x-note: 1\r\n"))
+        .await
+}
+
+/// Guards against a head that comes byte by byte and holds the caller past its deadline.
+#[gtest]
+#[tokio::test]
+async fn a_head_that_comes_byte_by_byte_ends_at_the_deadline() -> Result<()> {
+    play(Stream::new("HTTP/1.1 200 OK\r\nx-note: ", "x").with_pause(Duration::from_millis(100)))
+        .await
+}
+
+/// Guards against bytes behind a whole response that are taken for the next one, or read without end.
+#[gtest]
+#[tokio::test]
+async fn bytes_behind_a_response_belong_to_no_request() -> Result<()> {
+    let first = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood";
+    let endless =
+        Endless::start(Stream::new(first, "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nbad")).await;
+    let (standin, running) = served(endless.addr).await;
+    for _ in 0..8 {
+        let answer = timeout(DEADLINE, send(running.addrs().callers, get("/lookup"))).await?;
+        expect_that!(text(answer).await?.as_str(), eq("good"));
+    }
+    timeout(SLACK, endless.closed.notified()).await?;
+    expect_that!(endless.sent.load(Ordering::Relaxed), le(8 * TAKEN));
+    running.kill().await;
+    standin.close().await;
+    Ok(())
+}
