Let standbys claim a slot only when membership or the time gives a reason

Cause: each change of membership asked a standby to claim a slot half a second later, and each claim is a write to the store that finds the slot taken.

Change: a standby that knows two live relays in its domain claims at most once in 15 s. Where a relay is gone membership says so within seconds, and it claims at once as before.

--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -45,6 +45,8 @@
     pub(crate) cover: Option<u64>,
     /// Claims that found a slot taken.
     pub(crate) attempts: u32,
+    /// When the last claim was made.
+    pub(crate) tried: Option<Instant>,
     /// Until when a free slot is left to a candidate with a faster link.
     pub(crate) deferred: Option<Instant>,
     /// Consecutive failed calls.
--- a/crates/mesh/src/slot.rs
+++ b/crates/mesh/src/slot.rs
@@ -15,6 +15,10 @@
 /// lease of a relay that died is about to end.
 const CLAIM_NEXT: Duration = Duration::from_millis(500);
 
+/// Wait of a standby whose domain is known to have all its relays. Membership tells sooner that one of them
+/// is gone; this is for a record that no live relay holds.
+const CLAIM_FULL: Duration = Duration::from_secs(15);
+
 /// The shortest time for which a slot is held before it is left to a faster host. Slots that pass between
 /// a host and one that cannot reach the platform do so this seldom.
 const SLOT_TIME: Duration = Duration::from_secs(5);
@@ -44,9 +48,10 @@
             self.stop_watch();
             return;
         };
-        if self.gives_way() {
+        if self.gives_way() || self.rests() {
             return;
         }
+        self.relay.tried = Some(self.now);
         let turn = u32::try_from(rank).unwrap_or(0) + self.relay.attempts;
         let record = RelayRecord {
             domain: self.me.domain.clone(),
@@ -71,6 +76,16 @@
         self.roster.relays(&self.me.domain).count() >= RELAY_SLOTS as usize
     }
 
+    /// Whether a standby has no reason to claim a slot: both are held as far as membership tells, and it
+    /// made sure a short time ago. Each change of membership asks for a claim, and each claim is a write.
+    fn rests(&mut self) -> bool {
+        let until = self.relay.tried.map(|at| at + CLAIM_FULL);
+        let until = until.filter(|until| {
+            self.relay.standby && !self.me.relay && self.is_full() && self.now < *until
+        });
+        until.inspect(|at| self.timers.set(Timer::Claim, *at)).is_some()
+    }
+
     /// Watches the head as a standby.
     fn stand_ready(&mut self) {
         if !self.watches() && self.me.state == MemberState::Alive {
@@ -156,7 +171,7 @@
     pub(crate) fn on_taken(&mut self, holder: Option<RelayRecord>) {
         self.relay.attempts += 1;
         self.stand_ready();
-        let wait = if self.is_full() { CLAIM_RETRY } else { CLAIM_NEXT };
+        let wait = if self.is_full() { CLAIM_FULL } else { CLAIM_NEXT };
         let wait = wait + self.jitter(wait);
         self.timers.set(Timer::Claim, self.now + wait);
         if let Some(holder) = holder.filter(|holder| holder.host != self.me.host)
--- a/crates/mesh/tests/durable.rs
+++ b/crates/mesh/tests/durable.rs
@@ -229,6 +229,30 @@
     assert_eq!(live(&world, 7), 8);
 }
 
+/// Guards against standbys that claim slots again and again which live relays hold: with 295 hosts a claim
+/// was made each time a member changed.
+#[test]
+fn standbys_leave_held_slots_alone() {
+    let mut world = World::durable(9, &[20, 20]);
+    let claims = |world: &World| {
+        world.platform.calls.get(&PlatformCallKind::ClaimSlot).copied().unwrap_or(0)
+    };
+    let before = claims(&world);
+    for id in 0..40 {
+        if !world.holders().contains(&id) {
+            world.crash(id);
+            world.start(id);
+        }
+        world.run(ms(500));
+    }
+    // Two standbys in each domain, 20 s; a standby that starts anew makes sure once, and a candidate
+    // that takes its place meanwhile does too.
+    let made = claims(&world) - before;
+    assert!(made <= 24, "{made} claims in 20 s");
+    world.run(ms(5000));
+    world.expect_settled();
+}
+
 /// Guards against relays that write over the operator's head again and again where only the operator may
 /// write it, and take each refusal for a platform that is down.
 #[test]
