Share the retries that daemons may save up among the fleet

Cause: each daemon may save up 20 retries a pool in quiet times. When a service begins to fail all spend them at once: 5,900 at 295 daemons beside the tenth of the requests, where the service of 35 targets has some 1,400 requests a second.

Change: the fleet may save up 260 retries a pool together, as many as 13 daemons may today, and each daemon at least one. The number of daemons is known from membership.

Test: daemons that spend all they saved, 13 to 295 of them: 260 to 5,900 retries before, 260 to 295 now.

--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -9,8 +9,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, Fingerprint, Goal, Next, Poison,
-    Reason, Refusal, RequestInfo, Router, TargetChange, backoff,
+    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, EndpointState, Fingerprint, Goal, Next,
+    Poison, Reason, Refusal, RequestInfo, Router, TargetChange, backoff,
     balancer::Wish,
     flight::{Flight, LostAttempts},
     locality::Place,
@@ -57,6 +57,8 @@
     upstreams: BTreeMap<u64, Upstream>,
     pools: Vec<u64>,
     services: HashMap<Name, Vec<Arc<Endpoint>>>,
+    /// Daemons with targets, which all send requests.
+    daemons: usize,
     poison: Poison,
     lost: LostAttempts,
     rng: SmallRng,
@@ -79,6 +81,7 @@
             upstreams: BTreeMap::new(),
             pools: Vec::new(),
             services: HashMap::new(),
+            daemons: 1,
             poison: Poison::default(),
             lost: LostAttempts::default(),
             rng: SmallRng::seed_from_u64(config.seed),
@@ -108,6 +111,7 @@
             self.pools.push(key);
             if let Some(upstream) = self.upstreams.get_mut(&key) {
                 upstream.adopt(pool);
+                upstream.budget.set_daemons(self.daemons);
                 upstream.update(self.services.get(&pool.service).map_or(&[], Vec::as_slice));
             }
         }
@@ -116,12 +120,15 @@
 
     /// Replaces the view of the targets of all services.
     pub fn set_endpoints(&mut self, endpoints: Vec<Endpoint>) {
+        let live = endpoints.iter().filter(|endpoint| endpoint.state != EndpointState::Dead);
+        self.daemons = live.map(|endpoint| &endpoint.host).collect::<HashSet<_>>().len();
         self.services.clear();
         for endpoint in endpoints {
             self.services.entry(endpoint.service.clone()).or_default().push(Arc::new(endpoint));
         }
         for upstream in self.upstreams.values_mut() {
             let list = self.services.get(upstream.service()).map_or(&[][..], Vec::as_slice);
+            upstream.budget.set_daemons(self.daemons);
             upstream.update(list);
         }
     }
--- a/crates/request/tests/retry.rs
+++ b/crates/request/tests/retry.rs
@@ -70,6 +70,33 @@
     expect_that!(refusal.no_retry, some(eq(Reason::RetryUnsafe)));
 }
 
+/// Guards against retries that grow with the fleet: each daemon may save some up in quiet times, and when a
+/// service begins to fail all of them spend what they saved at the same moment.
+#[gtest]
+fn the_burst_of_a_fleet_does_not_grow_with_its_daemons() {
+    let start = Instant::now();
+    for (daemons, limit) in [(13, 260), (60, 260), (260, 260), (295, 295)] {
+        let targets = targets(daemons, "portland", "new-england", start);
+        let mut d = dispatcher(11, two_routes(), targets);
+        let mut now = start;
+        // Enough requests to save up as much as a daemon may.
+        for _ in 0..400 {
+            now += ms(1);
+            let attempt = forwarded(d.begin(get("/lookup"), now));
+            d.settle(attempt.id, answered(200), now);
+        }
+        let mut retries = 0;
+        for _ in 0..40 {
+            let attempt = forwarded(d.begin(get("/lookup"), now));
+            let next = d.settle(attempt.id, unknown(Reason::ConnectionLost), now);
+            retries += usize::from(matches!(next, Next::Retry { .. }));
+        }
+        // 39 more requests pay for three more.
+        expect_that!(retries, ge(4));
+        expect_that!((retries - 3) * daemons, le(limit), "{daemons} daemons");
+    }
+}
+
 /// Guards against load that multiplies at each level of a call chain.
 #[gtest]
 fn one_level_retries() {
