--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -126,7 +126,8 @@
     VersionSeen = "version-seen", Info;
     /// The rows of a version came from the peer `address`, `took_ms` after they were asked for.
     VersionFetched = "version-fetched", Info;
-    /// The peer `address` did not send the rows of a version within `wait_ms`; another one is asked.
+    /// The peer `address` did not send the rows of a version within `wait_ms`; more peers are asked at once, over new
+    /// connections.
     FetchLate = "fetch-late", Warn;
     /// A version is used for requests from now on.
     VersionServed = "version-served", Info;
