Take no second copy of a refusal for the refusal of another request or attempt

Cause: a response that states that its request was not run was believed before the name that it repeats was looked at. A late copy of it, on a connection in use again, told the next caller that its request had not run while the target ran it; the next attempt of the same request, whose name the copy bears, was told so too.

Change: a response that names another request is an error, whatever it says, and a request is never sent again on a connection that carried it last.

--- a/crates/daemon/src/proxy/beside.rs
+++ b/crates/daemon/src/proxy/beside.rs
@@ -60,11 +60,15 @@
             answer::refuse(&Refusal::new(reason))
         };
         self.counters.handed(target.index);
-        let sent = timeout_at(deadline, target.pool.send(request, deadline)).await;
+        let sent = timeout_at(deadline, target.pool.send(request, name.as_ref(), deadline)).await;
         if let Ok(Ok(response)) = &sent {
             self.hear(target, response, handed);
         }
         let response = match sent {
+            // Whatever it says, also that a request was not run, it says of another one.
+            Ok(Ok(response)) if self.is_foreign(&response, name.as_ref()) => {
+                not_run(Reason::ProtocolError, Some("a response to another request".to_owned()))
+            }
             Ok(Ok(response)) if self.is_refusal(&response) => {
                 slot.refused();
                 let reason = match response.status() {
@@ -76,7 +80,7 @@
                 not_run(reason, None)
             }
             Ok(Ok(response)) if !self.answers(&response, name.as_ref()) => {
-                not_run(Reason::ProtocolError, Some("a response to another request".to_owned()))
+                not_run(Reason::ProtocolError, Some("a response that names no request".to_owned()))
             }
             Ok(Ok(response)) if !self.dialect.unframed && !delimited(&response) => {
                 not_run(Reason::ProtocolError, Some("a body without a length".to_owned()))
@@ -235,6 +239,12 @@
                 && response.status() == StatusCode::MISDIRECTED_REQUEST)
     }
 
+    /// Whether a response names another request than this one.
+    fn is_foreign(&self, response: &Response<Payload>, name: Option<&HeaderValue>) -> bool {
+        let named = self.dialect.request.as_ref().and_then(|id| response.headers().get(id));
+        name.is_some() && named.is_some() && named != name
+    }
+
     /// Whether a response is to the request of this name.
     fn answers(&self, response: &Response<Payload>, name: Option<&HeaderValue>) -> bool {
         let echoed = |header| response.headers().get(header);
--- a/crates/daemon/src/proxy/target.rs
+++ b/crates/daemon/src/proxy/target.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use http_body_util::BodyExt;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
@@ -44,6 +44,9 @@
 struct Conn {
     sender: SendRequest<Payload>,
     meter: Meter,
+    /// The name of the last request. It is not sent again on this connection, because a late second copy of
+    /// the first response would bear the same name.
+    last: Option<HeaderValue>,
 }
 
 impl TargetPool {
@@ -53,7 +56,7 @@
         Self(Arc::new(Inner { addr, idle: Mutex::default(), room, tasks }))
     }
 
-    /// Sends a request and returns the response head; the connection is kept when the body of the
+    /// Sends a request of a name and returns the response head; the connection is kept when the body of the
     /// response was read to its end, and closed when the response is dropped before.
     ///
     /// # Errors
@@ -61,13 +64,15 @@
     pub(crate) async fn send(
         &self,
         mut request: Request<Payload>,
+        name: Option<&HeaderValue>,
         deadline: Instant,
     ) -> Result<Response<Payload>, SendFault> {
         for _ in 0..STALE_LIMIT {
-            let mut conn = match self.checkout(deadline).await {
+            let mut conn = match self.checkout(name, deadline).await {
                 Ok(conn) => conn,
                 Err(reason) => return Err(SendFault::not_sent(&reason, request)),
             };
+            conn.last = name.cloned();
             match conn.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.keep(conn, response)),
                 Err(mut fault) => match fault.take_message() {
@@ -88,9 +93,20 @@
         self.0.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn checkout(&self, deadline: Instant) -> Result<Conn, String> {
-        loop {
-            let Some(mut conn) = self.idle().pop() else { break };
+    /// Takes the idle connection that was used last and did not carry a request of this name.
+    fn take_idle(&self, name: Option<&HeaderValue>) -> Option<Conn> {
+        let mut idle = self.idle();
+        let fits = |conn: &Conn| name.is_none() || conn.last.as_ref() != name;
+        let at = idle.iter().rposition(fits)?;
+        Some(idle.remove(at))
+    }
+
+    async fn checkout(
+        &self,
+        name: Option<&HeaderValue>,
+        deadline: Instant,
+    ) -> Result<Conn, String> {
+        while let Some(mut conn) = self.take_idle(name) {
             if !conn.sender.is_closed() && conn.sender.ready().await.is_ok() {
                 return Ok(conn);
             }
@@ -115,7 +131,7 @@
             let _ = link.await;
             drop(permit);
         });
-        Ok(Conn { sender, meter })
+        Ok(Conn { sender, meter, last: None })
     }
 
     fn keep(&self, conn: Conn, response: Response<hyper::body::Incoming>) -> Response<Payload> {
