Forget a source of a version after three rounds without an answer

Change: three rounds without an answer, and it is forgotten until a probe of it tells of the version again. The test asks for at most four in vain.

--- a/crates/mesh/src/pull.rs
+++ b/crates/mesh/src/pull.rs
@@ -32,6 +32,10 @@
 /// Peers that are known to hold more.
 const SOURCES: usize = 16;
 
+/// Rounds without an answer after which a source is forgotten: it may have started again and hold less than it
+/// did. One that does hold more tells it with its next probe.
+const MISSES: u32 = 3;
+
 /// Fetches in the time in which a version is to be in force. Versions that follow each other faster are
 /// fetched together: taking one over costs 10 ms of processor time for 2,600 routes, whatever has changed,
 /// and a host may have a tenth of a core.
@@ -163,7 +167,7 @@
     pub(crate) fn run_pull(&mut self) {
         self.miss_asked();
         let newest = self.store.newest().number;
-        self.pull.sources.retain(|_, source| source.number > newest);
+        self.pull.sources.retain(|_, source| source.number > newest && source.misses < MISSES);
         // Whole rows are asked of one peer at a time: they may be 1 MB.
         let width = match self.pull.fetch {
             Some(fetch) if newest > 0 && !self.pull.whole => fetch.width(),
@@ -173,7 +177,9 @@
         // Those that failed least often first, then those that hold most.
         sources.sort_by_key(|(_, source)| (source.misses, Reverse(source.number)));
         let peers: Vec<_> = sources.into_iter().take(width).map(|(addr, _)| *addr).collect();
-        if !peers.is_empty() {
+        if peers.is_empty() {
+            self.pull.fetch = None;
+        } else {
             self.start_pull(&peers);
         }
     }
--- a/crates/mesh/tests/silent.rs
+++ b/crates/mesh/tests/silent.rs
@@ -6,7 +6,8 @@
 
 use std::time::Duration;
 
-use dw_mesh::Counter;
+use dw_mesh::{Counter, Input};
+use dw_wire::{Packet, PacketBody, Ping};
 use harness::World;
 
 /// The time in which a version is in force on each host after its acknowledgement.
@@ -79,3 +80,22 @@
 fn a_version_is_in_time_behind_silent_connections_of_a_large_fleet() {
     run(500..501, &[50; 6], 2);
 }
+
+/// Guards against a host that asks for ever, each time over a new connection, for a version that a peer
+/// announced and does not hold, as after a restart.
+#[test]
+fn a_version_that_nobody_holds_is_not_asked_for_without_end() {
+    let mut world = World::sidecars(600, &[4]);
+    world.apply();
+    (0..4).for_each(|id| world.start(id));
+    world.run(Duration::from_secs(10));
+    let body = PacketBody::Ping(Ping { seq: 1 });
+    let packet = Packet { host: "host-1".to_owned(), number: 9, ..Packet::new(body) };
+    let (from, now) = (world.hosts[1].cfg.peer, world.now);
+    let node = world.hosts[0].node.as_mut().expect("node");
+    node.handle(Input::Packet { from, packet }, now);
+    world.run(Duration::from_secs(60));
+    let asked = world.total(Counter::PullTimeout);
+    assert!((1..=4).contains(&asked), "asked {asked} times in vain");
+    world.expect_settled();
+}
