Let the next attempt of a request have the only connection of its target

Change: idle connections that all carried the request are closed and make room. The test takes below 3 s.

--- a/crates/daemon/src/proxy/target.rs
+++ b/crates/daemon/src/proxy/target.rs
@@ -97,7 +97,11 @@
     fn take_idle(&self, name: Option<&HeaderValue>) -> Option<Conn> {
         let mut idle = self.idle();
         let fits = |conn: &Conn| name.is_none() || conn.last.as_ref() != name;
-        let at = idle.iter().rposition(fits)?;
+        let Some(at) = idle.iter().rposition(fits) else {
+            // They make room for a new connection, of which the target may accept no more.
+            idle.clear();
+            return None;
+        };
         Some(idle.remove(at))
     }
 
--- a/crates/daemon/tests/second.rs
+++ b/crates/daemon/tests/second.rs
@@ -19,7 +19,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 /// Slots of the target, above the requests of a test.
@@ -88,6 +88,16 @@
 
 /// A daemon with one target that answers so.
 async fn served(copy: Copy, refused: bool, retries: u32) -> (RunningStandin, Running, Runs) {
+    served_over(copy, refused, retries, SLOTS).await
+}
+
+/// The same with a limit of connections to the target.
+async fn served_over(
+    copy: Copy,
+    refused: bool,
+    retries: u32,
+    connections: u32,
+) -> (RunningStandin, Running, Runs) {
     let runs = Runs::default();
     let noted = runs.clone();
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
@@ -107,7 +117,7 @@
         ..Dialect::default()
     };
     // The slot of a request whose end was not seen stays taken for a while.
-    let target = TargetSettings { slots: SLOTS, connections: SLOTS, ..target("ledger", addr) };
+    let target = TargetSettings { slots: SLOTS, connections, ..target("ledger", addr) };
     let settings =
         settings("p1", "portland").with_platform(vec![standin.addr()]).with_target(target);
     let running = Daemon::new(settings).with_dialect(dialect).start().await.expect("a daemon");
@@ -177,3 +187,17 @@
     standin.close().await;
     Ok(())
 }
+
+/// Guards against an attempt that waits until its deadline for a connection, because the only one that the
+/// target accepts carried the attempt before and is kept.
+#[gtest]
+#[tokio::test]
+async fn the_next_attempt_gets_the_only_connection() -> Result<()> {
+    let (standin, running, _) = served_over(Copy::InUse, true, 1, 1).await;
+    let begin = Instant::now();
+    credit(running.addrs().callers, "r1").await;
+    expect_that!(begin.elapsed(), lt(Duration::from_secs(3)));
+    running.kill().await;
+    standin.close().await;
+    Ok(())
+}
