--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -52,7 +52,7 @@
     /// the requests on it.
     pub silence: Millis,
     /// Time without a request after which a connection to another daemon is closed. Each open one costs
-    /// both daemons some 25 KB, and where load spills over a daemon meets every target of the fleet.
+    /// both daemons its buffers, and where load spills over a daemon meets every target of the fleet.
     pub idle: Millis,
 }
 
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -239,8 +239,8 @@
     Ok(())
 }
 
-/// Guards against connections that stay open to each host that was ever needed, some 25 KB each, and against
-/// the end of those in regular use.
+/// Guards against connections that stay open to each host that was ever needed, and against the end of those
+/// in regular use.
 #[gtest]
 #[tokio::test]
 async fn a_connection_is_closed_only_after_the_idle_time() -> Result<()> {
--- a/crates/mesh/src/fetch.rs
+++ b/crates/mesh/src/fetch.rs
@@ -46,9 +46,8 @@
     }
 
     /// The number of sources to ask at once.
-    pub(crate) const fn width(&self) -> usize {
-        let width = 1_usize << if self.rounds < 8 { self.rounds } else { 8 };
-        if width < WIDTH_MAX { width } else { WIDTH_MAX }
+    pub(crate) fn width(&self) -> usize {
+        (1_usize << self.rounds.min(8)).min(WIDTH_MAX)
     }
 
     /// Whether sources are asked over new connections, because the open ones may have fallen silent.
--- a/crates/mesh/src/pull.rs
+++ b/crates/mesh/src/pull.rs
@@ -37,7 +37,7 @@
 const MISSES: u32 = 3;
 
 /// Fetches in the time in which a version is to be in force. Versions that follow each other faster are
-/// fetched together: taking one over costs 10 ms of processor time for 2,600 routes, whatever has changed,
+/// fetched together: taking one over costs some ms of processor time for 2,600 routes, whatever has changed,
 /// and a host may have a tenth of a core.
 const FETCHES: u32 = 6;
 
--- a/crates/mesh/src/slot.rs
+++ b/crates/mesh/src/slot.rs
@@ -79,11 +79,14 @@
     /// Whether a standby has no reason to claim a slot: both are held as far as membership tells, and it
     /// made sure a short time ago. Each change of membership asks for a claim, and each claim is a write.
     fn rests(&mut self) -> bool {
-        let until = self.relay.tried.map(|at| at + CLAIM_FULL);
-        let until = until.filter(|until| {
-            self.relay.standby && !self.me.relay && self.is_full() && self.now < *until
-        });
-        until.inspect(|at| self.timers.set(Timer::Claim, *at)).is_some()
+        let Some(tried) = self.relay.tried else { return false };
+        let until = tried + CLAIM_FULL;
+        let held = self.relay.standby && !self.me.relay && self.is_full();
+        let rests = held && self.now < until;
+        if rests {
+            self.timers.set(Timer::Claim, until);
+        }
+        rests
     }
 
     /// Watches the head as a standby.
