--- a/crates/mesh/src/slot.rs
+++ b/crates/mesh/src/slot.rs
@@ -77,7 +77,7 @@
     }
 
     /// Whether a standby has no reason to claim a slot: both are held as far as membership tells, and it
-    /// made sure a short time ago. Each change of membership asks for a claim, and each claim is a write.
+    /// made sure a short time ago. Each change of membership asks for a claim, and each claim is a call.
     fn rests(&mut self) -> bool {
         let Some(tried) = self.relay.tried else { return false };
         let until = tried + CLAIM_FULL;
