Group the modules of dw_request by what a request meets

The 41 files of one folder hid which of them belong together. They are grouped as choice/ (route and target), gate/ (slots and queue), retry/ (attempts, budgets, return times) and keeper/ (records of keys), each with a module that says what it owns. Moves and paths only; no code changes.

--- a/crates/request/src/balancer.rs
+++ b/crates/request/src/choice/balancer.rs
@@ -6,10 +6,12 @@
 
 use crate::{
     Avoidance, Basis, Endpoint, EndpointState, Load, TargetChange,
-    locality::{Locality, TIERS, Tier, choose_tier},
-    outlier::OutlierState,
-    target::{Observation, Target},
-    view::Choice,
+    choice::{
+        locality::{Locality, TIERS, Tier, choose_tier},
+        outlier::OutlierState,
+        target::{Observation, Target},
+        view::Choice,
+    },
 };
 
 /// Weight of the newest sample in the pool's mean latency.
--- a/crates/request/src/target.rs
+++ b/crates/request/src/choice/target.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use crate::{Endpoint, EndpointState, Load, Rate, outlier::Outlier};
+use crate::{Endpoint, EndpointState, Load, Rate, choice::outlier::Outlier};
 
 /// Time over which a newly started target is ramped up to its full share of requests.
 pub(crate) const SLOW_START: Duration = Duration::from_secs(10);
--- a/crates/request/src/upstream.rs
+++ b/crates/request/src/choice/upstream.rs
@@ -3,8 +3,9 @@
 use dw_tables::{Name, Pool};
 
 use crate::{
-    ConcurrencyLimiter, Endpoint, RetryBudget, balancer::Balancer, locality::Locality,
-    shed::ShedDetector,
+    ConcurrencyLimiter, Endpoint, RetryBudget,
+    choice::{balancer::Balancer, locality::Locality},
+    retry::shed::ShedDetector,
 };
 
 /// Lower bound of the adaptive concurrency limit on the caller's side. A daemon has about 3 calls in
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -10,16 +10,18 @@
 
 use crate::{
     Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, EndpointState, Fingerprint, Goal, Next,
-    PoisonList, Reason, Refusal, RequestInfo, Router, TargetChange, backoff,
-    balancer::Constraints,
-    caller_timeouts::CallerTimeouts,
-    locality::Locality,
-    pending::{LostAttempts, PendingRequest},
-    retry_after::{self, RetryAfterPolicy},
-    target::Observation,
-    upstream::Upstream,
-    verdict::{Verdict, can_succeed_elsewhere, is_before_target, is_final, is_overload},
-    view::Choice,
+    PoisonList, Reason, Refusal, RequestInfo, Router, TargetChange,
+    choice::{
+        balancer::Constraints, locality::Locality, target::Observation, upstream::Upstream,
+        view::Choice,
+    },
+    retry::{
+        backoff,
+        caller_timeouts::CallerTimeouts,
+        pending::{LostAttempts, PendingRequest},
+        retry_after::{self, RetryAfterPolicy},
+        verdict::{Verdict, can_succeed_elsewhere, is_before_target, is_final, is_overload},
+    },
 };
 
 /// Depth of a call chain from which a request is assumed to be part of a loop; real chains have up
--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -1,3 +1,20 @@
+//! Admission beside a target: slots, the queue for them, and the limits that the target states.
+
+mod admission;
+mod limiter;
+mod queue;
+mod rate;
+mod rate_limiter;
+mod reported_targets;
+mod service_times;
+
+pub use admission::{
+    Admission, Arrival, GateConfig, GatePolicies, Permit, RunOutcome, Ticket, Wake,
+};
+pub use limiter::ConcurrencyLimiter;
+pub use rate::{ParseRateError, Rate};
+pub use reported_targets::{ReportEffect, ReportedTarget, ReportedTargets, TargetReport};
+
 use std::{
     cmp::Reverse,
     collections::{HashMap, VecDeque},
@@ -6,13 +23,10 @@
 
 use tokio::time::Instant;
 
-use crate::{
-    Admission, Arrival, ConcurrencyLimiter, Fingerprint, GateConfig, Load, Permit, PoisonList,
-    Rate, Reason, Refusal, RunOutcome, Ticket, Wake,
-    queue::{Rank, WaitQueue, Waiting},
-    rate_limiter::RateLimiter,
-    service_times::{Kind, ServiceTimes, WorkEstimate, kind_of},
-};
+use crate::{Fingerprint, Load, PoisonList, Reason, Refusal};
+use queue::{Rank, WaitQueue, Waiting};
+use rate_limiter::RateLimiter;
+use service_times::{Kind, ServiceTimes, WorkEstimate, kind_of};
 
 /// Deeper calls count as this deep, so that a caller cannot overtake all others forever by stating a
 /// large depth.
--- a/crates/request/src/keeper.rs
+++ b/crates/request/src/keeper.rs
@@ -1,14 +1,27 @@
+//! Requests with an idempotency key: which daemon keeps the record of a key, and the records.
+
+mod claim;
+mod member;
+mod peers;
+mod placement;
+mod record;
+mod records;
+
+pub use claim::{
+    CLOCK_SKEW, CedeReply, Claim, HandOver, KEEPER_HOLD, KeeperConfig, MAX_STORED_ANSWER_BYTES,
+    RECORD_WINDOW,
+};
+pub use member::{Member, MemberState};
+pub use placement::{Ranking, home_domain};
+pub use record::{KeyOutcome, Record, RecordState, StoredAnswer};
+
 use std::{collections::BTreeMap, time::Duration};
 
 use dw_tables::Name;
 use tokio::time::Instant;
 
-use crate::{
-    CedeReply, Claim, HandOver, KeeperConfig, KeyOutcome, MAX_STORED_ANSWER_BYTES, Member, Record,
-    RecordState,
-    peers::{KeeperTiming, KeyOwner, Peers},
-    records::{KeyEntry, Records},
-};
+use peers::{KeeperTiming, KeyOwner, Peers};
+use records::{KeyEntry, Records};
 
 /// Maximum number of earlier keepers that are asked about one key. A long chain arises only if many
 /// daemons of a domain joined within the record window.
--- a/crates/request/src/peers.rs
+++ b/crates/request/src/keeper/peers.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Member, MemberState,
-    placement::{name_hash, weight},
+    keeper::placement::{name_hash, weight},
 };
 
 /// Durations that decide whether a record may have been lost; see [`crate::KeeperConfig`].
--- a/crates/request/src/retry_after.rs
+++ b/crates/request/src/retry/retry_after.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::{DEFAULT_RETRY_AFTER, Goal, Reason, verdict::is_overload};
+use crate::{DEFAULT_RETRY_AFTER, Goal, Reason, retry::verdict::is_overload};
 
 /// Retry delay, as a share of the time that the caller has left, if the objective is missed in any case
 /// or the cause of the refusal will not pass within the objective. Callers honor `retry-after` only up to
--- a/crates/request/src/verdict.rs
+++ b/crates/request/src/retry/verdict.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::{AttemptOutcome, Load, Reason, target::Observation};
+use crate::{AttemptOutcome, Load, Reason, choice::target::Observation};
 
 /// What an attempt's outcome means for its target and its pool.
 #[derive(Clone, Copy, Debug)]
