Apply a target's retry-after time to retries at this target only

A retry at a target that had been tried before waited as long as the target of the last attempt had asked for, which may be another one. Each target's time is now kept with the request.

--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -184,6 +184,7 @@
             }
             AttemptOutcome::Unknown { reason } => (reason, None, idempotent && !is_final(reason)),
         };
+        request.hints.extend(hint.map(|hint| (request.uid, now + hint)));
         let unknown = !matches!(outcome, AttemptOutcome::NotRun { .. });
         // With rerouting enabled, an attempt that was refused before its target is only rerouted,
         // never retried.
@@ -193,7 +194,7 @@
         }
         let retryable = retryable && !reroutable;
         let denied = match retryable {
-            true => match self.retry(&mut request, cause, hint, unknown, now) {
+            true => match self.retry(&mut request, cause, unknown, now) {
                 Ok(next) => return next,
                 Err(denied) => Some(denied),
             },
@@ -287,6 +288,7 @@
             basis,
             version: self.version.number,
             tried: Vec::new(),
+            hints: Vec::new(),
             reroutes: 0,
             deadline: now + timeout,
             timeout,
@@ -409,7 +411,6 @@
         &mut self,
         request: &mut PendingRequest,
         cause: Reason,
-        hint: Option<Duration>,
         unknown: bool,
         now: Instant,
     ) -> Result<Next, Reason> {
@@ -431,10 +432,8 @@
         let constraints = Constraints { tried: &request.tried, idempotent };
         let chosen = upstream.balancer.choose(&upstream.pool, constraints, &mut self.rng, now);
         let Choice { uid, endpoint, basis } = chosen.ok_or(Reason::NoTarget)?;
-        // The delay that a target asked for applies only if no untried target is left.
-        let tried_before = request.tried.contains(&uid);
-        let after = backoff::delay(count, &mut self.rng)
-            .max(hint.filter(|_| tried_before).unwrap_or_default());
+        // The delay that a target asked for applies to this target only.
+        let after = backoff::delay(count, &mut self.rng).max(request.hint(uid, now));
         let denied = match after >= left {
             true => Some(Reason::RetryDeadline),
             false if upstream.budget.try_withdraw() => None,
--- a/crates/request/src/retry/pending.rs
+++ b/crates/request/src/retry/pending.rs
@@ -26,6 +26,8 @@
     pub(crate) version: u64,
     /// The targets of earlier attempts.
     pub(crate) tried: Vec<u64>,
+    /// The targets that asked to be left alone until a time.
+    pub(crate) hints: Vec<(u64, Instant)>,
     /// How many of the attempts at `tried` were refused before their target was contacted, so that
     /// the request was rerouted.
     pub(crate) reroutes: u32,
@@ -41,6 +43,14 @@
     pub(crate) fingerprint: Option<Fingerprint>,
 }
 
+impl PendingRequest {
+    /// How long the target asked to be left alone from `now` on.
+    pub(crate) fn hint(&self, uid: u64, now: Instant) -> Duration {
+        let hints = self.hints.iter().filter(|(known, _)| *known == uid);
+        hints.map(|(_, until)| until.saturating_duration_since(now)).max().unwrap_or_default()
+    }
+}
+
 /// Recent attempts that ended without a response.
 #[derive(Debug, Default)]
 pub(crate) struct LostAttempts {
--- a/crates/request/tests/retry.rs
+++ b/crates/request/tests/retry.rs
@@ -191,6 +191,27 @@
     }
 }
 
+/// Guards against a retry that waits as long as another target asked for.
+#[gtest]
+fn a_retry_waits_for_the_target_that_it_goes_to() {
+    let now = Instant::now();
+    // Two retries, of which the second goes to a target that was tried before.
+    for seed in 0..20 {
+        let mut d = dispatcher(seed, two_routes(), targets(2, "portland", "new-england", now));
+        let refused_for = |hint| AttemptOutcome::NotRun {
+            reason: Reason::QueueFull,
+            retry_after: Some(hint),
+            load: None,
+        };
+        let first = forwarded(d.begin(get("/lookup"), now));
+        let (_, second) = retried(d.settle(first.id, refused_for(ms(400)), now));
+        expect_that!(second.endpoint.host, not(eq(&first.endpoint.host)));
+        let (after, third) = retried(d.settle(second.id, refused_for(ms(900)), now));
+        let hint = if third.endpoint.host == first.endpoint.host { ms(400) } else { ms(900) };
+        expect_that!(after, eq(hint), "seed {seed}");
+    }
+}
+
 /// Guards against accepting new requests in a daemon that is stopping, and against attempts that are
 /// counted forever or settled twice.
 #[gtest]
