Forget the least recently used kind of requests at a gate

ServiceTimes dropped the kind that was added first, which may be the busiest one, so that its service time was unknown until its next response. Now it drops the kind with the oldest sample.

--- a/crates/request/src/gate/service_times.rs
+++ b/crates/request/src/gate/service_times.rs
@@ -91,9 +91,10 @@
             known.mean += ALPHA * (new - known.mean);
             known.newest = now;
         } else {
-            // The kind that was added first is dropped: its route has changed or is rarely used.
+            // The least recently used kind is dropped: its route has changed or is rarely used.
             if self.kinds.len() >= MAX_KINDS {
-                self.kinds.remove(0);
+                let oldest = (0..self.kinds.len()).min_by_key(|idx| self.kinds[*idx].newest);
+                self.kinds.swap_remove(oldest.unwrap_or_default());
             }
             self.kinds.push(Samples { kind, mean: new, newest: now });
         }
--- a/crates/request/tests/gate.rs
+++ b/crates/request/tests/gate.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use dw_request::{
-    Admission, Arrival, Death, Fingerprint, Gate, GateConfig, Outcome, Permit, Reason, Refusal,
-    RunOutcome, Suspects, Ticket, Wake,
+    Admission, Arrival, Death, Fingerprint, Gate, GateConfig, Goal, Outcome, Permit, Reason,
+    Refusal, RunOutcome, Suspects, Ticket, Wake,
 };
 use googletest::prelude::*;
 use support::ms;
@@ -249,3 +249,24 @@
     let refusal = refuse(g.offer(again, now));
     expect_that!((refusal.reason, refusal.outcome), eq((Reason::Poisoned, Outcome::Unknown)));
 }
+
+/// Guards against a busy route whose service time is forgotten because rarer routes were added after it,
+/// so that its requests are admitted without knowledge of how long they take.
+#[gtest]
+fn the_least_recently_used_kind_is_forgotten_first() {
+    let mut g = gate(4, 8);
+    let start = Instant::now();
+    let arrival = |objective: u64, now: Instant| Arrival {
+        goal: Some(Goal { objective: ms(objective), late_at: now + ms(objective), priority: 0 }),
+        ..call(0, now + ms(5000))
+    };
+    let busy = 5000;
+    for step in 0..20 {
+        let now = start + ms(step * 10);
+        for (objective, latency) in [(busy, ms(10)), (100 + step, ms(500))] {
+            let permit = run(g.offer(arrival(objective, now), now));
+            g.finish(permit, RunOutcome::Answered { status: 200, latency }, now);
+        }
+        expect_that!(g.estimate(&arrival(busy, now), now).1, eq(ms(10)), "step {step}");
+    }
+}
