Learn the relative speed of targets and choose by it

Targets of one service differ in speed by a factor of up to three. The caller's side mixed the kinds of requests of a pool in one latency average per target, from its own few requests. The gate now reports its typical service time for the kind of each request it answers, and callers' daemons compare the targets of a pool after taking out what each kind takes. Targets are drawn and ranked by this speed. Only pools whose capacity is learned do so.

--- a/crates/bench/src/model/faults.rs
+++ b/crates/bench/src/model/faults.rs
@@ -1,4 +1,5 @@
 use dw_request::{AttemptOutcome, Reason};
+use dw_tables::Name;
 
 use super::{
     fleet::Node,
@@ -28,8 +29,12 @@
                 self.nodes[*host].leaving = true;
                 self.schedule(self.now + duration(*time), Event::EndFault { fault });
             }
-            FaultKind::Burst { factor, time } => {
-                self.burst_factor = *factor;
+            FaultKind::Refuse { host, share, time } => {
+                self.nodes[*host].refused_share = *share;
+                self.schedule(self.now + duration(*time), Event::EndFault { fault });
+            }
+            FaultKind::Burst { factor, time, route } => {
+                self.set_burst(route.as_ref(), *factor);
                 self.schedule(self.now + duration(*time), Event::EndFault { fault });
             }
         }
@@ -53,7 +58,17 @@
             FaultKind::Slow { host, .. } => self.nodes[*host].slowdown = 1.0,
             FaultKind::Limit { host, .. } => self.nodes[*host].limit = None,
             FaultKind::Leave { host, .. } => self.lose_host(*host),
-            FaultKind::Burst { .. } => self.burst_factor = 1.0,
+            FaultKind::Refuse { host, .. } => self.nodes[*host].refused_share = 0.0,
+            FaultKind::Burst { route, .. } => self.set_burst(route.as_ref(), 1.0),
+        }
+    }
+
+    /// Sets the factor by which callers send more requests, on one route or on all.
+    fn set_burst(&mut self, route: Option<&Name>, factor: f64) {
+        for (load, burst) in self.scenario.routes.iter().zip(&mut self.burst_factors) {
+            if route.is_none_or(|name| load.name == *name) {
+                *burst = factor;
+            }
         }
     }
 
--- a/crates/bench/src/model/fleet.rs
+++ b/crates/bench/src/model/fleet.rs
@@ -1,7 +1,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use dw_request::{
-    AttemptId, Dispatcher, DispatcherConfig, Endpoint, EndpointState, Gate, GateConfig, Rate,
+    AttemptId, Dispatcher, DispatcherConfig, Endpoint, EndpointState, Gate, GateConfig, Goal, Rate,
     Ticket,
 };
 use dw_tables::{Capacity, Ejection, Limits, Match, Millis, Name, Pool, Route, Tables, Version};
@@ -29,6 +29,10 @@
     pub(super) lost: bool,
     /// Factor by which its target is slower now.
     pub(super) slowdown: f64,
+    /// Factor by which noise makes its target slower now.
+    pub(super) noise: f64,
+    /// Share of the requests that its target refuses now.
+    pub(super) refused_share: f64,
     /// The limit that its target states now.
     pub(super) limit: Option<Rate>,
     /// Whether its target has started to leave.
@@ -44,9 +48,9 @@
 }
 
 impl Node {
-    /// The load that its daemon reports with each response.
-    pub(super) fn load(&self) -> dw_request::Load {
-        dw_request::Load { leaving: self.leave_reported, ..self.gate.load() }
+    /// The load that its daemon reports with the response to a request with this goal.
+    pub(super) fn load(&self, goal: Option<&Goal>) -> dw_request::Load {
+        dw_request::Load { leaving: self.leave_reported, ..self.gate.load_for(goal) }
     }
 }
 
@@ -62,6 +66,7 @@
         };
         let mut gate = Gate::new(config);
         gate.set_queue(self.policies.queue, Duration::from_secs(1));
+        gate.set_capacity(self.capacity());
         let mut dispatcher = Dispatcher::new(DispatcherConfig {
             host: host_name(idx),
             domain: host.domain.clone(),
@@ -78,6 +83,8 @@
             alive: true,
             lost: false,
             slowdown: 1.0,
+            noise: 1.0,
+            refused_share: 0.0,
             limit: None,
             leaving: false,
             leave_reported: false,
@@ -87,6 +94,14 @@
         }
     }
 
+    /// The capacity of all pools.
+    const fn capacity(&self) -> Capacity {
+        match self.scenario.capacity {
+            Capacity::Learned => self.policies.capacity,
+            Capacity::Fixed => Capacity::Fixed,
+        }
+    }
+
     /// The tables of the scenario.
     fn version(&self) -> Version {
         let mut services: Vec<&Name> = self.scenario.hosts.iter().map(|h| &h.service).collect();
@@ -100,7 +115,7 @@
             prefer: self.policies.prefer,
             drain: Millis::new(30_000),
             ejection: Ejection::default(),
-            capacity: Capacity::Fixed,
+            capacity: self.capacity(),
         };
         let route = |load: &RouteLoad| Route {
             name: load.name.clone(),
--- a/crates/bench/src/model/report.rs
+++ b/crates/bench/src/model/report.rs
@@ -22,7 +22,7 @@
 /// Prints a row for each set of policies, and the worth of the first by window.
 #[expect(clippy::print_stdout, reason = "the report is the output of the bench")]
 pub(crate) fn print(scenario: &Scenario, rows: &[Row]) {
-    println!("{}: worth is credit earned of credit owed, a late answer counts 0.3", scenario.name);
+    println!("{}: worth is credit earned of credit owed", scenario.name);
     print!("{:<20} {:>6} {:>6} {:>6}", "policies", "worth", "worst", "waste");
     let caller_routes: Vec<usize> =
         (0..scenario.routes.len()).filter(|idx| scenario.routes[*idx].rate > 0.0).collect();
--- a/crates/bench/src/model/result.rs
+++ b/crates/bench/src/model/result.rs
@@ -44,14 +44,13 @@
     pub(crate) limits: Vec<LimitCompliance>,
     #[serde(skip)]
     worth: Vec<f64>,
+    #[serde(skip)]
+    late: Vec<f64>,
     /// Times since the start at which runs started, by host.
     #[serde(skip)]
     run_starts: Vec<Vec<Duration>>,
 }
 
-/// Credit for a late response, as a share of that for a timely one.
-const LATE_CREDIT: f64 = 0.3;
-
 impl SimulationResult {
     /// An empty result.
     pub(crate) fn new(scenario: &Scenario) -> Self {
@@ -65,6 +64,7 @@
             limits: Vec::new(),
             run_starts: vec![Vec::new(); scenario.hosts.len()],
             worth: scenario.routes.iter().map(|route| route.worth).collect(),
+            late: scenario.routes.iter().map(|route| route.late).collect(),
         }
     }
 
@@ -136,9 +136,9 @@
     /// The same within the given windows.
     pub(crate) fn worth_in(&self, windows: std::ops::Range<usize>) -> f64 {
         let (mut earned, mut owed) = (0.0, 0.0);
-        for (counts, worth) in self.routes.iter().zip(&self.worth) {
+        for ((counts, worth), late) in self.routes.iter().zip(&self.worth).zip(&self.late) {
             for count in &counts[windows.clone()] {
-                earned += worth * (f64::from(count.timely) + LATE_CREDIT * f64::from(count.late));
+                earned += worth * (f64::from(count.timely) + late * f64::from(count.late));
                 owed += worth * f64::from(count.asked);
             }
         }
--- a/crates/bench/src/model/scenario.rs
+++ b/crates/bench/src/model/scenario.rs
@@ -1,6 +1,6 @@
 use std::{fs, time::Duration};
 
-use dw_tables::{Millis, Name, Repeat};
+use dw_tables::{Capacity, Millis, Name, Repeat};
 use jsonc_parser::{ParseOptions, parse_to_serde_value};
 use serde::Deserialize;
 
@@ -20,6 +20,15 @@
     pub(crate) far: Millis,
     /// Time until the other hosts know that a target is lost.
     pub(crate) notice: Millis,
+    /// Whether the capacity of targets is learned.
+    #[serde(default)]
+    pub(crate) capacity: Capacity,
+    /// How the demand of failure domains varies; absent if it does not.
+    #[serde(default)]
+    pub(crate) wave: Option<Wave>,
+    /// Short slowdowns of single targets; absent if there are none.
+    #[serde(default)]
+    pub(crate) noise: Option<Noise>,
     /// The hosts, each with one target.
     pub(crate) hosts: Vec<Host>,
     /// The requests of callers and targets, by route.
@@ -29,6 +38,30 @@
     pub(crate) faults: Vec<Fault>,
 }
 
+/// A wave of the demand of each failure domain, out of phase between domains.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Wave {
+    /// Largest deviation from the mean, as a share of it.
+    pub(crate) height: f64,
+    /// Period.
+    pub(crate) period: Millis,
+}
+
+/// Slowdowns of some targets at random times.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Noise {
+    /// Share of the targets that it affects.
+    pub(crate) share: f64,
+    /// Factor by which a target is slower.
+    pub(crate) factor: f64,
+    /// Duration of a slowdown.
+    pub(crate) time: Millis,
+    /// Mean time between two slowdowns of a target.
+    pub(crate) every: Millis,
+}
+
 /// A host and the target on it.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -41,11 +74,19 @@
     pub(crate) slots: u32,
     /// Speed of its target, by which service times are divided.
     pub(crate) speed: f64,
+    /// Requests in flight above which all service times grow in proportion to their square, so that its
+    /// throughput falls; absent if they do not.
+    #[serde(default)]
+    pub(crate) knee: Option<u32>,
     /// Number of identical hosts that this entry stands for.
     #[serde(default = "one")]
     count: usize,
 }
 
+const fn late_credit() -> f64 {
+    0.3
+}
+
 const fn one() -> usize {
     1
 }
@@ -65,6 +106,12 @@
     pub(crate) work: Millis,
     /// Standard deviation of the logarithm of the service time.
     pub(crate) spread: f64,
+    /// Share of the requests that take `long_factor` times as long.
+    #[serde(default)]
+    pub(crate) long_share: f64,
+    /// See `long_share`.
+    #[serde(default)]
+    pub(crate) long_factor: f64,
     /// Time within which a response earns full credit.
     pub(crate) objective: Millis,
     /// Time after which callers give up.
@@ -79,6 +126,9 @@
     pub(crate) returns: u32,
     /// Credit for a response within the objective.
     pub(crate) worth: f64,
+    /// Credit for a later response, as a share of that for a timely one.
+    #[serde(default = "late_credit")]
+    pub(crate) late: f64,
     /// Calls that a target makes halfway through its work.
     #[serde(default)]
     pub(crate) calls: Vec<CallLoad>,
@@ -155,6 +205,18 @@
         factor: f64,
         /// Duration.
         time: Millis,
+        /// The only route that it affects; absent for all.
+        #[serde(default)]
+        route: Option<Name>,
+    },
+    /// A target refuses part of its requests as not run although it has room.
+    Refuse {
+        /// Index of the target's host.
+        host: usize,
+        /// Share of the requests.
+        share: f64,
+        /// Duration.
+        time: Millis,
     },
 }
 
@@ -195,11 +257,17 @@
             if let FaultKind::Lose { host }
             | FaultKind::Slow { host, .. }
             | FaultKind::Limit { host, .. }
-            | FaultKind::Leave { host, .. } = fault.kind
+            | FaultKind::Leave { host, .. }
+            | FaultKind::Refuse { host, .. } = fault.kind
                 && host >= self.hosts.len()
             {
                 return Err(format!("a fault names host {host} of {}", self.hosts.len()));
             }
+            if let FaultKind::Burst { route: Some(route), .. } = &fault.kind
+                && self.route(route).is_none()
+            {
+                return Err(format!("a burst names {route:?}, which is not defined"));
+            }
             if let FaultKind::Limit { rate, .. } = fault.kind
                 && !(rate.is_finite() && rate >= 0.0)
             {
--- a/crates/bench/src/model/simulation.rs
+++ b/crates/bench/src/model/simulation.rs
@@ -5,7 +5,7 @@
 };
 
 use dw_request::{
-    Admission, Arrival, Attempt, AttemptId, AttemptOutcome, Decision, Next, Permit, Reason,
+    Admission, Arrival, Attempt, AttemptId, AttemptOutcome, Decision, Goal, Next, Permit, Reason,
     Refusal, RequestInfo, RunOutcome, Wake,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -46,6 +46,8 @@
     Outcome { request: usize, id: AttemptId, outcome: AttemptOutcome },
     /// A fault starts.
     BeginFault { fault: usize },
+    /// Noise makes a target slower, or ends.
+    Noise { host: usize, begins: bool },
     /// A fault ends.
     EndFault { fault: usize },
     /// The hosts learn of the current targets.
@@ -90,7 +92,8 @@
     pub(super) nodes: Vec<Node>,
     requests: Vec<Request>,
     pub(super) runs: HashMap<u64, Run>,
-    pub(super) burst_factor: f64,
+    /// Factors by which callers send more requests now, by route.
+    pub(super) burst_factors: Vec<f64>,
     result: SimulationResult,
 }
 
@@ -111,7 +114,7 @@
             nodes: Vec::new(),
             requests: Vec::new(),
             runs: HashMap::new(),
-            burst_factor: 1.0,
+            burst_factors: vec![1.0; scenario.routes.len()],
             result: SimulationResult::new(scenario),
         };
         let warm = start.checked_sub(WARM_AGE).unwrap_or(start);
@@ -129,6 +132,13 @@
         for (fault, row) in self.scenario.faults.iter().enumerate() {
             self.schedule(self.start + duration(row.at), Event::BeginFault { fault });
         }
+        if let Some(noise) = self.scenario.noise {
+            for host in 0..self.nodes.len() {
+                if self.rng.random::<f64>() < noise.share {
+                    self.schedule_noise(host);
+                }
+            }
+        }
         let end = self.start + duration(self.scenario.time);
         let drained = end + DRAIN_TIME;
         while let Some(at) = self.next_time() {
@@ -187,13 +197,34 @@
             Event::Outcome { request, id, outcome } => self.settle(request, id, outcome),
             Event::BeginFault { fault } => self.begin_fault(fault),
             Event::EndFault { fault } => self.end_fault(fault),
+            Event::Noise { host, begins } => self.noise(host, begins),
             Event::UpdateEndpoints => self.update_endpoints(),
         }
     }
 
+    /// Schedules the next slowdown of a target.
+    fn schedule_noise(&mut self, host: usize) {
+        if let Some(noise) = self.scenario.noise
+            && let Ok(gap) = Exp::new(1.0 / duration(noise.every).as_secs_f64())
+        {
+            let gap = Duration::from_secs_f64(gap.sample(&mut self.rng));
+            self.schedule(self.now + gap, Event::Noise { host, begins: true });
+        }
+    }
+
+    fn noise(&mut self, host: usize, begins: bool) {
+        let Some(noise) = self.scenario.noise else { return };
+        self.nodes[host].noise = if begins { noise.factor } else { 1.0 };
+        if begins {
+            self.schedule(self.now + duration(noise.time), Event::Noise { host, begins: false });
+        } else {
+            self.schedule_noise(host);
+        }
+    }
+
     /// Schedules the next request of callers on a route.
     fn schedule_arrival(&mut self, route: usize) {
-        let rate = self.scenario.routes[route].rate * self.burst_factor;
+        let rate = self.scenario.routes[route].rate * self.burst_factors[route];
         if let Ok(gap) = Exp::new(rate)
             && rate > 0.0
         {
@@ -211,7 +242,7 @@
             self.result.add_failed(route, self.now - self.start);
             return;
         }
-        let host = up[self.rng.random_range(0..up.len())];
+        let host = self.pick_caller(&up);
         let request = Request {
             route,
             host,
@@ -223,6 +254,26 @@
         self.add_request(request);
     }
 
+    /// A random host that is up, according to the demand of its failure domain now.
+    fn pick_caller(&mut self, up: &[usize]) -> usize {
+        let drawn = up[self.rng.random_range(0..up.len())];
+        let Some(wave) = self.scenario.wave else { return drawn };
+        let mut domains: Vec<_> = self.scenario.hosts.iter().map(|host| &host.domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let time = (self.now - self.start).as_secs_f64() / duration(wave.period).as_secs_f64();
+        let share = |idx: usize| {
+            let at = domains.iter().position(|domain| **domain == self.scenario.hosts[idx].domain);
+            let phase = to_f64(at.unwrap_or_default()) / to_f64(domains.len());
+            1.0 + wave.height * (std::f64::consts::TAU * (time + phase)).sin()
+        };
+        let mut idx = drawn;
+        while self.rng.random::<f64>() * (1.0 + wave.height) >= share(idx) {
+            idx = up[self.rng.random_range(0..up.len())];
+        }
+        idx
+    }
+
     /// Adds a request, and lets the caller's daemon decide on it.
     fn add_request(&mut self, request: Request) {
         self.requests.push(request);
@@ -301,7 +352,8 @@
         reason: Reason,
         refusal: Option<&Refusal>,
     ) {
-        let load = self.nodes[host].alive.then(|| self.nodes[host].load());
+        let goal = self.goal(request);
+        let load = self.nodes[host].alive.then(|| self.nodes[host].load(goal.as_ref()));
         let retry_after = refusal.map(|refusal| refusal.retry_after);
         let outcome = AttemptOutcome::NotRun { reason, retry_after, load };
         self.send_outcome(request, host, id, outcome);
@@ -318,8 +370,23 @@
         self.schedule(self.now + delay, Event::Outcome { request, id, outcome });
     }
 
+    /// The goal of a request as far as it identifies its kind.
+    fn goal(&self, request: usize) -> Option<Goal> {
+        let load = &self.scenario.routes[self.requests[request].route];
+        let objective = duration(load.objective);
+        let goal = Goal { objective, late_at: self.now + objective, priority: load.priority };
+        self.policies.goals.then_some(goal)
+    }
+
     /// Starts a run, which does half of its work, then makes its calls, and then does the rest.
     fn start_run(&mut self, request: usize, attempt: AttemptId, host: usize, permit: Permit) {
+        let refused_share = self.nodes[host].refused_share;
+        if refused_share > 0.0 && self.rng.random::<f64>() < refused_share {
+            let wakes = self.nodes[host].gate.finish(permit, RunOutcome::Refused, self.now);
+            self.send_not_run(request, host, attempt, Reason::TargetRefused, None);
+            self.apply_wakes(host, wakes);
+            return;
+        }
         self.last_id += 1;
         let id = self.last_id;
         let (started, open_calls, failed) = (self.now, 0, false);
@@ -371,13 +438,20 @@
         let Some(run) = self.runs.get(&id) else { return Duration::ZERO };
         let load = &self.scenario.routes[self.requests[run.request].route];
         let node = &self.nodes[run.host];
-        let mut factor = node.slowdown / self.scenario.hosts[run.host].speed;
+        let mut factor = node.slowdown * node.noise / self.scenario.hosts[run.host].speed;
+        if let Some(knee) = self.scenario.hosts[run.host].knee {
+            let busy = to_f64(self.runs.values().filter(|other| other.host == run.host).count());
+            factor *= (busy / f64::from(knee)).max(1.0).powi(2);
+        }
         if let Some((until, cold)) = node.cold
             && self.now < until
         {
             factor *= cold;
         }
         let mean = duration(load.work).as_secs_f64();
+        if load.long_share > 0.0 && self.rng.random::<f64>() < load.long_share {
+            factor *= load.long_factor;
+        }
         let work = LogNormal::new(mean.ln() - load.spread * load.spread / 2.0, load.spread);
         Duration::from_secs_f64(work.map_or(mean, |work| work.sample(&mut self.rng)) * factor)
     }
@@ -391,8 +465,9 @@
         node.leave_reported |= node.leaving;
         let outcome = RunOutcome::Answered { status, latency };
         let wakes = node.gate.finish(run.permit, outcome, self.now);
-        let load = Some(node.load());
         self.apply_wakes(run.host, wakes);
+        let goal = self.goal(run.request);
+        let load = Some(self.nodes[run.host].load(goal.as_ref()));
         self.result.record_run(self.requests[run.request].route, latency, run.failed);
         let outcome = AttemptOutcome::Answered { status, load, latency };
         self.send_outcome(run.request, run.host, run.attempt, outcome);
@@ -477,3 +552,7 @@
         }
     }
 }
+
+fn to_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/crates/bench/src/model/switches.rs
+++ b/crates/bench/src/model/switches.rs
@@ -1,6 +1,6 @@
 use derive_more::{Display, FromStr};
 use dw_request::{GatePolicies, RetryAfterPolicy};
-use dw_tables::{Balance, Prefer};
+use dw_tables::{Balance, Capacity, Prefer};
 
 /// Policies that can be switched off, that is replaced by a neutral form.
 #[derive(Clone, Copy, Debug, Display, FromStr, PartialEq, Eq)]
@@ -21,13 +21,15 @@
     Domain,
     /// The better of two targets is chosen. Off: targets are chosen round robin.
     Choice,
+    /// The capacity of targets is learned where the scenario says so. Off: it is fixed.
+    Capacity,
     /// Requests may wait for a slot. Off: they are refused if no slot is free.
     Queue,
 }
 
 impl Switch {
     /// All switches.
-    pub(crate) const ALL: [Self; 8] = [
+    pub(crate) const ALL: [Self; 9] = [
         Self::Short,
         Self::Waits,
         Self::Goals,
@@ -35,6 +37,7 @@
         Self::Returns,
         Self::Domain,
         Self::Choice,
+        Self::Capacity,
         Self::Queue,
     ];
 }
@@ -49,6 +52,8 @@
     pub(crate) prefer: Prefer,
     pub(crate) balance: Balance,
     pub(crate) queue: u32,
+    /// Of pools whose capacity is learned in the scenario.
+    pub(crate) capacity: Capacity,
 }
 
 impl Policies {
@@ -69,6 +74,7 @@
             },
             prefer: if off(Switch::Domain) { Prefer::Any } else { Prefer::Domain },
             balance: if off(Switch::Choice) { Balance::RoundRobin } else { Balance::TwoChoices },
+            capacity: if off(Switch::Capacity) { Capacity::Fixed } else { Capacity::Learned },
             queue: if off(Switch::Queue) { 0 } else { 24 },
         }
     }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -496,6 +496,7 @@
     let pool = version.tables.pools.iter().find(|pool| pool.service == target.service);
     if let Some(pool) = pool {
         target.set_queue(pool.limits.queue, pool.limits.queue_wait.into());
+        target.set_capacity(pool.capacity);
     }
 }
 
--- a/crates/daemon/src/proxy/local.rs
+++ b/crates/daemon/src/proxy/local.rs
@@ -44,7 +44,7 @@
         let slot = match target.admit(arrival).await {
             Ok(slot) => slot,
             Err(refusal) => {
-                let load = target.load();
+                let load = target.load_for(&arrival);
                 trace.end(|| {
                     let expected = target.expected(&arrival);
                     events::turned_away(&target.label(), refusal.reason, load, expected)
@@ -104,7 +104,7 @@
             }
             Err(_) => not_run(Reason::TimedOut, None),
         };
-        answer::with_load(response, target.load())
+        answer::with_load(response, target.load_for(&arrival))
     }
 
     /// Builds the response after a connection failed during a request, and checks whether the target
--- a/crates/daemon/src/proxy/local_target.rs
+++ b/crates/daemon/src/proxy/local_target.rs
@@ -12,7 +12,7 @@
     Admission, Arrival, Fingerprint, Gate, GateConfig, Load, Permit, Reason, Refusal, RunOutcome,
     Ticket, Wake,
 };
-use dw_tables::Name;
+use dw_tables::{Capacity, Name};
 use tokio::{
     net::TcpStream,
     sync::{Notify, oneshot},
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Sets whether the capacity of the target is learned, from the pool in a new version.
+    pub(crate) fn set_capacity(&self, capacity: Capacity) {
+        self.lock().gate.set_capacity(capacity);
+    }
+
     /// Sets the queue limits from the pool in a new version.
     pub(crate) fn set_queue(&self, queue: u32, wait: Duration) {
         self.lock().gate.set_queue(queue, wait);
@@ -167,6 +172,11 @@
         Load { leaving: self.is_leaving(), ..self.lock().gate.load() }
     }
 
+    /// The load that is reported with the response to this arrival.
+    pub(crate) fn load_for(&self, arrival: &Arrival) -> Load {
+        Load { leaving: self.is_leaving(), ..self.lock().gate.load_for(arrival.goal.as_ref()) }
+    }
+
     /// Applies what a response says about the target; the request was sent to the target at
     /// `sent_at`. Returns what has changed.
     pub(crate) fn apply_notice(&self, notice: TargetNotice, sent_at: Instant) -> Vec<NoticeChange> {
--- a/crates/request/src/choice/balancer.rs
+++ b/crates/request/src/choice/balancer.rs
@@ -1,17 +1,19 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use dw_tables::{Balance, Ejection, Pool};
+use dw_tables::{Balance, Capacity, Ejection, Pool};
 use rand::{Rng, rngs::SmallRng};
 use tokio::time::Instant;
 
 use crate::{
-    Avoidance, Basis, Endpoint, EndpointState, Load, TargetChange,
+    Avoidance, Basis, Endpoint, EndpointState, Goal, Load, TargetChange,
+    capacity::PoolSpeeds,
     choice::{
         locality::{Locality, TIERS, Tier, choose_tier},
         outlier::OutlierState,
         target::{Observation, Target},
         view::Choice,
     },
+    gate::kind_of,
 };
 
 /// Weight of the newest sample in the pool's mean latency.
@@ -31,6 +33,11 @@
 /// are cold.
 const MAX_DRAWS: usize = 4;
 
+/// Speed, relative to a typical target, from which a drawn target is always accepted if speeds are
+/// learned. Slower ones are accepted in proportion, so that each is drawn as often as it has capacity:
+/// among targets drawn evenly, the better of two is often slow.
+const FULL_SPEED: f64 = 2.0;
+
 /// What a request requires of the choice of its target.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Constraints<'a> {
@@ -58,6 +65,7 @@
     index: HashMap<u64, usize>,
     tiers: [Tier; TIERS],
     mean_latency: Option<f64>,
+    speeds: PoolSpeeds,
     cursor: usize,
     next_uid: u64,
     changes: Vec<TargetChange>,
@@ -71,6 +79,7 @@
             index: HashMap::new(),
             tiers: Default::default(),
             mean_latency: None,
+            speeds: PoolSpeeds::default(),
             cursor: 0,
             next_uid: 0,
             changes: Vec::new(),
@@ -136,10 +145,10 @@
         let list = &self.tiers[tier].list;
         let idx = match pool.balance {
             Balance::TwoChoices => {
-                let (a, b) = self.sample_two(list, rng, now);
+                let (a, b) = self.sample_two(pool, list, rng, now);
                 let mean = self.mean_latency.unwrap_or(1.0);
                 let noise = 1.0 + SCORE_NOISE * (rng.random::<f64>() - 0.5);
-                let score = |idx: usize| self.targets[idx].score(mean, now);
+                let score = |idx: usize| score(pool, &self.targets[idx], mean, now);
                 if score(b) * noise < score(a) { b } else { a }
             }
             Balance::RoundRobin => {
@@ -168,7 +177,7 @@
         let mean = self.mean_latency.unwrap_or(1.0);
         let locality = &self.locality;
         let cost = |target: &Target| {
-            (locality.tier(pool.prefer, &target.endpoint), target.score(mean, now))
+            (locality.tier(pool.prefer, &target.endpoint), score(pool, target, mean, now))
         };
         let mut candidates = 0;
         let counted = self.targets.iter_mut().filter(|target| free(target));
@@ -217,6 +226,13 @@
         }
     }
 
+    /// Applies the typical service time that a target reported for requests with this goal.
+    pub(crate) fn record_service(&mut self, uid: u64, goal: &Goal, time: Duration, now: Instant) {
+        if let Some(&idx) = self.index.get(&uid) {
+            self.speeds.record(&mut self.targets[idx].speed, kind_of(goal), time, now);
+        }
+    }
+
     /// Records that the target announced that it is leaving.
     pub(crate) fn mark_leaving(&mut self, uid: u64, now: Instant) {
         if let Some(&idx) = self.index.get(&uid) {
@@ -287,17 +303,30 @@
     }
 
     /// Two random targets, which are distinct unless no other one was drawn.
-    fn sample_two(&self, list: &[usize], rng: &mut SmallRng, now: Instant) -> (usize, usize) {
-        let first = self.sample(list, rng, now);
-        let second = (0..MAX_DRAWS).map(|_| self.sample(list, rng, now)).find(|idx| *idx != first);
+    fn sample_two(
+        &self,
+        pool: &Pool,
+        list: &[usize],
+        rng: &mut SmallRng,
+        now: Instant,
+    ) -> (usize, usize) {
+        let first = self.sample(pool, list, rng, now);
+        let second =
+            (0..MAX_DRAWS).map(|_| self.sample(pool, list, rng, now)).find(|idx| *idx != first);
         (first, second.unwrap_or(first))
     }
 
-    /// A random target; a cold one is accepted with a probability equal to its warm-up share.
-    fn sample(&self, list: &[usize], rng: &mut SmallRng, now: Instant) -> usize {
+    /// A random target; a cold one is accepted with a probability equal to its warm-up share, and one of
+    /// learned speed in proportion to it.
+    fn sample(&self, pool: &Pool, list: &[usize], rng: &mut SmallRng, now: Instant) -> usize {
         let mut idx = list[rng.random_range(0..list.len())];
         for _ in 0..MAX_DRAWS {
-            let share = self.targets[idx].warmup_share(now);
+            let target = &self.targets[idx];
+            let share = target.warmup_share(now)
+                * match pool.capacity {
+                    Capacity::Fixed => 1.0,
+                    Capacity::Learned => 1.0 / (FULL_SPEED * target.speed.factor(now)),
+                };
             if share >= 1.0 || rng.random::<f64>() < share {
                 break;
             }
@@ -307,6 +336,14 @@
     }
 }
 
+/// Expected cost of one more request at a target; `mean` is the pool's mean latency in ms.
+fn score(pool: &Pool, target: &Target, mean: f64, now: Instant) -> f64 {
+    match pool.capacity {
+        Capacity::Fixed => target.score(mean, now),
+        Capacity::Learned => target.learned_score(now),
+    }
+}
+
 /// Counts a request as in flight at the target.
 fn assign(target: &mut Target, candidates: usize, now: Instant) -> Choice {
     target.in_flight += 1;
--- a/crates/request/src/choice/target.rs
+++ b/crates/request/src/choice/target.rs
@@ -2,7 +2,9 @@
 
 use tokio::time::Instant;
 
-use crate::{Endpoint, EndpointState, Load, Rate, choice::outlier::Outlier};
+use crate::{
+    Endpoint, EndpointState, Load, Rate, capacity::RelativeSpeed, choice::outlier::Outlier,
+};
 
 /// Time over which a newly started target is ramped up to its full share of requests.
 pub(crate) const SLOW_START: Duration = Duration::from_secs(10);
@@ -59,6 +61,8 @@
     pub(crate) endpoint: Arc<Endpoint>,
     pub(crate) in_flight: u32,
     pub(crate) outlier: Outlier,
+    /// Unknown unless the capacity of the pool is learned.
+    pub(crate) speed: RelativeSpeed,
     warmup_start: Instant,
     latency_ms: Option<f64>,
     failure_rate: f64,
@@ -78,6 +82,7 @@
             endpoint,
             in_flight: 0,
             outlier: Outlier::default(),
+            speed: RelativeSpeed::default(),
             warmup_start,
             latency_ms: None,
             failure_rate: 0.0,
@@ -150,20 +155,31 @@
         own.max(reported * (1.0 - age).max(0.0))
     }
 
+    /// Expected cost of one more request if speeds are learned; the lower, the better.
+    pub(crate) fn learned_score(&self, now: Instant) -> f64 {
+        let slots = f64::from(self.endpoint.slots.max(1));
+        (self.estimated_load(now) + 1.0) / slots * self.speed.factor(now) * self.penalty(now)
+    }
+
     /// Expected cost of one more request; the lower, the better. `mean` is the pool's mean latency
     /// in ms, which stands in for a target without samples.
     pub(crate) fn score(&self, mean: f64, now: Instant) -> f64 {
         let remaining_weight = self.remaining_weight(now);
         let latency = mean + (self.latency_ms.unwrap_or(mean) - mean) * remaining_weight;
+        let slots = f64::from(self.endpoint.slots.max(1));
+        (self.estimated_load(now) + 1.0) / slots * latency.max(0.05) * self.penalty(now)
+    }
+
+    /// Factor of the cost for recent failures and shed requests.
+    fn penalty(&self, now: Instant) -> f64 {
+        let remaining_weight = self.remaining_weight(now);
         let shedding = self.load.is_some_and(|(load, at)| {
             load.shedding && now.saturating_duration_since(at) < MAX_LOAD_AGE
         });
         let failure_rate = Some(self.failure_rate * remaining_weight)
             .filter(|f| *f >= NEGLIGIBLE_FAILURE_RATE)
             .unwrap_or_default();
-        let penalty = 1.0 + FAILURE_WEIGHT * failure_rate + f64::from(u8::from(shedding));
-        let slots = f64::from(self.endpoint.slots.max(1));
-        (self.estimated_load(now) + 1.0) / slots * latency.max(0.05) * penalty
+        1.0 + FAILURE_WEIGHT * failure_rate + f64::from(u8::from(shedding))
     }
 
     /// Remaining weight of the averages.
@@ -212,5 +228,6 @@
         self.warmup_start = now;
         self.failure_rate = 0.0;
         self.latency_ms = None;
+        self.speed = RelativeSpeed::NEUTRAL;
     }
 }
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -346,6 +346,9 @@
         let uid = request.uid;
         let policy = &upstream.pool.ejection;
         upstream.balancer.finish(uid, verdict.observation, verdict.load, policy, now);
+        if let Some(time) = verdict.load.and_then(|load| load.service) {
+            upstream.balancer.record_service(uid, &request.goal, time, now);
+        }
         if verdict.leaving {
             upstream.balancer.mark_leaving(uid, now);
         }
--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -21,12 +21,14 @@
     time::Duration,
 };
 
+use dw_tables::Capacity;
 use tokio::time::Instant;
 
-use crate::{Fingerprint, Load, PoisonList, Reason, Refusal};
+use crate::{Fingerprint, Goal, Load, PoisonList, Reason, Refusal, capacity::Pace};
 use queue::{Rank, WaitQueue, Waiting};
 use rate_limiter::RateLimiter;
-use service_times::{Kind, ServiceTimes, WorkEstimate, kind_of};
+pub(crate) use service_times::{Kind, kind_of};
+use service_times::{ServiceTimes, WorkEstimate};
 
 /// Deeper calls count as this deep, so that a caller cannot overtake all others forever by stating a
 /// large depth.
@@ -84,6 +86,9 @@
     lingering: VecDeque<Instant>,
     lost: VecDeque<(Instant, Fingerprint)>,
     service: ServiceTimes,
+    capacity: Capacity,
+    /// Not measured if the capacity is fixed.
+    pace: Pace,
     /// Decisions made by methods that return no wakes, and the time of the oldest one.
     pending: Vec<Wake>,
     pending_since: Option<Instant>,
@@ -105,6 +110,8 @@
             lingering: VecDeque::new(),
             lost: VecDeque::new(),
             service: ServiceTimes::default(),
+            capacity: Capacity::Fixed,
+            pace: Pace::default(),
             pending: Vec::new(),
             pending_since: None,
             next_id: 0,
@@ -123,6 +130,14 @@
         self.config.queue_wait = wait;
     }
 
+    /// Applies the pool's setting of a new configuration version.
+    pub fn set_capacity(&mut self, capacity: Capacity) {
+        if self.capacity != capacity {
+            self.capacity = capacity;
+            self.pace = Pace::default();
+        }
+    }
+
     /// Applies the rate limit in a response of the target, `None` if it has none. The request was sent to
     /// the target at `sent_at`. Call [`Self::expire`] afterwards.
     pub fn observe_limit(&mut self, limit: Option<Rate>, sent_at: Instant, now: Instant) {
@@ -289,9 +304,21 @@
             shedding,
             leaving: false,
             limit: self.rate_limiter.rate(),
+            service: None,
         }
     }
 
+    /// The load report that accompanies the response to a request with this goal. If the capacity is
+    /// learned, it contains the typical service time of such requests.
+    #[must_use]
+    pub fn load_for(&self, goal: Option<&Goal>) -> Load {
+        let service = match self.capacity {
+            Capacity::Fixed => None,
+            Capacity::Learned => goal.and_then(|goal| self.pace.typical(Some(kind_of(goal)))),
+        };
+        Load { service, ..self.load() }
+    }
+
     /// Occupied slots, including those of requests whose end was not observed.
     fn used_slots(&self) -> usize {
         self.running.len() + self.lingering.len()
@@ -393,6 +420,9 @@
             RunOutcome::Answered { latency, .. } => {
                 self.concurrency_limiter.succeeded(saturating_u32(used));
                 self.service.observe(running.kind, latency, now);
+                if self.capacity == Capacity::Learned {
+                    self.pace.observe(running.kind, latency, now);
+                }
             }
             RunOutcome::NotStarted => self.rate_limiter.undo_sent(),
             RunOutcome::Refused => {}
--- a/crates/request/tests/text.rs
+++ b/crates/request/tests/text.rs
@@ -1,6 +1,6 @@
 //! Texts of headers and metrics.
 
-use std::collections::HashSet;
+use std::{collections::HashSet, time::Duration};
 
 use dw_request::{Load, Outcome, Reason};
 use googletest::prelude::*;
@@ -27,8 +27,11 @@
 fn loads_round_trip_through_the_header() {
     for leaving in [false, true] {
         let load =
-            Load { in_flight: 3, slots: 12, queued: 7, shedding: true, leaving, limit: None };
+            Load { in_flight: 3, slots: 12, queued: 7, shedding: true, leaving, ..Load::default() };
         expect_that!(load.to_string().parse::<Load>(), ok(eq(load)));
+        let timed = Load { service: Some(Duration::from_micros(63_000)), ..load };
+        expect_that!(timed.to_string().parse::<Load>(), ok(eq(timed)));
+        expect_that!(timed.to_string(), eq(&format!("{load}/us=63000")));
         let limited = Load { limit: "31.5".parse().ok(), ..load };
         expect_that!(limited.to_string().parse::<Load>(), ok(eq(limited)));
     }
@@ -41,6 +44,8 @@
         "1/2/3/0/",
         "1/2/3/leaving",
         "1/2/3/0/limit=-1",
+        "1/2/3/0/us=-1",
+        "1/2/3/0/us=",
     ] {
         expect_that!(text.parse::<Load>(), err(anything()), "{text}");
     }
