Don't take a target that declines requests without load for an overload

The gate beside a target gives each request a slot, so a target that refuses while nobody waits at its gate is not full. Such a refusal still counts against the target's score, but neither as shed load of the pool nor against its limit; retries go to another target within the retry budget.

--- a/crates/request/src/choice/balancer.rs
+++ b/crates/request/src/choice/balancer.rs
@@ -222,7 +222,7 @@
                     self.record_change(idx, Some(Avoidance::Failing));
                 }
             }
-            Observation::Shed | Observation::Neutral => {}
+            Observation::Shed | Observation::Declined | Observation::Neutral => {}
         }
     }
 
--- a/crates/request/src/choice/target.rs
+++ b/crates/request/src/choice/target.rs
@@ -49,6 +49,9 @@
     Failure,
     /// The target shed the request; this counts against its score but does not eject it.
     Shed,
+    /// The target did not accept the request although it had room; this counts against its score, but
+    /// neither ejects it nor shows an overload of its pool.
+    Declined,
     /// The outcome says nothing about the target.
     Neutral,
 }
@@ -216,7 +219,7 @@
                 self.latency_ms = Some(self.latency_ms.map_or(ms, |old| old + alpha * (ms - old)));
                 0.0
             }
-            Observation::Failure | Observation::Shed => 1.0,
+            Observation::Failure | Observation::Shed | Observation::Declined => 1.0,
             Observation::Neutral => return,
         };
         self.failure_rate += alpha * (bad - self.failure_rate);
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -369,7 +369,8 @@
                     upstream.limiter.shed(upstream.in_flight, now);
                 }
             }
-            Observation::Failure => upstream.shed.record(false, now),
+            // The pool has room, so a retry elsewhere adds no overload; the retry budget bounds it.
+            Observation::Failure | Observation::Declined => upstream.shed.record(false, now),
             Observation::Neutral => {}
         }
     }
--- a/crates/request/src/retry/verdict.rs
+++ b/crates/request/src/retry/verdict.rs
@@ -22,7 +22,7 @@
                 (of_status(status, latency), load, false)
             }
             AttemptOutcome::NotRun { reason, load, .. } => (
-                of_refusal(reason),
+                of_refusal(reason, load),
                 load,
                 matches!(reason, Reason::Draining | Reason::UnknownTarget),
             ),
@@ -53,9 +53,14 @@
     }
 }
 
-const fn of_refusal(reason: Reason) -> Observation {
+const fn of_refusal(reason: Reason, load: Option<Load>) -> Observation {
     match reason {
         Reason::ConnectFailed => Observation::Failure,
+        // The gate beside the target gives each request a slot, and nobody waits for one there: the
+        // target declines requests for a reason of its own, not for lack of room.
+        Reason::TargetRefused if matches!(load, Some(Load { queued: 0, shedding: false, .. })) => {
+            Observation::Declined
+        }
         Reason::QueueFull
         | Reason::QueueWait
         | Reason::QueuePreempted
--- a/crates/request/tests/retry.rs
+++ b/crates/request/tests/retry.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use dw_request::{AttemptOutcome, Dispatcher, Next, Outcome, Reason, RequestInfo, RetryBudget};
+use dw_request::{
+    AttemptOutcome, Decision, Dispatcher, Load, Next, Outcome, Reason, RequestInfo, RetryBudget,
+};
 use googletest::prelude::*;
 use support::{
     answered, dispatcher, endpoint, forwarded, get, given_up, ms, not_run, refused, retried,
@@ -149,6 +151,47 @@
     retried(d.settle(attempt.id, not_run(Reason::QueueFull), now));
 }
 
+/// Guards against refusals of targets that have room being taken for an overload of their pool: requests
+/// were not retried, and the lowered limit of the pool refused requests for seconds afterwards.
+#[gtest]
+fn a_target_that_declines_requests_without_load_does_not_stop_retries() {
+    let start = Instant::now();
+    for (queued, shed) in [(0, false), (3, true)] {
+        let mut d = eight_targets(start);
+        let load = Load { in_flight: 2, slots: 10, queued, ..Load::default() };
+        let outcome = AttemptOutcome::NotRun {
+            reason: Reason::TargetRefused,
+            retry_after: None,
+            load: Some(load),
+        };
+        let (mut now, mut retries, mut shedding) = (start, 0, 0);
+        // Half of the requests are declined at every target, for four seconds.
+        for number in 0..2000 {
+            now += ms(2);
+            let mut open = forwarded(d.begin(get("/credit"), now));
+            let mut declined = number % 2 == 0;
+            while declined {
+                match d.settle(open.id, outcome, now) {
+                    Next::Retry { attempt, .. } => (retries, open) = (retries + 1, attempt),
+                    Next::Refuse(refusal) => {
+                        shedding += u32::from(refusal.no_retry == Some(Reason::RetryShedding));
+                        declined = false;
+                    }
+                    Next::Deliver => declined = false,
+                }
+            }
+            d.settle(open.id, answered(200), now);
+        }
+        expect_that!(shedding > 900, eq(shed), "{shedding} of 1000");
+        expect_that!(retries, le(RetryBudget::bound(2000)));
+        expect_that!(retries >= 190, not(eq(shed)), "{retries} retries");
+        // Callers on this daemon may have as many requests in flight as before.
+        let open =
+            (0..200).filter(|_| matches!(d.begin(get("/credit"), now), Decision::Forward(_)));
+        expect_that!(open.count() == 200, not(eq(shed)));
+    }
+}
+
 /// Guards against attempts for a caller that no longer waits.
 #[gtest]
 fn deadlines_shrink_and_end() {
