--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Benchmarks. `distribution` measures how a version of the tables reaches a fleet and what that costs.
 //! `requests` measures the cost of the request path and the outcome of requests under load and faults.
-//! `log` measures the cost of logging, and `model` simulates the load of callers without sockets.
+//! `log` measures the cost of logging, `memory` the resident memory of a daemon, and `model` simulates
+//! the load of callers without sockets.
 //!
 //! Each but `log` prints a table and, with `--json FILE`, writes the same figures as JSON.
 
@@ -8,6 +9,7 @@
 mod fit;
 mod fleet;
 mod logs;
+mod memory;
 mod model;
 mod publish;
 mod requests;
@@ -39,6 +41,9 @@
     /// Processor time of a request with and without logging.
     #[options(help = "processor time of a request with the log and without")]
     Log(logs::Args),
+    /// Resident memory of one daemon among peers, by phase.
+    #[options(help = "resident memory of one daemon among peers, by phase")]
+    Memory(memory::Args),
 }
 
 #[allow(clippy::print_stderr)]
@@ -50,8 +55,9 @@
         Some(Command::Requests(args)) => requests::run(args).await,
         Some(Command::Model(args)) => model::run(&args),
         Some(Command::Log(args)) => logs::run(args).await,
+        Some(Command::Memory(args)) => memory::run(args).await,
         None => {
-            Err("no benchmark named; expected one of: distribution, requests, model or log".into())
+            Err("no benchmark named; expected distribution, requests, model, log or memory".into())
         }
     };
     match outcome {
--- a/crates/bench/src/usage.rs
+++ b/crates/bench/src/usage.rs
@@ -5,6 +5,9 @@
 /// Unit of the CPU times in `/proc/self/stat`; Linux fixes `USER_HZ` at 100.
 const TICKS_PER_SECOND: u64 = 100;
 
+/// One unit of the CPU times.
+pub(crate) const TICK: Duration = Duration::from_millis(1000 / TICKS_PER_SECOND);
+
 /// CPU time and memory of this process so far.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub(crate) struct Usage {
