Add the table of workspaces and the lookup of their keys

Callers of one mesh are to be told apart by keys. A third table holds the workspaces: hashes of keys, priority, rate and burst. Findings, diffs and Debug output show neither keys nor hashes. dw_request gets KeyIndex, which decides on the credentials of a request by one lookup of a hash, and a priority in RequestInfo that replaces the route's.

tests/page.rs compares the third field list with docs/tables.md, and the default of public with the row, because the canonical text omits it.

--- a/crates/bench/src/logs.rs
+++ b/crates/bench/src/logs.rs
@@ -91,8 +91,11 @@
         return Ok(cost);
     }
     let standin = Standin::new().start().await?;
-    let tables =
-        Tables { routes: parse_routes("routes", ROUTES)?, pools: parse_pools("pools", POOLS)? };
+    let tables = Tables {
+        routes: parse_routes("routes", ROUTES)?,
+        pools: parse_pools("pools", POOLS)?,
+        ..Tables::default()
+    };
     publish(&HttpPlatform::new(vec![standin.addr()]), 1, tables).await?;
     let level = if setup == Setup::LogOn { LogLevel::Info } else { LogLevel::Off };
     let settings = Settings::new("host".into(), "domain".into(), "region".into())
--- a/crates/bench/src/model/fleet.rs
+++ b/crates/bench/src/model/fleet.rs
@@ -115,9 +115,11 @@
             retries: 1,
             priority: load.priority,
             objective: load.objective,
+            public: false,
         };
         let routes = self.scenario.routes.iter().map(route).collect();
-        Version::new(1, Tables { routes, pools: services.iter().map(pool).collect() })
+        let pools = services.iter().map(pool).collect();
+        Version::new(1, Tables { routes, pools, ..Tables::default() })
     }
 
     /// Passes the current targets to all dispatchers.
--- a/crates/bench/src/publish.rs
+++ b/crates/bench/src/publish.rs
@@ -24,7 +24,7 @@
         }
         routes.push(route);
     }
-    Ok(Tables { routes, pools })
+    Ok(Tables { routes, pools, ..Tables::default() })
 }
 
 /// Writes `tables` to the platform as version `number`, and returns once the platform has accepted it.
--- a/crates/bench/src/requests/chain.rs
+++ b/crates/bench/src/requests/chain.rs
@@ -77,6 +77,7 @@
             let tables = Tables {
                 routes: parse_routes("routes", ROUTES)?,
                 pools: parse_pools("pools", POOLS)?,
+                ..Tables::default()
             };
             let testbed = Testbed::with_targets(tables, "chain", &addrs).await?;
             let entries = testbed.entries.clone();
--- a/crates/bench/src/requests/testbed.rs
+++ b/crates/bench/src/requests/testbed.rs
@@ -257,5 +257,9 @@
 }
 
 fn tables() -> Result<Tables, BoxError> {
-    Ok(Tables { routes: parse_routes("routes", ROUTES)?, pools: parse_pools("pools", POOLS)? })
+    Ok(Tables {
+        routes: parse_routes("routes", ROUTES)?,
+        pools: parse_pools("pools", POOLS)?,
+        ..Tables::default()
+    })
 }
--- a/crates/cli/src/demo/deployment.rs
+++ b/crates/cli/src/demo/deployment.rs
@@ -166,6 +166,7 @@
             retries: 2,
             priority: 0,
             objective: deadline,
+            public: false,
         });
         tables
     }
--- a/crates/daemon/src/proxy/call.rs
+++ b/crates/daemon/src/proxy/call.rs
@@ -181,6 +181,7 @@
             timeout: self.deadline.map(|at| at.saturating_duration_since(Instant::now())),
             stated_timeout: self.stated_timeout,
             retried: self.retried,
+            priority: None,
         }
     }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -45,7 +45,8 @@
 /// The tables that the tests publish.
 pub(crate) fn tables() -> Tables {
     let routes = parse_routes("routes", ROUTES).expect("routes");
-    Tables { routes, pools: parse_pools("pools", POOLS).expect("pools") }
+    let pools = parse_pools("pools", POOLS).expect("pools");
+    Tables { routes, pools, ..Tables::default() }
 }
 
 /// Writes a version to the platform as the command `apply` does, and returns it.
--- a/crates/mesh/tests/harness/versions.rs
+++ b/crates/mesh/tests/harness/versions.rs
@@ -15,7 +15,7 @@
     let pools = r#"{ "pools": [{ "name": "tally", "service": "tally" }] }"#;
     let routes = parse_routes("routes", &routes).expect("routes");
     let pools = parse_pools("pools", pools).expect("pools");
-    Version::new(number, Tables { routes, pools })
+    Version::new(number, Tables { routes, pools, ..Tables::default() })
 }
 
 /// Adds routes that are the same in every version.
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -9,8 +9,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, EndpointState, Fingerprint, Goal, Next,
-    PoisonList, Reason, Refusal, RequestInfo, Router, TargetChange,
+    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, EndpointState, Fingerprint, Goal,
+    KeyIndex, Next, PoisonList, Reason, Refusal, RequestInfo, Router, TargetChange,
     choice::{
         balancer::Constraints, locality::Locality, target::Observation, upstream::Upstream,
         view::Choice,
@@ -56,6 +56,7 @@
     timeouts: HashMap<Name, CallerTimeouts>,
     version: Arc<Version>,
     router: Arc<Router>,
+    keys: Arc<KeyIndex>,
     /// State of the pools by key; `pools` holds the keys in the order of the version's table.
     upstreams: BTreeMap<u64, Upstream>,
     pools: Vec<u64>,
@@ -81,6 +82,7 @@
             timeouts: HashMap::new(),
             version: Arc::default(),
             router: Arc::default(),
+            keys: Arc::default(),
             upstreams: BTreeMap::new(),
             pools: Vec::new(),
             services: HashMap::new(),
@@ -98,6 +100,9 @@
     /// began with.
     pub fn set_version(&mut self, version: Arc<Version>) {
         self.router = Arc::new(Router::new(&version));
+        if self.version.tables.workspaces != version.tables.workspaces {
+            self.keys = Arc::new(KeyIndex::new(&version.tables.workspaces));
+        }
         self.version = version;
         let names: HashSet<_> = self.version.tables.routes.iter().map(|r| &r.name).collect();
         self.timeouts.retain(|name, _| names.contains(name));
@@ -145,6 +150,12 @@
         Arc::clone(&self.router)
     }
 
+    /// The workspaces of the current version, for the check of a request's key.
+    #[must_use]
+    pub fn keys(&self) -> Arc<KeyIndex> {
+        Arc::clone(&self.keys)
+    }
+
     /// The list of requests refused because they crash targets.
     pub fn poison_mut(&mut self) -> &mut PoisonList {
         &mut self.poison
@@ -266,7 +277,8 @@
             self.timeouts.entry(resolved.route.name.clone()).or_default().elapsed(stated)
         });
         let late_at = now + objective.saturating_sub(age);
-        let goal = Goal { objective, late_at, priority: resolved.route.priority };
+        let priority = info.priority.unwrap_or(resolved.route.priority);
+        let goal = Goal { objective, late_at, priority };
         let upstream = self.upstreams.get_mut(&pool).ok_or(Reason::NoTarget)?;
         if upstream.in_flight >= upstream.limiter.limit() {
             return Err(Reason::PoolLimit);
--- a/crates/request/src/goal.rs
+++ b/crates/request/src/goal.rs
@@ -14,7 +14,7 @@
     /// When the response begins to count as late. Earlier than the arrival plus the objective if the
     /// caller was refused before and has already waited.
     pub late_at: Instant,
-    /// Priority of the route; 0 is served first.
+    /// Priority of the request's workspace or else of its route; 0 is served first.
     pub priority: u32,
 }
 
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -15,6 +15,7 @@
 mod reason;
 mod refusal;
 mod retry;
+mod workspace;
 
 pub use choice::{
     Avoidance, Basis, Endpoint, EndpointState, Load, ParseLoadError, ResolvedRoute, Router,
@@ -38,3 +39,4 @@
 pub use retry::{
     Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo, RetryAfterPolicy, RetryBudget,
 };
+pub use workspace::{Access, Credentials, KeyIndex};
--- a/crates/request/src/reason.rs
+++ b/crates/request/src/reason.rs
@@ -84,6 +84,10 @@
 pub struct UnknownReason;
 
 reasons! {
+    /// The request has no workspace key, and its route is not public.
+    KeyMissing = "key-missing", 401, NotRun;
+    /// The request's key is malformed or belongs to no workspace.
+    KeyUnknown = "key-unknown", 401, NotRun;
     /// No route matches the request.
     NoRoute = "no-route", 404, NotRun;
     /// The daemon has no configuration yet.
--- a/crates/request/src/retry/attempt.rs
+++ b/crates/request/src/retry/attempt.rs
@@ -28,6 +28,8 @@
     pub stated_timeout: Option<Duration>,
     /// Whether another level of the chain retries this request, from `damaskwick-retried`.
     pub retried: bool,
+    /// Priority of the request's workspace, which replaces that of the route.
+    pub priority: Option<u32>,
 }
 
 impl RequestInfo<'_> {
--- a/crates/tables/src/change.rs
+++ b/crates/tables/src/change.rs
@@ -1,15 +1,15 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use serde_json::Value as Json;
 
 use crate::{
-    Name, Tables,
+    Field, FieldKind, Name, Tables,
     field::{Row, by_name},
 };
 
-/// One of the two tables.
+/// One of the tables.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -21,6 +21,9 @@
     /// The table of pools.
     #[display("pool")]
     Pools,
+    /// The table of workspaces.
+    #[display("workspace")]
+    Workspaces,
 }
 
 /// What an edit does to a row.
@@ -65,11 +68,12 @@
     pub new: Option<Json>,
 }
 
-/// The rows that differ between `old` and `new`: routes, then pools, each by name.
+/// The rows that differ between `old` and `new`: routes, pools, then workspaces, each by name.
 #[must_use]
 pub fn changes(old: &Tables, new: &Tables) -> Vec<RowChange> {
     let mut list = table_changes(TableName::Routes, &old.routes, &new.routes);
     list.extend(table_changes(TableName::Pools, &old.pools, &new.pools));
+    list.extend(table_changes(TableName::Workspaces, &old.workspaces, &new.workspaces));
     list
 }
 
@@ -109,11 +113,28 @@
     paths
         .filter_map(|path| {
             let (old, new) = (value_at(old.as_ref(), path), value_at(new.as_ref(), path));
-            (old != new).then(|| FieldChange { path: path.to_owned(), old, new })
+            (old != new).then(|| {
+                let is_keys = |field: &&Field| field.path == path && field.kind == FieldKind::Keys;
+                let (old, new) = match T::FIELDS.iter().find(is_keys) {
+                    Some(_) => (key_count(&old, &new, "removed"), key_count(&new, &old, "added")),
+                    None => (old, new),
+                };
+                FieldChange { path: path.to_owned(), old, new }
+            })
         })
         .collect()
 }
 
+/// Describes a list of keys by their number and by how many of them `other` lacks, because a change
+/// is shown and logged, and hashes of keys are not.
+fn key_count(list: &Option<Json>, other: &Option<Json>, verb: &str) -> Option<Json> {
+    let keys = |list: &Option<Json>| list.as_ref().and_then(Json::as_array).cloned();
+    let (list, other) = (keys(list)?, keys(other).unwrap_or_default());
+    let other: HashSet<&str> = other.iter().filter_map(Json::as_str).collect();
+    let missing = list.iter().filter_map(Json::as_str).filter(|key| !other.contains(key)).count();
+    Some(format!("{} keys, {missing} {verb}", list.len()).into())
+}
+
 fn to_json<T: Serialize>(row: &T) -> Json {
     serde_json::to_value(row).unwrap_or_default()
 }
--- a/crates/tables/src/check.rs
+++ b/crates/tables/src/check.rs
@@ -1,7 +1,7 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::{
-    Finding, Findings, Match, Name, Place, Pool, Route, Tables,
+    Finding, Findings, KeyHash, Match, Name, Place, Pool, Route, Tables, Workspace,
     field::Row,
     read::{RowLocation, Rows},
 };
@@ -9,7 +9,7 @@
 /// The maximum number of rows of a table.
 pub const MAX_ROWS: usize = 10_000;
 
-/// The maximum size of the canonical text of both tables. A snapshot of it fits into a frame of
+/// The maximum size of the canonical text of the tables. A snapshot of it fits into a frame of
 /// 4 MiB between daemons, with room for the other fields of the message.
 pub const MAX_CANONICAL_BYTES: usize = 3 * 1024 * 1024;
 
@@ -191,6 +191,23 @@
     format!("{} of the same host and path is taken by {rows}", clashes.join(", "))
 }
 
+/// Checks that no key belongs to two workspaces: the name that a target receives would be arbitrary.
+pub(crate) fn check_keys(workspaces: &LocatedRows<'_, Workspace>, findings: &mut Findings) {
+    let keys = workspaces.rows.iter().map(|row| row.keys.len()).sum();
+    let mut owners: HashMap<KeyHash, usize> = HashMap::with_capacity(keys);
+    for (idx, workspace) in workspaces.rows.iter().enumerate() {
+        for (key, hash) in (1..).zip(&workspace.keys) {
+            let owner = *owners.entry(*hash).or_insert(idx);
+            if owner != idx {
+                let first = workspaces.row_number(owner);
+                let message = format!("key {key} also belongs to row {first}");
+                let accepted = "keys that no other workspace has".to_owned();
+                workspaces.report(findings, idx, "keys", message, accepted);
+            }
+        }
+    }
+}
+
 /// Checks the size of the canonical text.
 pub(crate) fn check_size(tables: &Tables, findings: &mut Findings) {
     let size = tables.size();
--- a/crates/tables/src/conflict.rs
+++ b/crates/tables/src/conflict.rs
@@ -28,6 +28,12 @@
 pub fn conflicts(base: &Tables, mine: &Tables, theirs: &Tables) -> Vec<Conflict> {
     let mut list = table_conflicts(TableName::Routes, &base.routes, &mine.routes, &theirs.routes);
     list.extend(table_conflicts(TableName::Pools, &base.pools, &mine.pools, &theirs.pools));
+    list.extend(table_conflicts(
+        TableName::Workspaces,
+        &base.workspaces,
+        &mine.workspaces,
+        &theirs.workspaces,
+    ));
     for name in removed_references(base, mine, theirs) {
         let (mine, theirs) = (Change::Removed, Change::Referenced);
         list.push(Conflict { table: TableName::Pools, name, mine, theirs });
--- a/crates/tables/src/delta.rs
+++ b/crates/tables/src/delta.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 use crate::{
-    Name, Pool, Route, Tables, Version, VersionId,
+    Name, Pool, Route, Tables, Version, VersionId, Workspace,
     field::{Row, by_name},
 };
 
@@ -24,6 +24,12 @@
     pub gone_routes: Vec<Name>,
     /// Names of pools removed.
     pub gone_pools: Vec<Name>,
+    /// Workspaces added or changed; omitted if there are none, like the names of those removed.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub workspaces: Vec<Workspace>,
+    /// Names of workspaces removed.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub gone_workspaces: Vec<Name>,
 }
 
 /// Why a delta was not applied.
@@ -57,13 +63,17 @@
             pools: upserted(&a.pools, &b.pools),
             gone_routes: removed(&a.routes, &b.routes),
             gone_pools: removed(&a.pools, &b.pools),
+            workspaces: upserted(&a.workspaces, &b.workspaces),
+            gone_workspaces: removed(&a.workspaces, &b.workspaces),
         }
     }
 
     /// The number of rows added, changed and removed.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.routes.len() + self.pools.len() + self.gone_routes.len() + self.gone_pools.len()
+        let upserted = self.routes.len() + self.pools.len() + self.workspaces.len();
+        let removed = self.gone_routes.len() + self.gone_pools.len() + self.gone_workspaces.len();
+        upserted + removed
     }
 
     /// Whether both versions have the same rows.
@@ -82,7 +92,9 @@
         }
         let routes = apply_rows(&old.tables.routes, &self.routes, &self.gone_routes);
         let pools = apply_rows(&old.tables.pools, &self.pools, &self.gone_pools);
-        let new = Version::new(self.target.number, Tables { routes, pools });
+        let old = &old.tables;
+        let workspaces = apply_rows(&old.workspaces, &self.workspaces, &self.gone_workspaces);
+        let new = Version::new(self.target.number, Tables { routes, pools, workspaces });
         if new.id() != self.target {
             return Err(DeltaError::HashMismatch { number: self.target.number });
         }
--- a/crates/tables/src/field.rs
+++ b/crates/tables/src/field.rs
@@ -2,12 +2,12 @@
 
 use derive_more::Display;
 
-use crate::{Millis, Name, Share, kind::FieldKind};
+use crate::{KeyHash, MAX_REQUEST_RATE, Millis, Name, Share, kind::FieldKind};
 
 /// A field of a row: its path in the row, what it accepts, and its default.
 ///
-/// Parsing, validation and the page `docs/tables.md` are all based on [`ROUTE_FIELDS`] and
-/// [`POOL_FIELDS`].
+/// Parsing, validation and the page `docs/tables.md` are all based on [`ROUTE_FIELDS`],
+/// [`POOL_FIELDS`] and [`WORKSPACE_FIELDS`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Field {
     /// The path in the row, such as `limits.queue`.
@@ -36,11 +36,18 @@
     Shares(&'a [Share]),
     Count(u64),
     Time(Millis),
+    Keys(&'a [KeyHash]),
+    /// A number that may be absent.
+    Rank(Option<u32>),
+    /// A rate, whose type holds accepted values only.
+    Rate,
+    /// A flag.
+    Flag,
     /// A field whose enum type holds accepted values only, so that nothing is left to check.
     Choice,
 }
 
-/// A row of either table.
+/// A row of any table.
 pub(crate) trait Row {
     /// The fields of the table.
     const FIELDS: &'static [Field];
@@ -61,7 +68,7 @@
 /// clock skew below 500 ms. With a longer deadline, a repeated request could run twice.
 pub const MAX_DEADLINE_MS: u64 = 29_000;
 
-/// The largest priority value of a route, which is served last.
+/// The largest priority value of a route or workspace, which is served last.
 pub(crate) const MAX_PRIORITY: u64 = 100;
 
 /// The longest drain and the longest ejection.
@@ -83,6 +90,7 @@
     optional("retries", FieldKind::Count(Bounds { min: 0, max: 5 }), "1"),
     optional("priority", FieldKind::Count(Bounds { min: 0, max: MAX_PRIORITY }), "0"),
     optional("objective", FieldKind::Time(Bounds { min: 1, max: MAX_DEADLINE_MS }), "\"1s\""),
+    optional("public", FieldKind::Flag, "false"),
 ];
 
 /// The fields of a pool.
@@ -104,6 +112,18 @@
     optional("ejection.time", FieldKind::Time(Bounds { min: 1, max: HOUR_MS }), "\"10s\""),
 ];
 
+/// The largest burst of a workspace, one second at the largest rate.
+const MAX_BURST: u64 = MAX_REQUEST_RATE as u64;
+
+/// The fields of a workspace.
+pub const WORKSPACE_FIELDS: &[Field] = &[
+    required("name", FieldKind::Name),
+    optional("keys", FieldKind::Keys, "[]"),
+    optional("priority", FieldKind::Rank(Bounds { min: 0, max: MAX_PRIORITY }), "null"),
+    optional("rate", FieldKind::Rate, "0"),
+    optional("burst", FieldKind::Count(Bounds { min: 0, max: MAX_BURST }), "0"),
+];
+
 const fn required(path: &'static str, kind: FieldKind) -> Field {
     Field { path, kind, default: None }
 }
--- a/crates/tables/src/kind.rs
+++ b/crates/tables/src/kind.rs
@@ -1,6 +1,6 @@
 use std::{collections::HashSet, fmt::Display};
 
-use crate::{Bounds, Millis, Name, Share, field::Value};
+use crate::{Bounds, KeyHash, MAX_REQUEST_RATE, Millis, Name, Share, field::Value};
 
 /// The maximum length of the name of a row or service.
 pub const MAX_NAME_BYTES: usize = 64;
@@ -30,6 +30,14 @@
     Count(Bounds),
     /// A duration in ms.
     Time(Bounds),
+    /// A list of hashes of keys.
+    Keys,
+    /// A whole number, or null for none.
+    Rank(Bounds),
+    /// Requests per second.
+    Rate,
+    /// True or false.
+    Flag,
 }
 
 impl FieldKind {
@@ -62,6 +70,15 @@
                 format!("one of {}", list.join(", "))
             }
             Self::Count(bounds) => format!("a whole number from {bounds}"),
+            Self::Keys => {
+                "[] for none, or a list of different SHA-256 hashes of 64 hexadecimal digits"
+                    .to_owned()
+            }
+            Self::Rank(bounds) => format!("null, or a whole number from {bounds}"),
+            Self::Rate => {
+                format!("a number from 0 to {MAX_REQUEST_RATE} with at most three decimals")
+            }
+            Self::Flag => "true or false".to_owned(),
             Self::Time(Bounds { min, max }) => {
                 let (min, max) = (Millis::new(min), Millis::new(max));
                 format!("a duration from {min} to {max}, as a whole number and ms, s, m or h")
@@ -78,6 +95,10 @@
             (Self::Methods, Value::List(list)) => methods_error(list),
             (Self::Shares, Value::Shares(list)) => shares_error(list),
             (Self::Count(bounds), Value::Count(count)) => bounds_error(bounds, count, count),
+            (Self::Keys, Value::Keys(list)) => keys_error(list),
+            (Self::Rank(bounds), Value::Rank(Some(rank))) => {
+                bounds_error(bounds, u64::from(rank), rank)
+            }
             (Self::Time(bounds), Value::Time(time)) => bounds_error(bounds, time.get(), time),
             _ => None,
         }
@@ -156,3 +177,13 @@
         None => None,
     })
 }
+
+/// The message names the position of a key in the list, never the key.
+fn keys_error(list: &[KeyHash]) -> Option<String> {
+    let mut seen = HashSet::new();
+    list.iter().enumerate().find_map(|(idx, hash)| match idx + 1 {
+        number if hash.is_of_empty() => Some(format!("key {number} is the hash of an empty key")),
+        number if !seen.insert(hash) => Some(format!("key {number} is listed twice")),
+        _ => None,
+    })
+}
--- a/crates/tables/src/leaf.rs
+++ b/crates/tables/src/leaf.rs
@@ -1,7 +1,7 @@
 use jsonc_parser::ast::Value as Ast;
 use serde_json::Value as Json;
 
-use crate::{FieldKind, Millis, Name, Share, field::Value};
+use crate::{FieldKind, KeyHash, Millis, Name, RequestRate, Share, field::Value};
 
 /// Reads the value of a field of the given kind.
 ///
@@ -26,6 +26,28 @@
             check(kind, Value::Count(count))?;
             Ok(count.into())
         }
+        FieldKind::Keys => keys(kind, value),
+        FieldKind::Rank(_) => {
+            if matches!(value, Ast::NullKeyword(_)) {
+                return Ok(Json::Null);
+            }
+            let count = count(value)?;
+            let rank = u32::try_from(count).map_err(|_| format!("{count} is too large"))?;
+            check(kind, Value::Rank(Some(rank)))?;
+            Ok(rank.into())
+        }
+        FieldKind::Rate => {
+            let Ast::NumberLit(number) = value else {
+                return Err(format!("{} is not a number", describe(value)));
+            };
+            let rate: RequestRate =
+                number.value.parse().map_err(|error| format!("{}: {error}", number.value))?;
+            serde_json::to_value(rate).map_err(|error| error.to_string())
+        }
+        FieldKind::Flag => match value {
+            Ast::BooleanLit(flag) => Ok(flag.value.into()),
+            other => Err(format!("{} is not true or false", describe(other))),
+        },
         FieldKind::Time(_) => {
             let text = text(value)?;
             let time: Millis = text.parse().map_err(|_| format!("{text:?} is not a duration"))?;
@@ -60,6 +82,29 @@
     Ok(list.into())
 }
 
+/// Reads hashes of keys. A value of another type may be a key itself, so that no message quotes one.
+fn keys(kind: FieldKind, value: &Ast<'_>) -> Result<Json, String> {
+    let Ast::Array(array) = value else { return Err("the value is not a list".to_owned()) };
+    let mut list: Vec<KeyHash> = Vec::with_capacity(array.elements.len());
+    for (idx, element) in array.elements.iter().enumerate() {
+        let number = idx + 1;
+        let message = match element {
+            Ast::StringLit(text) if text.value.is_empty() => format!("key {number} is empty"),
+            Ast::StringLit(text) => match text.value.parse() {
+                Ok(hash) => {
+                    list.push(hash);
+                    continue;
+                }
+                Err(error) => format!("key {number} is malformed: {error}"),
+            },
+            _ => format!("key {number} is not a text"),
+        };
+        return Err(message);
+    }
+    check(kind, Value::Keys(&list))?;
+    serde_json::to_value(list).map_err(|error| error.to_string())
+}
+
 fn text<'a>(value: &'a Ast<'_>) -> Result<&'a str, String> {
     match value {
         Ast::StringLit(text) => Ok(&text.value),
--- a/crates/tables/src/route.rs
+++ b/crates/tables/src/route.rs
@@ -35,6 +35,10 @@
     /// Response time objective: an answer within it is worth most to the caller.
     #[serde(default = "default_objective")]
     pub objective: Millis,
+    /// Whether requests need no key. Omitted from the canonical text if false, so that the text of
+    /// tables without workspaces is the same as before the field existed.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub public: bool,
 }
 
 /// Whether a request may run more than once.
@@ -84,6 +88,7 @@
             Value::Count(u64::from(self.retries)),
             Value::Count(u64::from(self.priority)),
             Value::Time(self.objective),
+            Value::Flag,
         ]
     }
 }
@@ -96,6 +101,11 @@
     Millis::new(1000)
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 const fn default_retries() -> u32 {
     1
 }
--- a/crates/tables/src/tables.rs
+++ b/crates/tables/src/tables.rs
@@ -3,12 +3,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Findings, Pool, Route, Source,
-    check::{LocatedRows, check_references, check_shadowed, check_size},
+    Finding, Findings, Place, Pool, Route, Source, Workspace,
+    check::{LocatedRows, check_keys, check_references, check_shadowed, check_size},
     read::read_rows,
 };
 
-/// The two tables that operators edit.
+/// The tables that operators edit.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Tables {
@@ -16,6 +16,9 @@
     pub routes: Vec<Route>,
     /// The table of pools.
     pub pools: Vec<Pool>,
+    /// The table of workspaces; without any, requests need no key.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub workspaces: Vec<Workspace>,
 }
 
 impl Tables {
@@ -24,13 +27,14 @@
     pub fn sorted(mut self) -> Self {
         self.routes.sort_by(|a, b| a.name.cmp(&b.name));
         self.pools.sort_by(|a, b| a.name.cmp(&b.name));
+        self.workspaces.sort_by(|a, b| a.name.cmp(&b.name));
         self
     }
 
-    /// The number of rows of both tables.
+    /// The number of rows of all tables.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.routes.len() + self.pools.len()
+        self.routes.len() + self.pools.len() + self.workspaces.len()
     }
 
     /// Whether there are no rows.
@@ -55,7 +59,7 @@
     /// Reads canonical text.
     ///
     /// # Errors
-    /// The text is not JSON of both tables.
+    /// The text is not JSON of the tables.
     pub fn from_canonical(text: &str) -> Result<Self, serde_json::Error> {
         serde_json::from_str(text)
     }
@@ -75,21 +79,34 @@
     }
 }
 
-/// Reads both tables from JSON with comments and checks them.
+/// Reads routes and pools from JSON with comments and checks them.
 ///
 /// # Errors
-/// Every finding of both files, with its location. A file with a syntax error yields that finding
-/// only, and references to its rows are not checked then.
+/// Those of [`parse_with_workspaces`].
 pub fn parse_tables(routes: Source<'_>, pools: Source<'_>) -> Result<Tables, Findings> {
+    parse_with_workspaces(routes, pools, None)
+}
+
+/// Reads the tables from JSON with comments and checks them; the file of workspaces may be absent.
+///
+/// # Errors
+/// Every finding of all files, with its location. A file with a syntax error yields that finding
+/// only, and references to its rows are not checked then.
+pub fn parse_with_workspaces(
+    routes: Source<'_>,
+    pools: Source<'_>,
+    workspaces: Option<Source<'_>>,
+) -> Result<Tables, Findings> {
     let mut findings = Findings::default();
     let read_routes = read_rows::<Route>(routes, "routes", &mut findings);
     let read_pools = read_rows::<Pool>(pools, "pools", &mut findings);
+    let workspaces = workspaces.map_or_else(Vec::new, |s| read_workspaces(s, &mut findings));
     check(
         &LocatedRows::from_file(routes.file, &read_routes),
         &LocatedRows::from_file(pools.file, &read_pools),
         &mut findings,
     );
-    let tables = Tables { routes: read_routes.list, pools: read_pools.list };
+    let tables = Tables { routes: read_routes.list, pools: read_pools.list, workspaces };
     check_size(&tables, &mut findings);
     findings.into_result(tables)
 }
@@ -118,6 +135,33 @@
     findings.into_result(rows.list)
 }
 
+/// Reads the table of workspaces from JSON with comments.
+///
+/// # Errors
+/// Every finding with its location. No finding contains a key or its hash.
+pub fn parse_workspaces(file: &str, text: &str) -> Result<Vec<Workspace>, Findings> {
+    let mut findings = Findings::default();
+    let list = read_workspaces(Source::new(file, text), &mut findings);
+    findings.into_result(list)
+}
+
+fn read_workspaces(source: Source<'_>, findings: &mut Findings) -> Vec<Workspace> {
+    let before = findings.list.len();
+    let rows = read_rows::<Workspace>(source, "workspaces", findings);
+    let located = LocatedRows::from_file(source.file, &rows);
+    located.check_rows(findings);
+    check_keys(&located, findings);
+    if rows.parsed && rows.list.is_empty() && findings.list.len() == before {
+        findings.push(Finding {
+            place: Place { file: source.file.to_owned(), line: 1, row: 0 },
+            name: "workspaces".to_owned(),
+            message: "the table has no rows, so that no request would need a key".to_owned(),
+            accepted: "at least one row, or no file".to_owned(),
+        });
+    }
+    rows.list
+}
+
 /// Checks tables that were not parsed from files, by the same rules as [`parse_tables`]. The
 /// locations of its findings have no line.
 #[must_use]
@@ -126,6 +170,9 @@
     let routes = LocatedRows::without_file("routes", &tables.routes);
     let pools = LocatedRows::without_file("pools", &tables.pools);
     check(&routes, &pools, &mut findings);
+    let workspaces = LocatedRows::without_file("workspaces", &tables.workspaces);
+    workspaces.check_rows(&mut findings);
+    check_keys(&workspaces, &mut findings);
     check_size(tables, &mut findings);
     findings
 }
--- /dev/null
+++ b/crates/tables/src/workspace.rs
@@ -0,0 +1,46 @@
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    KeyHash, Name, RequestRate,
+    field::{Field, Row, Value, WORKSPACE_FIELDS},
+};
+
+/// A tenant of the mesh: the keys that its callers present, the priority of its requests, and its
+/// quota over all daemons together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// The name of the row, unique among workspaces. Targets receive it with each request.
+    pub name: Name,
+    /// The hashes of the keys that are valid; without any, the workspace cannot send requests that
+    /// need a key.
+    #[serde(default)]
+    pub keys: Vec<KeyHash>,
+    /// Replaces the priority of the route.
+    #[serde(default)]
+    pub priority: Option<u32>,
+    /// Requests per second over all daemons together; 0 means no limit.
+    #[serde(default)]
+    pub rate: RequestRate,
+    /// Requests that may exceed the rate at once; 0 means one.
+    #[serde(default)]
+    pub burst: u32,
+}
+
+impl Row for Workspace {
+    const FIELDS: &'static [Field] = WORKSPACE_FIELDS;
+
+    fn name(&self) -> &Name {
+        &self.name
+    }
+
+    fn values(&self) -> Vec<Value<'_>> {
+        vec![
+            Value::Text(&self.name),
+            Value::Keys(&self.keys),
+            Value::Rank(self.priority),
+            Value::Rate,
+            Value::Count(u64::from(self.burst)),
+        ]
+    }
+}
--- a/crates/tables/tests/arbitrary.rs
+++ b/crates/tables/tests/arbitrary.rs
@@ -28,6 +28,7 @@
         retries: 0,
         priority: 0,
         objective: Millis::new(1000),
+        public: false,
     }
 }
 
@@ -41,6 +42,7 @@
         Tables {
             routes: rows.iter().map(|(name, deadline)| route(name, *deadline)).collect(),
             pools: pools.iter().map(|(name, queue)| pool(name, *queue)).collect(),
+            ..Tables::default()
         }
     }
 }
--- a/crates/tables/tests/delta.rs
+++ b/crates/tables/tests/delta.rs
@@ -16,7 +16,7 @@
     let pools = r#"{ "pools": [{ "name": "tally", "service": "tally" }] }"#;
     let routes = parse_routes("routes", &routes).expect("routes");
     let pools = parse_pools("pools", pools).expect("pools");
-    Version::new(number, Tables { routes, pools })
+    Version::new(number, Tables { routes, pools, ..Tables::default() })
 }
 
 /// Guards against a delta that yields rows other than those the operators accepted.
--- a/crates/tables/tests/page.rs
+++ b/crates/tables/tests/page.rs
@@ -4,7 +4,7 @@
 
 use dw_tables::{
     Field, MAX_CANONICAL_BYTES, MAX_FILE_BYTES, MAX_PART_BYTES, MAX_ROWS, POOL_FIELDS,
-    ROUTE_FIELDS, Source, Tables, parse_tables,
+    ROUTE_FIELDS, Source, Tables, WORKSPACE_FIELDS, parse_tables, parse_workspaces,
 };
 use googletest::prelude::*;
 
@@ -18,8 +18,10 @@
 #[gtest]
 fn page_lists_every_field() {
     let (_, rest) = PAGE.split_once("## Routes").expect("routes");
-    let (routes, pools) = rest.split_once("## Pools").expect("pools");
-    for (section, fields) in [(routes, ROUTE_FIELDS), (pools, POOL_FIELDS)] {
+    let (routes, rest) = rest.split_once("## Pools").expect("pools");
+    let (pools, workspaces) = rest.split_once("## Workspaces").expect("workspaces");
+    let sections = [(routes, ROUTE_FIELDS), (pools, POOL_FIELDS), (workspaces, WORKSPACE_FIELDS)];
+    for (section, fields) in sections {
         let rows: Vec<&str> = section.lines().filter(|l| l.starts_with("| `")).collect();
         expect_that!(rows.len(), eq(fields.len()));
         for (row, field) in rows.iter().zip(fields) {
@@ -41,7 +43,12 @@
 fn defaults_are_those_of_the_rows() {
     let routes = r#"{ "routes": [{ "name": "r", "match": { "path": "/" }, "pool": "p" }] }"#;
     let pools = r#"{ "pools": [{ "name": "p", "service": "s" }] }"#;
-    let json = serde_json::to_value(parse(routes, pools)).expect("rows");
+    let mut tables = parse(routes, pools);
+    tables.workspaces = parse_workspaces("w", r#"{ "workspaces": [{ "name": "w" }] }"#).expect("w");
+    let mut json = serde_json::to_value(&tables).expect("rows");
+    // The only field that the canonical text omits at its default.
+    expect_that!(json.pointer("/routes/0/public"), none());
+    json["routes"][0]["public"] = tables.routes[0].public.into();
     let check = |table: &str, fields: &[Field]| {
         for (field, default) in fields.iter().filter_map(|f| f.default.map(|d| (f, d))) {
             let value = json.pointer(&format!("/{table}/0/{}", field.path.replace('.', "/")));
@@ -51,6 +58,7 @@
     };
     check("routes", ROUTE_FIELDS);
     check("pools", POOL_FIELDS);
+    check("workspaces", WORKSPACE_FIELDS);
 }
 
 /// Guards against an example that operators copy and the tool refuses.
@@ -59,6 +67,7 @@
     let blocks: Vec<&str> =
         PAGE.split("```jsonc\n").skip(1).filter_map(|b| b.split("```").next()).collect();
     expect_that!(parse(blocks[0], blocks[1]).routes, len(eq(1)));
+    expect_that!(parse_workspaces("workspaces", blocks[2]), ok(len(eq(1))));
     let cooperative = parse(
         include_str!("../../../examples/cooperative/routes.jsonc"),
         include_str!("../../../examples/cooperative/pools.jsonc"),
