Check the workspace key of each caller's request

Callers of one mesh could not be told apart. If the version in force has workspaces, the first daemon checks the key of each request before it reads the body, removes Authorization, and sends the workspace's name to the target; the key crosses no connection between daemons. A request that was checked against an older version is checked again when it begins and before each retry, so that a slow body does not outlive a removed key. The workspace's priority replaces the route's. A keeper receives the name in damaskwick-workspace and identifies records by it in place of the removed credentials.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -20,6 +20,9 @@
     /// The incarnation of the target that a request is meant for; any other incarnation refuses it
     /// with status 421.
     pub target_instance: Option<HeaderName>,
+    /// The name of the workspace to whose key a request belongs. If the version has workspaces, a
+    /// value that the caller sent is removed.
+    pub workspace: HeaderName,
     /// Present on the response of a target that did not run the request.
     pub refused: Option<HeaderName>,
     /// On a response of a target, the requests per second that it accepts from all callers together.
@@ -35,9 +38,14 @@
 }
 
 impl Dialect {
-    /// The header names used between daemons; the header of the request id stays the same.
+    /// The header names used between daemons; the headers of the request id and of the
+    /// workspace stay the same.
     pub(crate) fn between_daemons(&self) -> Self {
-        Self { request_id: self.request_id.clone(), ..Self::default() }
+        Self {
+            request_id: self.request_id.clone(),
+            workspace: self.workspace.clone(),
+            ..Self::default()
+        }
     }
 
     /// The header of the request id.
@@ -53,6 +61,7 @@
             request_id: None,
             origin: None,
             target_instance: None,
+            workspace: HeaderName::from_static("damaskwick-workspace"),
             refused: None,
             limit: HeaderName::from_static("damaskwick-target-limit"),
             leaving: HeaderName::from_static("damaskwick-target-leaving"),
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -31,6 +31,7 @@
     tasks::Tasks,
 };
 
+mod access;
 mod answer;
 mod body;
 mod call;
@@ -395,7 +396,11 @@
         self: &Arc<Self>,
         request: Request<Incoming>,
     ) -> Response<Payload> {
+        let workspace = access::stated_workspace(request.headers());
         let mut call = Call::new(request, &self.dialect.between_daemons(), &self.log);
+        if let Some(name) = workspace {
+            call.access.set_workspace(self.known_workspace(name));
+        }
         let Some(key) = call.record_key() else {
             return answer::refuse(&Refusal::new(Reason::ProtocolError));
         };
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -23,11 +23,15 @@
 }
 
 fn refuse_after(refusal: &Refusal, after: impl Into<headers::Text>) -> Response<Payload> {
+    // A request without a valid key is refused whenever it is repeated.
+    let unauthorized = refusal.status == StatusCode::UNAUTHORIZED.as_u16();
+    let retry = match unauthorized {
+        true => String::new(),
+        false => format!(",\"retry_after_ms\":{}", refusal.retry_after.as_millis()),
+    };
     let body = format!(
-        "{{\"outcome\":\"{}\",\"reason\":\"{}\",\"retry_after_ms\":{}}}\n",
-        refusal.outcome,
-        refusal.reason,
-        refusal.retry_after.as_millis()
+        "{{\"outcome\":\"{}\",\"reason\":\"{}\"{retry}}}\n",
+        refusal.outcome, refusal.reason
     );
     let mut response = Response::new(full(body));
     *response.status_mut() =
@@ -36,7 +40,12 @@
     map.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     map.insert(headers::OUTCOME, HeaderValue::from_static(refusal.outcome.as_str()));
     map.insert(headers::REASON, HeaderValue::from_static(refusal.reason.as_str()));
-    headers::set(map, header::RETRY_AFTER, after);
+    match unauthorized {
+        true => {
+            map.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
+        false => headers::set(map, header::RETRY_AFTER, after),
+    }
     response
 }
 
--- a/crates/daemon/src/proxy/call.rs
+++ b/crates/daemon/src/proxy/call.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::{
+    access::CallAccess,
     body::{BodyError, Payload, VerifiedBody, chain, empty, full},
     headers,
     hop_context::HopContext,
@@ -23,7 +24,7 @@
 
 /// A request on its way through one daemon.
 pub(crate) struct Call {
-    head: Parts,
+    pub(super) head: Parts,
     host: String,
     body: CallBody,
     body_hash: Option<[u8; 32]>,
@@ -31,6 +32,8 @@
     pub(crate) id: Option<HeaderValue>,
     /// Collects the events of the request for the log.
     pub(crate) trace: Trace,
+    /// What the check of the request's key found.
+    pub(super) access: CallAccess,
     /// After this moment the response counts as late.
     pub(crate) late_at: Option<Instant>,
     /// The route, once an attempt has been made.
@@ -91,6 +94,7 @@
         Self {
             trace: start_trace(log, id.as_ref()),
             id,
+            access: CallAccess::new(dialect.workspace.clone()),
             late_at: None,
             route: None,
             key,
@@ -134,15 +138,22 @@
     }
 
     /// The key under which the keeper stores the record. It includes the method and the path, so that
-    /// two services that receive the same key don't share a record, and the credentials, so that no
-    /// caller receives the response to another caller's request.
+    /// two services that receive the same key don't share a record, and the workspace or else the
+    /// credentials, so that no caller receives the response to another caller's request. A workspace
+    /// keeps its records when its keys change.
     pub(crate) fn record_key(&self) -> Option<Name> {
         let key = self.key.as_ref()?;
-        let caller = self.head.headers.get(header::AUTHORIZATION).map(|credentials| {
-            let digest: [u8; 32] = Sha256::digest(credentials).into();
+        let short_hash = |data: &[u8]| {
+            let digest: [u8; 32] = Sha256::digest(data).into();
             u64::from_be_bytes(digest[..8].try_into().unwrap_or_default())
-        });
-        let caller = caller.unwrap_or_default();
+        };
+        let credentials = self.head.headers.get(header::AUTHORIZATION);
+        let caller = match (self.access.workspace(), credentials) {
+            // A header contains no NUL, so that no credentials have the hash of a workspace.
+            (Some(workspace), _) => short_hash(format!("\0{}", workspace.name).as_bytes()),
+            (None, Some(credentials)) => short_hash(credentials.as_bytes()),
+            (None, None) => 0,
+        };
         Some(Name::from(format!("{key} {caller:x} {} {}", self.method(), self.path())))
     }
 
@@ -181,7 +192,7 @@
             timeout: self.deadline.map(|at| at.saturating_duration_since(Instant::now())),
             stated_timeout: self.stated_timeout,
             retried: self.retried,
-            priority: None,
+            priority: self.access.workspace().and_then(|workspace| workspace.priority),
         }
     }
 
@@ -205,6 +216,10 @@
         let mut request = self.build_request();
         let map = request.headers_mut();
         headers::set(map, headers::SERVICE, &attempt.endpoint.service);
+        // Not marked as unindexed: its values repeat, so that HPACK sends a short reference instead.
+        if let Some((header, name)) = self.access.target_header() {
+            headers::set(map, header, name);
+        }
         headers::set_unindexed(
             map,
             headers::HOP_CONTEXT,
@@ -218,7 +233,11 @@
 
     /// The request to the keeper of its key.
     pub(crate) fn keeper_request(&mut self, deadline: Instant) -> Request<Payload> {
-        self.daemon_request("keeper", deadline)
+        let mut request = self.daemon_request("keeper", deadline);
+        if let Some(workspace) = self.access.workspace() {
+            headers::set(request.headers_mut(), headers::WORKSPACE, &workspace.name);
+        }
+        request
     }
 
     /// Moves the call out for a task that outlives the caller; `self` is left without a body.
@@ -228,6 +247,7 @@
             host: self.host.clone(),
             body: std::mem::replace(&mut self.body, CallBody::Stream(None)),
             id: self.id.clone(),
+            access: self.access.clone(),
             trace: self.trace.clone(),
             route: self.route.clone(),
             key: self.key.clone(),
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -9,7 +9,8 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::{
-    Proxy, answer, body::Payload, call::Call, error::SendError, events, events::Completion, headers,
+    Proxy, access, answer, body::Payload, call::Call, error::SendError, events, events::Completion,
+    headers,
 };
 use crate::{counters::Step, log_events::avoidance_event};
 
@@ -92,9 +93,7 @@
         if self.is_draining() && call.depth() == 0 {
             return Err(Refusal::new(Reason::Draining));
         }
-        let router = self.dispatcher().router();
-        let route = router.find(call.host(), call.path(), call.method()).map(|e| e.route.clone());
-        let Some(route) = route else {
+        let Some(route) = self.check_key(call)? else {
             return self.forward(call).await;
         };
         let limit = Instant::now() + Duration::from(route.deadline);
@@ -106,6 +105,7 @@
             // Nothing has been forwarded yet.
             Err(_) => return Err(Refusal::new(Reason::DeadlinePassed)),
         }
+        Self::check_key_again(&self.dispatcher(), call)?;
         if call.fingerprint().is_some_and(|fingerprint| self.is_poisoned(fingerprint)) {
             return Err(Refusal::new(Reason::Poisoned));
         }
@@ -122,13 +122,18 @@
         self: &Arc<Self>,
         call: &mut Call,
     ) -> Result<Response<Payload>, Refusal> {
-        let decision = self.dispatcher().begin(call.info(), Instant::now());
+        let decision = {
+            let mut dispatcher = self.dispatcher();
+            Self::check_key_again(&dispatcher, call)?;
+            dispatcher.begin(call.info(), Instant::now())
+        };
         let mut attempt = match decision {
             Decision::Forward(attempt) => attempt,
             Decision::Refuse(refusal) => return Err(refusal),
         };
         call.late_at = Some(attempt.goal.late_at);
         call.route = Some(attempt.route.name.clone());
+        let mut unknown = false;
         loop {
             call.trace.record(|| events::placed(&attempt));
             if let Some(age) = attempt.basis.load_age {
@@ -155,6 +160,10 @@
                     }
                     call.trace.record(|| events::next_attempt(&next, after));
                     sleep(after).await;
+                    unknown |= !matches!(outcome, AttemptOutcome::NotRun { .. });
+                    if Self::check_key_again(&self.dispatcher(), call).is_err() {
+                        return Err(access::refuse_retry(refusal_of(&outcome), unknown));
+                    }
                     upcoming.disarm();
                     if let Some(cause) = next.cause {
                         self.counters.retried(cause);
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -23,6 +23,8 @@
 pub(crate) const HOP_CONTEXT: HeaderName = HeaderName::from_static("damaskwick-leg");
 /// The operation that the receiving daemon is asked for, between daemons.
 pub(crate) const STEP: HeaderName = HeaderName::from_static("damaskwick-step");
+/// The name of the request's workspace, to a keeper. It is also the default header for targets.
+pub(crate) const WORKSPACE: HeaderName = HeaderName::from_static("damaskwick-workspace");
 /// The fingerprint of the request, between daemons.
 pub(crate) const FINGERPRINT: HeaderName = HeaderName::from_static("damaskwick-fingerprint");
 /// The host that sends the request, between daemons.
