--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Admin, ApplyArgs, Console, DaemonStatus, Exit, Failure,
-    files::read_tables,
+    files::{WORKSPACES_FILE, read_tables},
     show::{counted, row_lines},
     stale::stale_failure,
     store::{StoredHead, read_head, read_version, write_parts},
@@ -79,6 +79,9 @@
     }
     check_daemons(admin, &args.daemon, &stored).await?;
     let old = read_version(platform, &stored, args.base).await?;
+    if !old.workspaces.is_empty() && tables.workspaces.is_empty() && !args.drop_workspaces {
+        return Err(dropped_workspaces(args.base));
+    }
     let version = Version::new(args.base.saturating_add(1), tables);
     let rows = changes(&old, &version.tables);
     if stored.head.is_some() && stored.hash() == version.hash {
@@ -163,6 +166,16 @@
     })
 }
 
+/// The file of workspaces is optional, so that a directory without it may be a mistake. The version
+/// would remove the check of keys from all routes.
+fn dropped_workspaces(base: u64) -> Failure {
+    let message = format!(
+        "no version was accepted: version {base} has workspaces, and {WORKSPACES_FILE} is missing; \
+         without workspaces requests need no key (--drop-workspaces accepts this)"
+    );
+    Failure::new(Exit::Failed, message)
+}
+
 fn unknown_outcome(args: &ApplyArgs, head: &Head) -> Failure {
     let (number, change) = (head.number, &head.change);
     let platform: Vec<String> =
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -35,6 +35,8 @@
     Status(StatusArgs),
     /// wait until a version is in force everywhere
     Watch(WatchArgs),
+    /// print the hash of a workspace key that is read from standard input
+    HashKey(HashKeyArgs),
     /// tell from logs what became of a request, and why
     Explain(ExplainArgs),
     /// show a whole mesh in one process
@@ -49,7 +51,7 @@
     /// print one JSON object
     #[options(no_short)]
     pub json: bool,
-    /// directory of routes.jsonc and pools.jsonc
+    /// directory of routes.jsonc, pools.jsonc and, where there are workspaces, workspaces.jsonc
     #[options(no_short, meta = "DIR", default = ".")]
     pub tables: PathBuf,
 }
@@ -62,7 +64,7 @@
     /// print one JSON object
     #[options(no_short)]
     pub json: bool,
-    /// directory of routes.jsonc and pools.jsonc
+    /// directory of routes.jsonc, pools.jsonc and, where there are workspaces, workspaces.jsonc
     #[options(no_short, meta = "DIR", default = ".")]
     pub tables: PathBuf,
     /// address of the platform (required); may be repeated
@@ -81,7 +83,7 @@
     /// print one JSON object
     #[options(no_short)]
     pub json: bool,
-    /// directory of routes.jsonc and pools.jsonc
+    /// directory of routes.jsonc, pools.jsonc and, where there are workspaces, workspaces.jsonc
     #[options(no_short, meta = "DIR", default = ".")]
     pub tables: PathBuf,
     /// address of the platform (required); may be repeated
@@ -96,6 +98,9 @@
     /// who makes the edit (default: the user)
     #[options(no_short, meta = "NAME")]
     pub author: Option<String>,
+    /// accept tables without workspaces although the base has some; requests then need no key
+    #[options(no_short)]
+    pub drop_workspaces: bool,
     /// time in which the outcome must be found out
     #[options(no_short, meta = "TIME", default = "10s")]
     pub limit: Millis,
@@ -115,7 +120,7 @@
     /// version to show instead of the newest
     #[options(no_short, meta = "VERSION")]
     pub version: Option<u64>,
-    /// directory to write routes.jsonc and pools.jsonc to; existing files are not replaced
+    /// directory to write the tables to; existing files are not replaced
     #[options(no_short, meta = "DIR")]
     pub out: Option<PathBuf>,
 }
@@ -168,6 +173,17 @@
     pub limit: Millis,
 }
 
+/// `hash-key` prints the hash of a workspace key, as the table of workspaces holds it. The key is read
+/// from standard input, up to the end of its first line.
+#[derive(Debug, Options)]
+pub struct HashKeyArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+}
+
 /// `explain` joins the log lines of several processes into the timeline of one request.
 #[derive(Debug, Options)]
 pub struct ExplainArgs {
@@ -213,6 +229,7 @@
             Self::History(args) => args.json,
             Self::Status(args) => args.json,
             Self::Watch(args) => args.json,
+            Self::HashKey(args) => args.json,
             Self::Explain(args) => args.json,
             Self::Demo(args) => args.json,
         }
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -208,6 +208,7 @@
             tables: Default::default(),
             platform: vec![self.fleet.standin.addr()],
             base,
+            drop_workspaces: false,
             daemon: Vec::new(),
             author: None,
             limit: Millis::new(10_000),
--- a/crates/cli/src/get.rs
+++ b/crates/cli/src/get.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Console, Exit, Failure, GetArgs,
-    files::{POOLS_FILE, ROUTES_FILE},
+    files::{POOLS_FILE, ROUTES_FILE, WORKSPACES_FILE},
     store::{read_head, read_version},
 };
 
@@ -36,7 +36,12 @@
 
 fn write_tables(dir: &Path, number: u64, tables: &Tables) -> Result<(), String> {
     write_file(&dir.join(ROUTES_FILE), number, &json!({ "routes": tables.routes }))?;
-    write_file(&dir.join(POOLS_FILE), number, &json!({ "pools": tables.pools }))
+    write_file(&dir.join(POOLS_FILE), number, &json!({ "pools": tables.pools }))?;
+    if tables.workspaces.is_empty() {
+        return Ok(());
+    }
+    let workspaces = json!({ "workspaces": tables.workspaces });
+    write_file(&dir.join(WORKSPACES_FILE), number, &workspaces)
 }
 
 /// Writes a new file. An existing file is an error, so that no edit of the operator is lost.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -16,6 +16,7 @@
 mod failure;
 mod files;
 mod get;
+mod hash_key;
 mod history;
 mod run;
 mod show;
@@ -29,8 +30,8 @@
 pub use admin::{Admin, AdminError, HttpAdmin};
 pub use apply::{Edit, apply};
 pub use args::{
-    ApplyArgs, Args, CheckArgs, Command, DemoArgs, DiffArgs, ExplainArgs, GetArgs, HistoryArgs,
-    StatusArgs, WatchArgs,
+    ApplyArgs, Args, CheckArgs, Command, DemoArgs, DiffArgs, ExplainArgs, GetArgs, HashKeyArgs,
+    HistoryArgs, StatusArgs, WatchArgs,
 };
 pub use check::check;
 pub use console::Console;
@@ -44,6 +45,7 @@
 pub use explain::explain;
 pub use failure::Failure;
 pub use get::get;
+pub use hash_key::hash_key;
 pub use history::history;
 pub use run::run;
 pub use status::status;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -4,8 +4,8 @@
 use serde_json::Value as Json;
 
 use crate::{
-    Admin, Command, Console, Edit, Exit, Failure, apply, check, demo, diff, explain, get, history,
-    status, watch,
+    Admin, Command, Console, Edit, Exit, Failure, apply, check, demo, diff, explain, get, hash_key,
+    history, status, watch,
 };
 
 /// Runs a command and returns its exit code. Only commands that use the platform call `connect`.
@@ -53,6 +53,7 @@
             require_addrs("--daemon", &args.daemon)?;
             watch(args, admin, console).await
         }
+        Command::HashKey(_) => hash_key(std::io::stdin().lock(), console),
         Command::Explain(args) => explain(args, console),
         Command::Demo(args) => demo(args, console).await,
     }
