Decide on the quotas of workspaces by leased credit

A workspace's quota holds over all daemons together, without a consensus group. One daemon owns the bucket of a workspace (rendezvous hashing over the members) and leases tokens; the others admit from their leases, keep a denial until its time, and use a share of the rate while the owner does not answer. The owner counts leased and unreported tokens as still in the bucket, so that a window never gets more than burst and rate however long leases last. An owner refills in proportion to the live members; a successor leases 1.5 s after its predecessor was last alive.

--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -39,4 +39,7 @@
 pub use retry::{
     Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo, RetryAfterPolicy, RetryBudget,
 };
-pub use workspace::{Access, Credentials, KeyIndex};
+pub use workspace::{
+    Access, Allotment, Credentials, CreditAsk, CreditHolder, CreditOwner, Electorate, KeyIndex,
+    Lease, Take,
+};
--- a/crates/request/src/reason.rs
+++ b/crates/request/src/reason.rs
@@ -112,6 +112,8 @@
     QueuePreempted = "queue-preempted", 503, NotRun;
     /// The expected wait and service time exceed the deadline.
     DeadlineUnmet = "deadline-unmet", 503, NotRun;
+    /// The workspace of the request is over its quota.
+    Quota = "quota", 429, NotRun;
     /// The target receives as many requests as its advertised rate limit allows.
     RateLimit = "rate-limit", 503, NotRun;
     /// The concurrency limit was lowered because the target sheds load.
