--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod frame;
 mod member;
 mod packet;
+mod quota;
 mod scan;
 
 pub use codec::{FrameCodec, WireError, decode_packet, encode_packet};
@@ -18,6 +19,7 @@
 };
 pub use member::{Member, State, Target, VersionId};
 pub use packet::{Ack, Packet, PacketBody, Ping, PingReq};
+pub use quota::{CreditPacket, CreditReply, CreditRequest};
 
 /// The protocol version that this build speaks. Peers ignore fields that they do not know.
 pub const PROTOCOL: u32 = 1;
