--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -23,7 +23,7 @@
     registry::Registry,
 };
 
-use crate::clock;
+use crate::{clock, quota::QuotaCounters};
 
 type Label = [(&'static str, &'static str); 1];
 type NameLabel = [(&'static str, String); 1];
@@ -32,7 +32,7 @@
 type Histograms<L> = Family<L, Histogram, fn() -> Histogram>;
 
 /// The kinds of control messages, whose counters are created at the start.
-pub(crate) const MESSAGE_KINDS: [&str; 18] = [
+pub(crate) const MESSAGE_KINDS: [&str; 19] = [
     "ping",
     "ping-req",
     "ack",
@@ -51,6 +51,7 @@
     "busy",
     "status-pull",
     "status-reply",
+    "credit",
 ];
 
 /// The calls to the platform, whose counters are created at the start.
@@ -143,6 +144,7 @@
     served_at: Gauge,
     answered_at: Gauge,
     in_flight: Gauge<i64, AtomicI64>,
+    quota: QuotaCounters,
 }
 
 /// The values of the counters at one moment.
@@ -235,6 +237,7 @@
             held: register(&mut registry, "version_held", "Number of the newest version held"),
             served: register(&mut registry, "version_served", "Number of the version served"),
             in_flight: register(&mut registry, "in_flight", "Requests in flight"),
+            quota: QuotaCounters::new(&mut registry),
             registry,
         };
         let mut inner = inner;
@@ -298,6 +301,11 @@
         self.0.received.get_or_create(&[("kind", kind)]).inc_by(bytes as u64);
     }
 
+    /// The counters of quotas.
+    pub(crate) fn quota(&self) -> &QuotaCounters {
+        &self.0.quota
+    }
+
     /// Counts a control message that was dropped, usually because a queue is full.
     pub(crate) fn dropped(&self) {
         self.0.dropped.inc();
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -23,6 +23,7 @@
     node::{NodeTask, View},
     platform::PlatformTask,
     proxy::{Proxy, Server},
+    quota::Quota,
     running::Addrs,
     tasks::Tasks,
 };
@@ -169,6 +170,13 @@
     let datagrams =
         Datagrams { socket: sockets.datagrams, node: node_tx.clone(), counters: counters.clone() };
     tasks.spawn(datagrams.run(datagrams_rx));
+    let quota = Quota {
+        handle: proxy.quota.clone(),
+        addr: settings.quota,
+        counters: counters.clone(),
+        log: log.clone(),
+    };
+    tasks.spawn(quota.run());
     let platform = PlatformTask {
         client: options.platform,
         domain: settings.domain.clone(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod program;
 mod proxy;
+mod quota;
 mod running;
 mod settings;
 mod socket;
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -28,6 +28,7 @@
     Dialect, Settings, TargetSettings,
     counters::Counters,
     node::{NodeMessage, View},
+    quota::QuotaHandle,
     tasks::Tasks,
 };
 
@@ -94,6 +95,8 @@
     node: OnceLock<mpsc::Sender<NodeMessage>>,
     permits: Arc<Semaphore>,
     draining: AtomicBool,
+    /// Admits requests of workspaces with a limit.
+    pub(crate) quota: QuotaHandle,
     /// Tracks the requests in flight.
     pub(crate) in_flight: TaskTracker,
     counters: Counters,
@@ -142,6 +145,7 @@
             node: OnceLock::new(),
             permits: Arc::new(Semaphore::new(settings.limits.requests as usize)),
             draining: AtomicBool::new(false),
+            quota: QuotaHandle::new(settings.host.clone(), counters.clone()),
             in_flight: TaskTracker::new(),
             counters,
             log,
@@ -163,6 +167,7 @@
     /// Switches to a new version; requests in flight keep the one that they started with.
     pub(crate) fn set_version(&self, version: &Arc<Version>) {
         self.dispatcher().set_version(version.clone());
+        self.quota.set_version(version);
         let slowest = version.tables.routes.iter().map(|route| route.objective).max();
         self.daemons.set_expected_time(Duration::from(slowest.unwrap_or_default()) / 2);
         for target in self.targets() {
@@ -194,6 +199,7 @@
         drop(fleet);
         self.dispatcher().set_endpoints(endpoints);
         self.keeper().set_members(&keepers, now);
+        self.quota.set_members(&keepers, &table, now);
         self.members.send_replace(table);
     }
 
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -1,9 +1,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use dw_request::{
-    Attempt, AttemptId, AttemptOutcome, Death, Decision, Next, Outcome, Reason, Refusal,
+    Allotment, Attempt, AttemptId, AttemptOutcome, Death, Decision, Next, Outcome, Reason, Refusal,
 };
-use dw_tables::Repeat;
+use dw_tables::{Repeat, Route};
 use http::{Request, Response, header};
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -96,6 +96,27 @@
         let Some(route) = self.check_key(call)? else {
             return self.forward(call).await;
         };
+        // The body is read after this, so that a flood over a quota stays cheap.
+        let workspace = call.access.workspace().cloned();
+        let Some(workspace) = workspace.filter(|row| !row.rate.is_unlimited()) else {
+            return self.route_admitted(call, &route, from).await;
+        };
+        let permit = self.quota.admit(&workspace.name, Allotment::new(&workspace)).await?;
+        let result = self.route_admitted(call, &route, from).await;
+        let outcome = result.as_ref().map_or_else(|refusal| refusal.outcome, answer::outcome_of);
+        if outcome == Outcome::NotRun {
+            permit.refund();
+        }
+        result
+    }
+
+    /// Forwards a request that is within its quota.
+    async fn route_admitted(
+        self: &Arc<Self>,
+        call: &mut Call,
+        route: &Route,
+        from: SocketAddr,
+    ) -> Result<Response<Payload>, Refusal> {
         let limit = Instant::now() + Duration::from(route.deadline);
         let deadline = call.deadline.map_or(limit, |at| at.min(limit));
         call.deadline = Some(deadline);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -27,6 +27,10 @@
     pub data: SocketAddr,
     /// The address of the admin API.
     pub admin: SocketAddr,
+    /// The address for datagrams about quotas, over UDP. Other daemons use the same port on the IP address
+    /// of their `peers`. `None` if each daemon admits its part of the rate. It is opened only if a version
+    /// has a workspace with a limit.
+    pub quota: Option<SocketAddr>,
     /// The bandwidth of the host's network link in Mbit/s; 0 if it is not known.
     pub link_mbps: u32,
     /// The targets on this host.
@@ -128,6 +132,7 @@
             peers: unbound,
             data: unbound,
             admin: unbound,
+            quota: None,
             link_mbps: 0,
             targets: Vec::new(),
             platform: Vec::new(),
--- a/crates/daemon/src/settings/parse.rs
+++ b/crates/daemon/src/settings/parse.rs
@@ -10,9 +10,9 @@
 
 use super::{LogSettings, ProcessLimits, Settings, TargetSettings, fields::FieldReader};
 
-const SETTINGS_FIELDS: [&str; 15] = [
-    "host", "domain", "region", "callers", "peers", "data", "admin", "link", "targets", "platform",
-    "join", "limits", "preset", "log", "grace",
+const SETTINGS_FIELDS: [&str; 16] = [
+    "host", "domain", "region", "callers", "peers", "data", "admin", "quota", "link", "targets",
+    "platform", "join", "limits", "preset", "log", "grace",
 ];
 const TARGET_FIELDS: [&str; 4] = ["service", "address", "slots", "connections"];
 const ACCEPTED_ADDRESS: &str = "an IP address and a port, such as \"127.0.0.1:7100\"";
@@ -64,6 +64,7 @@
     let mut data = peers.map(|addr| SocketAddr::new(addr.ip(), 0));
     fields.optional(object, "data", &mut data, |f, n, v| Some(f.address(n, v)));
     let mut out = Settings::new(Name::default(), Name::default(), Name::default());
+    fields.optional(object, "quota", &mut out.quota, |f, n, v| Some(f.remote_address(n, v)));
     fields.optional(object, "link", &mut out.link_mbps, FieldReader::count);
     fields.optional(object, "targets", &mut out.targets, targets);
     fields.optional(object, "platform", &mut out.platform, FieldReader::remote_addresses);
--- a/crates/daemon/tests/settings_page.rs
+++ b/crates/daemon/tests/settings_page.rs
@@ -48,9 +48,21 @@
 #[gtest]
 fn defaults_are_those_of_the_code() {
     let settings = defaults();
-    let Settings { limits, preset, log, grace, targets, data, peers, platform, link_mbps, .. } =
-        settings;
+    let Settings {
+        limits,
+        preset,
+        log,
+        grace,
+        targets,
+        data,
+        peers,
+        platform,
+        link_mbps,
+        quota,
+        ..
+    } = settings;
     let expected = [
+        ("Fields", "`quota`", "none".to_owned()),
         ("Fields", "`link`", "not known".to_owned()),
         ("Fields", "`platform`", "`[]`".to_owned()),
         ("Fields", "`targets`", "`[]`".to_owned()),
@@ -74,6 +86,7 @@
         }
     }
     expect_that!(link_mbps, eq(0));
+    expect_that!(quota, none());
     expect_that!(platform, is_empty());
     expect_that!((data.ip(), data.port()), eq((peers.ip(), 0)));
     expect_that!(targets[0].connections, eq(targets[0].slots));
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -141,6 +141,8 @@
     RecordsMoved = "records-moved", Info;
     /// A daemon did not accept records of keys.
     RecordsRefused = "records-refused", Warn;
+    /// The UDP port for quotas could not be opened; until then the daemon admits its part of each quota.
+    QuotaUnavailable = "quota-unavailable", Warn;
     /// A connection could not be accepted.
     AcceptFailed = "accept-failed", Warn;
     /// A detail of the control plane.
--- a/crates/request/src/workspace/holder.rs
+++ b/crates/request/src/workspace/holder.rs
@@ -247,6 +247,12 @@
         self.open.is_some_and(|open| open.ask.id == id)
     }
 
+    /// Time since the first attempt of the last credit request.
+    #[must_use]
+    pub fn asked_ago(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.asked)
+    }
+
     fn answered(&mut self, id: u64, share: f64, now: Instant) -> Option<Open> {
         let open = self.open.filter(|open| open.ask.id == id)?;
         self.open = None;
