--- a/crates/cli/src/demo/deployment.rs
+++ b/crates/cli/src/demo/deployment.rs
@@ -167,6 +167,7 @@
             retries: 2,
             priority: 0,
             objective: deadline,
+            public: false,
         });
         tables
     }
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -1,15 +1,16 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use dw_request::{
-    Attempt, AttemptId, AttemptOutcome, Death, Decision, Next, Outcome, Reason, Refusal,
+    Allotment, Attempt, AttemptId, AttemptOutcome, Death, Decision, Next, Outcome, Reason, Refusal,
 };
-use dw_tables::Repeat;
+use dw_tables::{Repeat, Route};
 use http::{Request, Response, header};
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::{
-    Proxy, answer, body::Payload, call::Call, error::SendError, events, events::Completion, headers,
+    Proxy, access, answer, body::Payload, call::Call, error::SendError, events, events::Completion,
+    headers,
 };
 use crate::{counters::Step, log_events::avoidance_event};
 
@@ -92,11 +93,30 @@
         if self.is_draining() && call.depth() == 0 {
             return Err(Refusal::new(Reason::Draining));
         }
-        let router = self.dispatcher().router();
-        let route = router.find(call.host(), call.path(), call.method()).map(|e| e.route.clone());
-        let Some(route) = route else {
+        let Some(route) = self.check_key(call)? else {
             return self.forward(call).await;
         };
+        // The body is read after this, so that a flood over a quota stays cheap.
+        let workspace = call.access.workspace().cloned();
+        let Some(workspace) = workspace.filter(|row| !row.rate.is_unlimited()) else {
+            return self.route_admitted(call, &route, from).await;
+        };
+        let permit = self.quota.admit(&workspace.name, Allotment::new(&workspace)).await?;
+        let result = self.route_admitted(call, &route, from).await;
+        let outcome = result.as_ref().map_or_else(|refusal| refusal.outcome, answer::outcome_of);
+        if outcome == Outcome::NotRun {
+            permit.refund();
+        }
+        result
+    }
+
+    /// Forwards a request that is within its quota.
+    async fn route_admitted(
+        self: &Arc<Self>,
+        call: &mut Call,
+        route: &Route,
+        from: SocketAddr,
+    ) -> Result<Response<Payload>, Refusal> {
         let limit = Instant::now() + Duration::from(route.deadline);
         let deadline = call.deadline.map_or(limit, |at| at.min(limit));
         call.deadline = Some(deadline);
@@ -106,6 +126,7 @@
             // Nothing has been forwarded yet.
             Err(_) => return Err(Refusal::new(Reason::DeadlinePassed)),
         }
+        Self::check_key_again(&self.dispatcher(), call)?;
         if call.fingerprint().is_some_and(|fingerprint| self.is_poisoned(fingerprint)) {
             return Err(Refusal::new(Reason::Poisoned));
         }
@@ -122,13 +143,18 @@
         self: &Arc<Self>,
         call: &mut Call,
     ) -> Result<Response<Payload>, Refusal> {
-        let decision = self.dispatcher().begin(call.info(), Instant::now());
+        let decision = {
+            let mut dispatcher = self.dispatcher();
+            Self::check_key_again(&dispatcher, call)?;
+            dispatcher.begin(call.info(), Instant::now())
+        };
         let mut attempt = match decision {
             Decision::Forward(attempt) => attempt,
             Decision::Refuse(refusal) => return Err(refusal),
         };
         call.late_at = Some(attempt.goal.late_at);
         call.route = Some(attempt.route.name.clone());
+        let mut unknown = false;
         loop {
             call.trace.record(|| events::placed(&attempt));
             if let Some(age) = attempt.basis.load_age {
@@ -155,6 +181,10 @@
                     }
                     call.trace.record(|| events::next_attempt(&next, after));
                     sleep(after).await;
+                    unknown |= !matches!(outcome, AttemptOutcome::NotRun { .. });
+                    if Self::check_key_again(&self.dispatcher(), call).is_err() {
+                        return Err(access::refuse_retry(refusal_of(&outcome), unknown));
+                    }
                     upcoming.disarm();
                     if let Some(cause) = next.cause {
                         self.counters.retried(cause);
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -16,6 +16,7 @@
 mod reason;
 mod refusal;
 mod retry;
+mod workspace;
 
 pub use choice::{
     Avoidance, Basis, Endpoint, EndpointState, Load, ParseLoadError, ResolvedRoute, Router,
@@ -39,3 +40,7 @@
 pub use retry::{
     Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo, RetryAfterPolicy, RetryBudget,
 };
+pub use workspace::{
+    Access, Allotment, Credentials, CreditAsk, CreditHolder, CreditOwner, Electorate, KeyIndex,
+    Lease, Take,
+};
--- a/crates/request/src/reason.rs
+++ b/crates/request/src/reason.rs
@@ -84,6 +84,10 @@
 pub struct UnknownReason;
 
 reasons! {
+    /// The request has no workspace key, and its route is not public.
+    KeyMissing = "key-missing", 401, NotRun;
+    /// The request's key is malformed or belongs to no workspace.
+    KeyUnknown = "key-unknown", 401, NotRun;
     /// No route matches the request.
     NoRoute = "no-route", 404, NotRun;
     /// The daemon has no configuration yet.
@@ -108,6 +112,8 @@
     QueuePreempted = "queue-preempted", 503, NotRun;
     /// The expected wait and service time exceed the deadline.
     DeadlineUnmet = "deadline-unmet", 503, NotRun;
+    /// The workspace of the request is over its quota.
+    Quota = "quota", 429, NotRun;
     /// The target receives as many requests as its advertised rate limit allows.
     RateLimit = "rate-limit", 503, NotRun;
     /// The concurrency limit was lowered because the target sheds load.
