--- a/crates/daemon/src/proxy/access.rs
+++ b/crates/daemon/src/proxy/access.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use dw_request::{Access, Credentials, Dispatcher, Reason, Refusal, Router};
+use dw_request::{Access, Credentials, Dispatcher, KeyIndex, Reason, Refusal, Router};
 use dw_tables::{Name, RequestRate, Route, Workspace};
 use http::{HeaderMap, HeaderName, header};
 
@@ -58,13 +58,17 @@
 
 impl Proxy {
     /// Checks the key of a caller's request against the version in force, and returns the request's
-    /// route. It is cheap if the version was already checked.
+    /// route.
     ///
     /// # Errors
     /// The request needs a key and has no valid one.
     pub(super) fn check_key(&self, call: &mut Call) -> Result<Option<Arc<Route>>, Refusal> {
-        let dispatcher = self.dispatcher();
-        check(&dispatcher, call)
+        // The key is hashed without the lock, which all requests need.
+        let (router, keys) = {
+            let dispatcher = self.dispatcher();
+            (dispatcher.router(), dispatcher.keys())
+        };
+        check(router, &keys, call)
     }
 
     /// Checks the key again if the version has changed since the last check. A request whose body
@@ -74,7 +78,7 @@
             // The request comes from another daemon, which checked its key.
             None => Ok(()),
             Some(router) if Arc::ptr_eq(router, &dispatcher.router()) => Ok(()),
-            Some(_) => check(dispatcher, call).map(drop),
+            Some(_) => check(dispatcher.router(), &dispatcher.keys(), call).map(drop),
         }
     }
 
@@ -94,8 +98,11 @@
     }
 }
 
-fn check(dispatcher: &Dispatcher, call: &mut Call) -> Result<Option<Arc<Route>>, Refusal> {
-    let (router, keys) = (dispatcher.router(), dispatcher.keys());
+fn check(
+    router: Arc<Router>,
+    keys: &KeyIndex,
+    call: &mut Call,
+) -> Result<Option<Arc<Route>>, Refusal> {
     let route = router.find(call.host(), call.path(), call.method()).map(|e| e.route.clone());
     call.access.router = Some(router);
     if let Some(route) = &route
