Show why requests of the memory benchmark failed

A run on a busy machine counted failed requests without their cause. The benchmark now prints the responses of failed requests with their numbers.

--- a/crates/bench/src/memory.rs
+++ b/crates/bench/src/memory.rs
@@ -99,7 +99,7 @@
     }
     let failed = bed.failed();
     bed.close().await;
-    Ok(failed == 0)
+    Ok(failed.is_empty())
 }
 
 async fn measure(bed: &Testbed, name: &'static str, length: Duration) -> Result<Phase, BoxError> {
@@ -130,7 +130,15 @@
     for Phase { name, mean_kb, peak_kb, anon_kb, file_kb, cpu_ms } in phases {
         println!("{name:12} {mean_kb:8} {peak_kb:8} {anon_kb:8} {file_kb:8} {cpu_ms:8}");
     }
-    println!("memory in KB; {} requests, {} of them failed", bed.sent(), bed.failed());
+    let failed = bed.failed();
+    println!(
+        "memory in KB; {} requests, {} of them failed",
+        bed.sent(),
+        failed.values().sum::<u64>()
+    );
+    for (failure, count) in failed {
+        println!("{count:6} {failure}");
+    }
 }
 
 #[allow(clippy::print_stdout)]
--- a/crates/bench/src/memory/load.rs
+++ b/crates/bench/src/memory/load.rs
@@ -1,8 +1,9 @@
 use std::{
+    collections::BTreeMap,
     convert::Infallible,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -30,11 +31,11 @@
 /// Time that a target takes for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(15);
 
-/// Numbers of requests sent and failed.
+/// Number of requests sent, and of failed ones by what the caller saw.
 #[derive(Debug, Default)]
 pub(crate) struct Counts {
     pub sent: AtomicU64,
-    pub failed: AtomicU64,
+    pub failed: Mutex<BTreeMap<String, u64>>,
 }
 
 /// Serves as the target of every host.
@@ -83,13 +84,20 @@
         let Ok(request) = request else { return };
         let fresh = HttpClient::default();
         let client = if number.is_multiple_of(5) { &fresh } else { &client };
-        let good = match client.send(addr, request).await {
-            Reply::Complete(response) => {
-                response.status() == 200 && response.body().len() == RESPONSE_BYTES
+        let failure = match client.send(addr, request).await {
+            Reply::Complete(response) if response.status() != 200 => {
+                String::from_utf8_lossy(response.body()).into_owned()
             }
-            Reply::NotSent | Reply::Lost => false,
+            Reply::Complete(response) if response.body().len() == RESPONSE_BYTES => continue,
+            Reply::Complete(_) | Reply::Lost => "lost".to_owned(),
+            Reply::NotSent => "not sent".to_owned(),
         };
-        counts.failed.fetch_add(u64::from(!good), Ordering::Relaxed);
+        *counts
+            .failed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .entry(failure)
+            .or_default() += 1;
     }
 }
 
--- a/crates/bench/src/memory/testbed.rs
+++ b/crates/bench/src/memory/testbed.rs
@@ -1,9 +1,10 @@
 use std::{
+    collections::BTreeMap,
     fs, io,
     net::SocketAddr,
     path::PathBuf,
     process::{self, Stdio},
-    sync::{Arc, atomic::Ordering},
+    sync::{Arc, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
@@ -165,8 +166,9 @@
         self.counts.sent.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn failed(&self) -> u64 {
-        self.counts.failed.load(Ordering::Relaxed)
+    /// Failed requests by what the caller saw.
+    pub(crate) fn failed(&self) -> BTreeMap<String, u64> {
+        self.counts.failed.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     pub(crate) async fn close(mut self) {
