Compare latencies until a service time is reported; test learned speeds

In a pool of learned capacity without any report, as from daemons of an earlier version, targets were chosen by their load alone.

--- a/crates/bench/src/model.rs
+++ b/crates/bench/src/model.rs
@@ -38,7 +38,7 @@
     /// Policies to switch off, each in a row of its own. If none is named, each policy gets a row.
     #[options(
         no_short,
-        help = "policy to switch off in a row of its own: short, waits, goals, moves, returns, domain, choice, capacity, queue",
+        help = "policy to switch off in a row of its own: short, waits, goals, moves, returns, domain, choice, capacity, speed, queue",
         meta = "NAME"
     )]
     without: Vec<String>,
--- a/crates/bench/src/model/simulation.rs
+++ b/crates/bench/src/model/simulation.rs
@@ -5,8 +5,8 @@
 };
 
 use dw_request::{
-    Admission, Arrival, Attempt, AttemptId, AttemptOutcome, Decision, Goal, Next, Permit, Reason,
-    Refusal, RequestInfo, RunOutcome, Wake,
+    Admission, Arrival, Attempt, AttemptId, AttemptOutcome, Decision, Goal, Load, Next, Permit,
+    Reason, Refusal, RequestInfo, RunOutcome, Wake,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rand_distr::{Distribution, Exp, LogNormal};
@@ -353,7 +353,7 @@
         refusal: Option<&Refusal>,
     ) {
         let goal = self.goal(request);
-        let load = self.nodes[host].alive.then(|| self.nodes[host].load(goal.as_ref()));
+        let load = self.nodes[host].alive.then(|| self.reported_load(host, goal.as_ref()));
         let retry_after = refusal.map(|refusal| refusal.retry_after);
         let outcome = AttemptOutcome::NotRun { reason, retry_after, load };
         self.send_outcome(request, host, id, outcome);
@@ -370,6 +370,11 @@
         self.schedule(self.now + delay, Event::Outcome { request, id, outcome });
     }
 
+    fn reported_load(&self, host: usize, goal: Option<&Goal>) -> Load {
+        let load = self.nodes[host].load(goal);
+        Load { service: load.service.filter(|_| self.policies.speeds), ..load }
+    }
+
     /// The goal of a request as far as it identifies its kind.
     fn goal(&self, request: usize) -> Option<Goal> {
         let load = &self.scenario.routes[self.requests[request].route];
@@ -467,7 +472,7 @@
         let wakes = node.gate.finish(run.permit, outcome, self.now);
         self.apply_wakes(run.host, wakes);
         let goal = self.goal(run.request);
-        let load = Some(self.nodes[run.host].load(goal.as_ref()));
+        let load = Some(self.reported_load(run.host, goal.as_ref()));
         self.result.record_run(self.requests[run.request].route, latency, run.failed);
         let outcome = AttemptOutcome::Answered { status, load, latency };
         self.send_outcome(run.request, run.host, run.attempt, outcome);
--- a/crates/bench/src/model/switches.rs
+++ b/crates/bench/src/model/switches.rs
@@ -23,13 +23,15 @@
     Choice,
     /// The capacity of targets is learned where the scenario says so. Off: it is fixed.
     Capacity,
+    /// The speed of targets is part of a learned capacity. Off: it is not.
+    Speed,
     /// Requests may wait for a slot. Off: they are refused if no slot is free.
     Queue,
 }
 
 impl Switch {
     /// All switches.
-    pub(crate) const ALL: [Self; 9] = [
+    pub(crate) const ALL: [Self; 10] = [
         Self::Short,
         Self::Waits,
         Self::Goals,
@@ -38,6 +40,7 @@
         Self::Domain,
         Self::Choice,
         Self::Capacity,
+        Self::Speed,
         Self::Queue,
     ];
 }
@@ -52,6 +55,8 @@
     pub(crate) prefer: Prefer,
     pub(crate) balance: Balance,
     pub(crate) queue: u32,
+    /// Whether targets report their service times, if their capacity is learned.
+    pub(crate) speeds: bool,
     /// Of pools whose capacity is learned in the scenario.
     pub(crate) capacity: Capacity,
 }
@@ -74,6 +79,7 @@
             },
             prefer: if off(Switch::Domain) { Prefer::Any } else { Prefer::Domain },
             balance: if off(Switch::Choice) { Balance::RoundRobin } else { Balance::TwoChoices },
+            speeds: !off(Switch::Speed),
             capacity: if off(Switch::Capacity) { Capacity::Fixed } else { Capacity::Learned },
             queue: if off(Switch::Queue) { 0 } else { 24 },
         }
--- a/crates/request/src/capacity/speeds.rs
+++ b/crates/request/src/capacity/speeds.rs
@@ -39,6 +39,11 @@
 }
 
 impl PoolSpeeds {
+    /// Whether no target has reported a service time.
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.kinds.is_empty()
+    }
+
     /// Applies the typical service time of a kind that a target reported.
     pub(crate) fn record(
         &mut self,
--- a/crates/request/src/choice/balancer.rs
+++ b/crates/request/src/choice/balancer.rs
@@ -148,7 +148,7 @@
                 let (a, b) = self.sample_two(pool, list, rng, now);
                 let mean = self.mean_latency.unwrap_or(1.0);
                 let noise = 1.0 + SCORE_NOISE * (rng.random::<f64>() - 0.5);
-                let score = |idx: usize| score(pool, &self.targets[idx], mean, now);
+                let score = |idx: usize| score(pool, &self.speeds, &self.targets[idx], mean, now);
                 if score(b) * noise < score(a) { b } else { a }
             }
             Balance::RoundRobin => {
@@ -175,9 +175,9 @@
                     < f64::from(target.endpoint.slots) * target.warmup_share(now)
         };
         let mean = self.mean_latency.unwrap_or(1.0);
-        let locality = &self.locality;
+        let (locality, speeds) = (&self.locality, &self.speeds);
         let cost = |target: &Target| {
-            (locality.tier(pool.prefer, &target.endpoint), score(pool, target, mean, now))
+            (locality.tier(pool.prefer, &target.endpoint), score(pool, speeds, target, mean, now))
         };
         let mut candidates = 0;
         let counted = self.targets.iter_mut().filter(|target| free(target));
@@ -336,11 +336,12 @@
     }
 }
 
-/// Expected cost of one more request at a target; `mean` is the pool's mean latency in ms.
-fn score(pool: &Pool, target: &Target, mean: f64, now: Instant) -> f64 {
+/// Expected cost of one more request at a target; `mean` is the pool's mean latency in ms. Without any
+/// report of service times, as from daemons of an earlier version, latencies are all that is known.
+fn score(pool: &Pool, speeds: &PoolSpeeds, target: &Target, mean: f64, now: Instant) -> f64 {
     match pool.capacity {
-        Capacity::Fixed => target.score(mean, now),
-        Capacity::Learned => target.learned_score(now),
+        Capacity::Learned if !speeds.is_empty() => target.learned_score(now),
+        Capacity::Fixed | Capacity::Learned => target.score(mean, now),
     }
 }
 
--- a/crates/request/src/choice/target.rs
+++ b/crates/request/src/choice/target.rs
@@ -155,7 +155,7 @@
         own.max(reported * (1.0 - age).max(0.0))
     }
 
-    /// Expected cost of one more request if speeds are learned; the lower, the better.
+    /// Expected cost of one more request at a target of known speed; the lower, the better.
     pub(crate) fn learned_score(&self, now: Instant) -> f64 {
         let slots = f64::from(self.endpoint.slots.max(1));
         (self.estimated_load(now) + 1.0) / slots * self.speed.factor(now) * self.penalty(now)
