Decide canary rollouts without I/O

Cause: Operators have no means to move a service to another version of its targets step by step, and a bad version receives its full part of the requests.

Change: dw_request::rollout holds the order, the stored state, the shares, the evidence, the sequential test, the leader as a state machine and the daemon's side. The balancer chooses the version of each request only while a share of its service is known; a retry never goes to a version that is not in force.

Tested: cargo test -p dw_request: all pass.

--- a/crates/bench/src/model/fleet.rs
+++ b/crates/bench/src/model/fleet.rs
@@ -135,6 +135,8 @@
                 connections: host.slots * CONNECTIONS_PER_SLOT,
                 state: if node.alive { EndpointState::Alive } else { EndpointState::Dead },
                 started: node.started,
+                version: None,
+                warm: None,
             }
         };
         let endpoints: Vec<_> = self.nodes.iter().enumerate().map(endpoint).collect();
--- a/crates/daemon/src/proxy/fleet.rs
+++ b/crates/daemon/src/proxy/fleet.rs
@@ -102,6 +102,8 @@
                         endpoint_state(member.state)
                     },
                     started: since,
+                    version: None,
+                    warm: None,
                 });
             }
         }
--- a/crates/request/src/choice.rs
+++ b/crates/request/src/choice.rs
@@ -9,6 +9,7 @@
 mod router;
 pub(crate) mod target;
 pub(crate) mod upstream;
+pub(crate) mod versions;
 pub(crate) mod view;
 
 pub use endpoint::{Endpoint, EndpointState};
--- a/crates/request/src/choice/balancer.rs
+++ b/crates/request/src/choice/balancer.rs
@@ -5,11 +5,12 @@
 use tokio::time::Instant;
 
 use crate::{
-    Avoidance, Basis, Endpoint, EndpointState, Load, TargetChange,
+    Avoidance, Basis, Endpoint, EndpointState, Load, TargetChange, VersionShare,
     choice::{
         locality::{Locality, TIERS, Tier, choose_tier},
         outlier::OutlierState,
         target::{Observation, Target},
+        versions::{VersionGroup, VersionSplit},
         view::Choice,
     },
 };
@@ -61,6 +62,8 @@
     cursor: usize,
     next_uid: u64,
     changes: Vec<TargetChange>,
+    /// The choice of versions; `None` unless a rollout of the service is known.
+    split: Option<VersionSplit>,
 }
 
 impl Balancer {
@@ -74,6 +77,29 @@
             cursor: 0,
             next_uid: 0,
             changes: Vec::new(),
+            split: None,
+        }
+    }
+
+    /// Sets the share of requests that a version of the service receives.
+    pub(crate) fn set_share(&mut self, share: Option<VersionShare>) {
+        match (&mut self.split, share) {
+            (Some(split), Some(share)) => split.set_share(share),
+            (split, share) => *split = share.map(VersionSplit::new),
+        }
+    }
+
+    /// The groups of targets to choose from, in order of preference.
+    fn groups(
+        &mut self,
+        constraints: Constraints<'_>,
+        rng: &mut SmallRng,
+        now: Instant,
+    ) -> [Option<VersionGroup>; 2] {
+        let retry = !constraints.tried.is_empty();
+        match &mut self.split {
+            None => [Some(VersionGroup::Any), None],
+            Some(split) => split.groups(&self.targets, retry, rng, now),
         }
     }
 
@@ -131,8 +157,11 @@
         rng: &mut SmallRng,
         now: Instant,
     ) -> Option<Choice> {
-        self.fill_tiers(pool, constraints, now);
-        let tier = choose_tier(&self.tiers, rng)?;
+        let mut groups = self.groups(constraints, rng, now).into_iter().flatten();
+        let tier = groups.find_map(|group| {
+            self.fill_tiers(pool, constraints, group, now);
+            choose_tier(&self.tiers, rng)
+        })?;
         let list = &self.tiers[tier].list;
         let idx = match pool.balance {
             Balance::TwoChoices => {
@@ -157,9 +186,16 @@
         &mut self,
         pool: &Pool,
         constraints: Constraints<'_>,
+        rng: &mut SmallRng,
         now: Instant,
     ) -> Option<Choice> {
+        // A request that is rerouted goes to the first group only.
+        let group = self.groups(constraints, rng, now)[0].unwrap_or(VersionGroup::Any);
+        let split = self.split.as_ref();
         let free = |target: &Target| {
+            if split.is_some_and(|split| !split.admits(group, target)) {
+                return false;
+            }
             let usable = classify(target, constraints, &pool.ejection, now) == Some(Class::Usable);
             usable
                 && target.estimated_load(now)
@@ -267,10 +303,20 @@
     }
 
     /// Fills the tiers with the targets of the best class present.
-    fn fill_tiers(&mut self, pool: &Pool, constraints: Constraints<'_>, now: Instant) {
+    fn fill_tiers(
+        &mut self,
+        pool: &Pool,
+        constraints: Constraints<'_>,
+        group: VersionGroup,
+        now: Instant,
+    ) {
+        let split = self.split.as_ref();
         let mut best = None;
         self.tiers.iter_mut().for_each(Tier::clear);
         for (idx, target) in self.targets.iter().enumerate() {
+            if split.is_some_and(|split| !split.admits(group, target)) {
+                continue;
+            }
             let Some(class) = classify(target, constraints, &pool.ejection, now) else { continue };
             if best.is_some_and(|best| class > best) {
                 continue;
--- a/crates/request/src/choice/endpoint.rs
+++ b/crates/request/src/choice/endpoint.rs
@@ -41,4 +41,8 @@
     /// When the target started. If the time becomes later by more than a second, the target was
     /// restarted and its measurements are discarded.
     pub started: Instant,
+    /// The version that the target announces, if rollouts are enabled.
+    pub version: Option<Name>,
+    /// When the target will be warm, if it announces its version and that it is cold.
+    pub warm: Option<Instant>,
 }
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, EndpointState, Fingerprint, Goal, Next,
-    PoisonList, Reason, Refusal, RequestInfo, Router, TargetChange,
+    PoisonList, Reason, Refusal, RequestInfo, RolloutHolder, Router, TargetChange, VersionShare,
     choice::{
         balancer::Constraints, locality::Locality, target::Observation, upstream::Upstream,
         view::Choice,
@@ -63,6 +63,7 @@
     /// Number of daemons with targets, all of which send requests.
     daemons: usize,
     poison: PoisonList,
+    rollouts: RolloutHolder,
     lost_attempts: LostAttempts,
     rng: SmallRng,
     pending: HashMap<u64, PendingRequest>,
@@ -86,6 +87,7 @@
             services: HashMap::new(),
             daemons: 1,
             poison: PoisonList::default(),
+            rollouts: RolloutHolder::default(),
             lost_attempts: LostAttempts::default(),
             rng: SmallRng::seed_from_u64(config.seed),
             pending: HashMap::new(),
@@ -117,6 +119,7 @@
             self.pools.push(key);
             if let Some(upstream) = self.upstreams.get_mut(&key) {
                 upstream.set_pool(pool);
+                upstream.balancer.set_share(self.rollouts.share(&pool.service));
                 upstream.budget.set_daemons(self.daemons);
                 upstream.set_endpoints(self.services.get(&pool.service).map_or(&[], Vec::as_slice));
             }
@@ -150,6 +153,37 @@
         &mut self.poison
     }
 
+    /// Follows the share of a version, unless a share with a higher epoch is known. Returns whether this
+    /// changes what the daemon does.
+    pub fn set_share(&mut self, share: VersionShare, now: Instant) -> bool {
+        let service = share.service.clone();
+        let changed = self.rollouts.receive(share, now);
+        if changed {
+            self.apply_share(&service);
+        }
+        changed
+    }
+
+    /// The rollouts that this daemon knows of.
+    #[must_use]
+    pub const fn rollouts(&self) -> &RolloutHolder {
+        &self.rollouts
+    }
+
+    /// Stops sending to versions that this daemon's own evidence shows to be bad, where the leader of the
+    /// rollout is not heard; called once per period. Returns the services concerned.
+    pub fn check_rollouts(&mut self, now: Instant) -> Vec<Name> {
+        let stopped = self.rollouts.check(now);
+        stopped.iter().for_each(|service| self.apply_share(service));
+        stopped
+    }
+
+    fn apply_share(&mut self, service: &Name) {
+        let share = self.rollouts.share(service);
+        let pools = self.upstreams.values_mut().filter(|upstream| upstream.service() == service);
+        pools.for_each(|upstream| upstream.balancer.set_share(share.clone()));
+    }
+
     /// Handles the death of a target: returns the requests that this daemon has in flight there, or
     /// whose attempts there recently ended without a response, for [`PoisonList::report`]. Attempts still
     /// in flight must be settled as usual.
@@ -339,6 +373,7 @@
         {
             self.poison.clear_suspicion(fingerprint);
         }
+        self.rollouts.record(&request.endpoint, &request.route.name, outcome, fair, now);
         let reroutable = self.is_reroutable(outcome);
         let Some(upstream) = self.upstreams.get_mut(&request.pool) else { return };
         let uid = request.uid;
@@ -388,7 +423,7 @@
         // A request that was not refused for overload may also wait in a queue, so its target needs
         // no free slot.
         let chosen = match is_overload(cause) {
-            true => upstream.balancer.choose_free(&upstream.pool, constraints, now),
+            true => upstream.balancer.choose_free(&upstream.pool, constraints, &mut self.rng, now),
             false => upstream.balancer.choose(&upstream.pool, constraints, &mut self.rng, now),
         };
         let Choice { uid, endpoint, basis } = chosen?;
--- a/crates/request/src/keeper.rs
+++ b/crates/request/src/keeper.rs
@@ -3,7 +3,7 @@
 mod claim;
 mod member;
 mod peers;
-mod placement;
+pub(crate) mod placement;
 mod record;
 mod records;
 
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -15,6 +15,7 @@
 mod reason;
 mod refusal;
 mod retry;
+mod rollout;
 
 pub use choice::{
     Avoidance, Basis, Endpoint, EndpointState, Load, ParseLoadError, ResolvedRoute, Router,
@@ -38,3 +39,8 @@
 pub use retry::{
     Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo, RetryAfterPolicy, RetryBudget,
 };
+pub use rollout::{
+    Comparison, Evidence, EvidenceReport, Judgement, MAX_AVOIDED_VERSIONS, RollbackReason,
+    RolloutAction, RolloutHolder, RolloutInput, RolloutLeader, RolloutOrder, RolloutPolicy,
+    RolloutState, RolloutStep, RouteEvidence, Tally, VersionShare,
+};
--- /dev/null
+++ b/crates/request/src/rollout.rs
@@ -0,0 +1,18 @@
+//! Decisions about canary rollouts: a service is moved to another version of its targets step by step,
+//! and the move is undone when the new version responds worse than the old one.
+
+mod comparison;
+mod evidence;
+mod holder;
+mod leader;
+mod plan;
+mod sequential;
+
+pub use comparison::{Comparison, Judgement};
+pub use evidence::{Evidence, EvidenceReport, RouteEvidence, Tally};
+pub use holder::RolloutHolder;
+pub use leader::{RolloutAction, RolloutInput, RolloutLeader};
+pub use plan::{
+    MAX_AVOIDED_VERSIONS, RollbackReason, RolloutOrder, RolloutPolicy, RolloutState, RolloutStep,
+    VersionShare,
+};
--- /dev/null
+++ b/crates/request/src/rollout/leader.rs
@@ -0,0 +1,460 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use dw_tables::Name;
+
+use crate::rollout::{
+    Comparison, Evidence, EvidenceReport, Judgement, RollbackReason, RolloutOrder, RolloutPolicy,
+    RolloutState, RolloutStep, VersionShare,
+};
+
+/// Time that must be left before the limit to write the completion, in ms.
+const COMPLETION_MARGIN: u64 = 50;
+
+/// Time that must be left before the limit to switch, in ms: confirmations take one broadcast and one
+/// report.
+const SWITCH_MARGIN: u64 = 250;
+
+/// Factor by which the request rate is assumed to grow after the switch.
+const RATE_MARGIN: f64 = 1.1;
+
+/// Something that the leader of a rollout learns.
+#[derive(Clone, Debug)]
+pub enum RolloutInput {
+    /// The operator's current order was read.
+    Order(RolloutOrder),
+    /// The state was read from the store, at this revision; `None` and 0 if there is none.
+    State {
+        /// The state.
+        state: Option<RolloutState>,
+        /// The revision of its key.
+        revision: u64,
+    },
+    /// The write took effect, at this revision.
+    Stored {
+        /// The revision of the key.
+        revision: u64,
+    },
+    /// The store call failed. A write may have taken effect.
+    StoreFailed,
+    /// The write was refused, because the state changed in between.
+    Conflict,
+    /// A daemon reported what it observed.
+    Report(EvidenceReport),
+    /// The live daemons, and the versions of the service's live targets.
+    Members {
+        /// The hosts of the live daemons.
+        hosts: BTreeSet<Name>,
+        /// The versions.
+        versions: BTreeSet<Option<Name>>,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// Something that the leader has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RolloutAction {
+    /// Send the share to all daemons.
+    Announce(VersionShare),
+    /// Read the state.
+    Read,
+    /// Write the state if its key still has this revision.
+    Write {
+        /// The state.
+        state: RolloutState,
+        /// The revision; 0 if the key must not exist.
+        revision: u64,
+    },
+}
+
+/// What a daemon reported last.
+#[derive(Clone, Debug)]
+struct Reporter {
+    incarnation: u64,
+    epoch: u64,
+    stopped: bool,
+    evidence: Evidence,
+}
+
+/// The leader's decisions about the rollouts of one service, as a state machine without I/O.
+///
+/// It addresses a bad version, whose share of requests must stay bounded: until shortly before the time
+/// limit it receives the canary share, and a rollback is announced before it is stored. Each other step is
+/// stored before it is announced, so that a successor never announces an earlier step. Times are in ms
+/// since the Unix epoch, since they are part of the stored state.
+#[derive(Clone, Debug)]
+pub struct RolloutLeader {
+    service: Name,
+    policy: RolloutPolicy,
+    order: Option<RolloutOrder>,
+    order_seen: u64,
+    state: Option<RolloutState>,
+    revision: u64,
+    /// Whether the state is known to be the stored one.
+    fresh: bool,
+    reading: bool,
+    /// The write in flight.
+    pending: Option<RolloutState>,
+    /// Whether a write of the completion may have taken effect.
+    maybe_complete: bool,
+    retry_at: u64,
+    /// Why the current rollout was rolled back, though this may not have been stored yet.
+    rollback: Option<RollbackReason>,
+    comparison: Comparison,
+    reporters: HashMap<Name, Reporter>,
+    hosts: BTreeSet<Name>,
+    versions: BTreeSet<Option<Name>>,
+    judged_at: u64,
+    judgement: Judgement,
+    announced_at: Option<u64>,
+    ended_at: u64,
+    /// When this leader received its first input.
+    elected_at: u64,
+    /// Number of attempts at the start of recent periods, to estimate the rate.
+    counts: BTreeMap<u64, u64>,
+}
+
+impl RolloutLeader {
+    /// Creates the leader's state for a service; it first reads the stored state.
+    #[must_use]
+    pub fn new(service: Name, policy: RolloutPolicy) -> Self {
+        Self {
+            service,
+            policy,
+            order: None,
+            order_seen: 0,
+            state: None,
+            revision: 0,
+            fresh: false,
+            reading: false,
+            pending: None,
+            maybe_complete: false,
+            retry_at: 0,
+            rollback: None,
+            comparison: Comparison::default(),
+            reporters: HashMap::new(),
+            hosts: BTreeSet::new(),
+            versions: BTreeSet::new(),
+            judged_at: 0,
+            judgement: Judgement::Open,
+            announced_at: None,
+            ended_at: 0,
+            elected_at: 0,
+            counts: BTreeMap::new(),
+        }
+    }
+
+    /// The state as last known.
+    #[must_use]
+    pub const fn state(&self) -> Option<&RolloutState> {
+        self.state.as_ref()
+    }
+
+    /// Handles an input at a time in ms since the Unix epoch and returns what to do, in order.
+    pub fn handle(&mut self, input: RolloutInput, now: u64) -> Vec<RolloutAction> {
+        let mut out = Vec::new();
+        if self.elected_at == 0 {
+            self.elected_at = now;
+        }
+        match input {
+            RolloutInput::Order(order) => {
+                if self.order.as_ref().is_none_or(|old| old.id != order.id) {
+                    self.order_seen = now;
+                    self.announced_at = None;
+                }
+                self.order = Some(order);
+            }
+            RolloutInput::State { state, revision } => {
+                self.reading = false;
+                self.adopt(state, revision, now);
+            }
+            RolloutInput::Stored { revision } => {
+                if let Some(state) = self.pending.take() {
+                    self.adopt(Some(state), revision, now);
+                }
+            }
+            RolloutInput::StoreFailed => {
+                self.maybe_complete |= self.is_completing();
+                self.forget_store(now + millis(self.policy.store_retry));
+            }
+            RolloutInput::Conflict => self.forget_store(now),
+            RolloutInput::Report(report) => self.receive(report, now),
+            RolloutInput::Members { hosts, versions } => {
+                (self.hosts, self.versions) = (hosts, versions);
+            }
+            RolloutInput::Tick => {}
+        }
+        self.read_state(now, &mut out);
+        self.start_order(&mut out);
+        self.advance(now, &mut out);
+        self.announce(now, &mut out);
+        out
+    }
+
+    /// When the leader next needs a tick, in ms since the Unix epoch; `None` if nothing is to be done.
+    #[must_use]
+    pub fn deadline(&self, now: u64) -> Option<u64> {
+        let running = self.state.as_ref().is_some_and(|state| state.step.is_running());
+        let running = running || self.next_state().is_some();
+        let unread = !self.fresh && !self.reading;
+        let lingers = now < self.ended_at + millis(self.policy.linger);
+        let step = millis(self.policy.period) / 5;
+        match (running, unread, lingers) {
+            (true, ..) => Some(now + step),
+            (false, true, _) => Some(self.retry_at.max(now + 1)),
+            (false, false, true) => {
+                self.announced_at.map(|at| at + millis(self.policy.period)).or(Some(now + step))
+            }
+            (false, false, false) => None,
+        }
+    }
+
+    /// Takes over the stored state.
+    fn adopt(&mut self, state: Option<RolloutState>, revision: u64, now: u64) {
+        let old = self.state.as_ref().map(|state| state.number);
+        if state.as_ref().map(|state| state.number) != old {
+            self.comparison = Comparison::default();
+            self.reporters.clear();
+            self.counts.clear();
+            self.judgement = Judgement::Open;
+            self.rollback = None;
+        }
+        if state.as_ref().is_some_and(|state| !state.step.is_running()) {
+            self.ended_at = now;
+        }
+        (self.state, self.revision, self.fresh) = (state, revision, true);
+        self.pending = None;
+        self.maybe_complete = false;
+        self.announced_at = None;
+    }
+
+    fn forget_store(&mut self, retry_at: u64) {
+        self.pending = None;
+        self.reading = false;
+        self.fresh = false;
+        self.retry_at = retry_at;
+    }
+
+    fn is_completing(&self) -> bool {
+        self.pending.as_ref().is_some_and(|state| state.step == RolloutStep::Complete)
+    }
+
+    fn read_state(&mut self, now: u64, out: &mut Vec<RolloutAction>) {
+        if !self.fresh && !self.reading && self.pending.is_none() && now >= self.retry_at {
+            self.reading = true;
+            out.push(RolloutAction::Read);
+        }
+    }
+
+    fn write(&mut self, state: RolloutState, out: &mut Vec<RolloutAction>) {
+        self.pending = Some(state.clone());
+        out.push(RolloutAction::Write { state, revision: self.revision });
+    }
+
+    /// Whether a write can be made now.
+    const fn can_write(&self) -> bool {
+        self.fresh && self.pending.is_none()
+    }
+
+    /// Begins a rollout if there is a new order.
+    fn start_order(&mut self, out: &mut Vec<RolloutAction>) {
+        if let Some(next) = self.next_state().filter(|_| self.can_write()) {
+            self.write(next, out);
+        }
+    }
+
+    /// The first state of the rollout of an order that has none yet.
+    fn next_state(&self) -> Option<RolloutState> {
+        let order = self.order.as_ref()?;
+        let known = self.state.as_ref().is_some_and(|state| state.order == order.id);
+        if known || (order.aborted && self.state.is_none()) {
+            return None;
+        }
+        let version = Some(&order.version);
+        let completed = self.state.as_ref().is_some_and(|state| state.force.as_ref() == version);
+        let alone = self.versions.len() == 1
+            && self.versions.first().is_some_and(|live| live.as_ref() == version);
+        let in_force = completed || alone;
+        Some(RolloutState::begin(self.state.as_ref(), order, in_force, self.order_seen))
+    }
+
+    /// Takes in a report. Evidence is cumulative, so a lost or reordered report does no harm.
+    fn receive(&mut self, report: EvidenceReport, now: u64) {
+        let Some(state) = &self.state else { return };
+        let share = state.share(&self.service, &self.policy);
+        let EvidenceReport { host, incarnation, epoch, stopped, evidence, .. } = report;
+        if (VersionShare { epoch, ..share.clone() }).number() != share.number() {
+            return;
+        }
+        if VersionShare::is_rollback(epoch, share.number()) && state.step.is_running() {
+            // A predecessor announced a rollback that it could not store.
+            self.rollback.get_or_insert(RollbackReason::BadResponses);
+        }
+        let known = self.reporters.get(&host);
+        // A successor cannot tell when the evidence that it receives first was collected.
+        let early = now < state.begun + state.duration / 2 || known.is_none();
+        if known.is_some_and(|known| known.incarnation > incarnation) {
+            return;
+        }
+        let fresh = match known.filter(|known| known.incarnation == incarnation) {
+            Some(known) => evidence.since(&known.evidence),
+            None => Some(evidence.clone()),
+        };
+        let Some(fresh) = fresh else { return };
+        let same = known.filter(|known| known.incarnation == incarnation);
+        let epoch = same.map_or(epoch, |known| known.epoch.max(epoch));
+        self.comparison.add(&fresh, early);
+        self.reporters.insert(host, Reporter { incarnation, epoch, stopped, evidence });
+    }
+
+    /// Takes the next step of the running rollout if it is due.
+    fn advance(&mut self, now: u64, out: &mut Vec<RolloutAction>) {
+        let Some(state) = self.state.clone().filter(|state| state.step.is_running()) else {
+            return;
+        };
+        if self.is_completing() {
+            return;
+        }
+        self.judge(&state, now);
+        let reason = self.rollback.or_else(|| self.find_fault(&state, now));
+        if let Some(reason) = reason {
+            if self.rollback.is_none() {
+                self.rollback = Some(reason);
+                self.announced_at = None;
+            }
+            if self.can_write() {
+                self.write(state.at_step(RolloutStep::RolledBack(reason)), out);
+            }
+            return;
+        }
+        if !self.can_write() || self.is_replaced(&state) {
+            return;
+        }
+        let next = match state.step {
+            RolloutStep::Canary if self.may_switch(&state, now) => RolloutStep::Switch,
+            RolloutStep::Switch
+                if now + COMPLETION_MARGIN <= state.limit() && self.all_confirmed(&state) =>
+            {
+                RolloutStep::Complete
+            }
+            _ => return,
+        };
+        self.write(state.at_step(next), out);
+    }
+
+    /// Whether another order waits to be written.
+    fn is_replaced(&self, state: &RolloutState) -> bool {
+        self.order.as_ref().is_some_and(|order| order.id != state.order)
+    }
+
+    fn judge(&mut self, state: &RolloutState, now: u64) {
+        let period = millis(self.policy.period);
+        if now < self.judged_at + period / 2 {
+            return;
+        }
+        self.judged_at = now;
+        let periods = state.duration / (period / 2).max(1) + 1;
+        self.judgement = self.comparison.judge(periods);
+        self.counts.insert(now, self.comparison.attempts().1);
+        let oldest = now.saturating_sub(period * 4);
+        self.counts.retain(|at, _| *at >= oldest);
+    }
+
+    /// Why the rollout has to be rolled back.
+    fn find_fault(&self, state: &RolloutState, now: u64) -> Option<RollbackReason> {
+        // If the completion may have been written, the old targets may have stopped. As long as some run,
+        // a rollback costs nothing: a completion that is found later has the higher epoch.
+        let version = Some(state.version.clone());
+        let old_live = self.versions.iter().any(|live| *live != version);
+        if self.maybe_complete && !old_live {
+            return None;
+        }
+        if self.judgement == Judgement::Bad {
+            return Some(RollbackReason::BadResponses);
+        }
+        let order = self.order.as_ref().filter(|order| order.id == state.order);
+        if order.is_some_and(|order| order.aborted) {
+            return Some(RollbackReason::Aborted);
+        }
+        let late = now >= state.limit() && !self.maybe_complete;
+        late.then_some(RollbackReason::TimeLimit)
+    }
+
+    /// Whether all traffic may be switched: late enough for the bound on a bad version's requests, and with
+    /// full evidence.
+    fn may_switch(&self, state: &RolloutState, now: u64) -> bool {
+        let order = self.order.as_ref().filter(|order| order.id == state.order);
+        if order.is_some_and(|order| order.paused) || self.judgement != Judgement::Good {
+            return false;
+        }
+        let left = state.limit().saturating_sub(now);
+        let by_share = as_millis(self.policy.lead_share * as_float(state.duration));
+        let lead = by_share.max(millis(self.policy.min_lead));
+        left <= lead && left >= SWITCH_MARGIN && self.stays_bounded(state, left)
+    }
+
+    /// Whether the bound holds if all requests of the next `left` ms go to the new version. The lead alone
+    /// does not ensure it if the rate grows during the rollout.
+    fn stays_bounded(&self, state: &RolloutState, left: u64) -> bool {
+        let (new, all) = self.comparison.attempts();
+        let (Some(first), Some(last)) = (self.counts.iter().next(), self.counts.iter().next_back())
+        else {
+            return false;
+        };
+        let recent = as_float(last.1 - first.1) / as_float((last.0 - first.0).max(1));
+        let mean = as_float(all) / as_float(state.duration.saturating_sub(left).max(1));
+        // The first reports to a successor contain all requests since the order.
+        let takeover = self.elected_at + 4 * millis(self.policy.period);
+        let per_ms = if *last.0 < takeover { mean } else { recent };
+        // Reports are up to a period old, so the requests since then are not in the counts.
+        let rest = per_ms * RATE_MARGIN * as_float(left);
+        let bound = self.policy.exposure * (as_float(all) + rest) + as_float(self.policy.slack);
+        as_float(new) + rest <= bound
+    }
+
+    /// Whether all live daemons follow the share of this state.
+    fn all_confirmed(&self, state: &RolloutState) -> bool {
+        let epoch = state.share(&self.service, &self.policy).epoch;
+        let confirmed = |host: &Name| {
+            self.reporters.get(host).is_some_and(|known| known.epoch >= epoch && !known.stopped)
+        };
+        !self.hosts.is_empty() && self.hosts.iter().all(confirmed)
+    }
+
+    /// Announces the current share, at once after a change and periodically while the rollout runs.
+    fn announce(&mut self, now: u64, out: &mut Vec<RolloutAction>) {
+        let due = self.announced_at.is_none_or(|at| now >= at + millis(self.policy.period));
+        if let Some(next) = self.next_state().filter(|next| next.step.is_running() && due) {
+            self.announced_at = Some(now);
+            out.push(RolloutAction::Announce(next.hold(&self.service, &self.policy)));
+            return;
+        }
+        let Some(state) = &self.state else { return };
+        let lingers = now < self.ended_at + millis(self.policy.linger);
+        if !due || !(state.step.is_running() || lingers) {
+            return;
+        }
+        let state = match self.rollback {
+            Some(reason) if state.step.is_running() => {
+                state.at_step(RolloutStep::RolledBack(reason))
+            }
+            _ => state.clone(),
+        };
+        self.announced_at = Some(now);
+        out.push(RolloutAction::Announce(state.share(&self.service, &self.policy)));
+    }
+}
+
+fn millis(time: std::time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "times and counts stay far below 2^53")]
+const fn as_float(value: u64) -> f64 {
+    value as f64
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped before")]
+const fn as_millis(value: f64) -> u64 {
+    value.clamp(0.0, 1e15) as u64
+}
--- /dev/null
+++ b/crates/request/src/rollout/plan.rs
@@ -0,0 +1,246 @@
+use std::time::Duration;
+
+use derive_more::Display;
+use dw_tables::Name;
+use serde::{Deserialize, Serialize};
+
+/// Maximum number of versions of a service that are remembered as rolled back or replaced. Each is
+/// part of every share that is sent, and few can have live targets at once.
+pub const MAX_AVOIDED_VERSIONS: usize = 8;
+
+/// Sequence numbers of the shares within one rollout. A rollback takes precedence over every earlier
+/// step, and completion over a rollback, since the old targets stop at completion.
+const EPOCHS_PER_ROLLOUT: u64 = 16;
+
+/// Bounds and times of rollouts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutPolicy {
+    /// Per mille of the requests, and of the new targets, that are used while evidence is collected.
+    pub canary: u32,
+    /// Largest part of all requests between order and time limit that a bad version may receive.
+    pub exposure: f64,
+    /// Requests that a bad version may receive in addition.
+    pub slack: u64,
+    /// Shortest time before the time limit at which all traffic is switched.
+    pub min_lead: Duration,
+    /// The same as a part of the duration of the rollout.
+    pub lead_share: f64,
+    /// Period of evidence reports and of repeated announcements.
+    pub period: Duration,
+    /// Time without news from the leader after which a daemon decides on its own evidence.
+    pub silence: Duration,
+    /// Time between a failed store call and the next one. Store calls are priced.
+    pub store_retry: Duration,
+    /// How long a finished rollout is still announced, for daemons that missed it.
+    pub linger: Duration,
+}
+
+impl Default for RolloutPolicy {
+    fn default() -> Self {
+        Self {
+            canary: 50,
+            exposure: 0.1,
+            slack: 50,
+            min_lead: Duration::from_millis(600),
+            lead_share: 0.05,
+            period: Duration::from_millis(500),
+            silence: Duration::from_secs(2),
+            store_retry: Duration::from_secs(1),
+            linger: Duration::from_secs(30),
+        }
+    }
+}
+
+/// An operator's order to move a service to a version of its targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutOrder {
+    /// Distinguishes orders for the same service.
+    pub id: u64,
+    /// The version that the targets shall have.
+    pub version: Name,
+    /// The time limit in ms, from when the order was read.
+    pub duration: u64,
+    /// Whether the switch must wait. The time limit still applies.
+    #[serde(default)]
+    pub paused: bool,
+    /// Whether to roll back.
+    #[serde(default)]
+    pub aborted: bool,
+}
+
+/// Why a rollout was rolled back.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[display(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum RollbackReason {
+    /// The new version responded worse than the old one.
+    BadResponses,
+    /// The time limit passed before there was enough evidence, or before all daemons had switched.
+    TimeLimit,
+    /// The operator aborted it.
+    Aborted,
+}
+
+/// The step of a rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "step", content = "reason")]
+pub enum RolloutStep {
+    /// A few new targets receive the canary share.
+    Canary,
+    /// All traffic goes to the new version; the old targets still run.
+    Switch,
+    /// The new version is in force, and the old targets have stopped.
+    Complete,
+    /// No traffic goes to the new version.
+    RolledBack(RollbackReason),
+}
+
+impl RolloutStep {
+    /// Whether the rollout has not ended.
+    #[must_use]
+    pub const fn is_running(self) -> bool {
+        matches!(self, Self::Canary | Self::Switch)
+    }
+
+    const fn rank(self) -> u64 {
+        match self {
+            Self::Canary => 1,
+            Self::Switch => 2,
+            Self::RolledBack(_) => 3,
+            Self::Complete => 4,
+        }
+    }
+
+    /// Whether it is a rollback, for any reason.
+    #[must_use]
+    pub const fn is_rolled_back(self) -> bool {
+        matches!(self, Self::RolledBack(_))
+    }
+}
+
+/// What the store holds of the rollouts of one service. A successor of the leader continues from it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutState {
+    /// Number of the rollout of this service, from 1.
+    pub number: u64,
+    /// The order's [`RolloutOrder::id`].
+    pub order: u64,
+    /// The version that is rolled out.
+    pub version: Name,
+    /// When the order was first read, in ms since the Unix epoch.
+    pub begun: u64,
+    /// The time limit in ms after `begun`.
+    pub duration: u64,
+    /// The step.
+    #[serde(flatten)]
+    pub step: RolloutStep,
+    /// The version that the last complete rollout put in force.
+    #[serde(default)]
+    pub force: Option<Name>,
+    /// Versions that were rolled back or whose rollout was replaced. They receive no requests.
+    #[serde(default)]
+    pub avoid: Vec<Name>,
+}
+
+impl RolloutState {
+    /// The state after a new order. A rollout that has not completed is replaced, and its version gets no
+    /// more requests.
+    #[must_use]
+    pub fn begin(old: Option<&Self>, order: &RolloutOrder, in_force: bool, now: u64) -> Self {
+        let mut avoid = old.map(|old| old.avoid.clone()).unwrap_or_default();
+        if let Some(old) = old.filter(|old| old.step != RolloutStep::Complete) {
+            avoid.retain(|version| *version != old.version);
+            avoid.push(old.version.clone());
+        }
+        avoid.retain(|version| *version != order.version);
+        let excess = avoid.len().saturating_sub(MAX_AVOIDED_VERSIONS);
+        avoid.drain(..excess);
+        let force = old.and_then(|old| old.force.clone());
+        Self {
+            number: old.map_or(1, |old| old.number + 1),
+            order: order.id,
+            version: order.version.clone(),
+            begun: now,
+            duration: order.duration,
+            step: if in_force { RolloutStep::Complete } else { RolloutStep::Canary },
+            force: if in_force { Some(order.version.clone()) } else { force },
+            avoid,
+        }
+    }
+
+    /// The state at another step of the same rollout.
+    #[must_use]
+    pub fn at_step(&self, step: RolloutStep) -> Self {
+        let mut next = Self { step, ..self.clone() };
+        if step == RolloutStep::Complete {
+            next.force = Some(next.version.clone());
+        }
+        next
+    }
+
+    /// The end of the time limit, in ms since the Unix epoch.
+    #[must_use]
+    pub const fn limit(&self) -> u64 {
+        self.begun.saturating_add(self.duration)
+    }
+
+    /// The share before this state is stored: the new version receives nothing. Its targets may already
+    /// run, and without a share they would receive requests like all others until the store responds.
+    #[must_use]
+    pub fn hold(&self, service: &Name, policy: &RolloutPolicy) -> VersionShare {
+        let epoch = self.number * EPOCHS_PER_ROLLOUT;
+        VersionShare { epoch, share: 0, ..self.share(service, policy) }
+    }
+
+    /// The share that this state gives the new version.
+    #[must_use]
+    pub fn share(&self, service: &Name, policy: &RolloutPolicy) -> VersionShare {
+        VersionShare {
+            service: service.clone(),
+            version: self.version.clone(),
+            epoch: self.number * EPOCHS_PER_ROLLOUT + self.step.rank(),
+            step: self.step,
+            share: match self.step {
+                RolloutStep::Canary => policy.canary,
+                RolloutStep::Switch | RolloutStep::Complete => 1000,
+                RolloutStep::RolledBack(_) => 0,
+            },
+            avoid: self.avoid.clone(),
+        }
+    }
+}
+
+/// The share of a service's requests that one version receives, as sent to all daemons. The highest
+/// epoch wins.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionShare {
+    /// The service.
+    pub service: Name,
+    /// The version that is rolled out.
+    pub version: Name,
+    /// Orders the shares of a service.
+    pub epoch: u64,
+    /// The step of the rollout.
+    #[serde(flatten)]
+    pub step: RolloutStep,
+    /// Per mille of the requests that go to `version`.
+    pub share: u32,
+    /// Versions that receive no requests.
+    #[serde(default)]
+    pub avoid: Vec<Name>,
+}
+
+impl VersionShare {
+    /// The number of the rollout.
+    #[must_use]
+    pub const fn number(&self) -> u64 {
+        self.epoch / EPOCHS_PER_ROLLOUT
+    }
+
+    /// Whether an epoch is that of the rollback of rollout `number`.
+    #[must_use]
+    pub(crate) const fn is_rollback(epoch: u64, number: u64) -> bool {
+        let rank = RolloutStep::RolledBack(RollbackReason::BadResponses).rank();
+        epoch == number * EPOCHS_PER_ROLLOUT + rank
+    }
+}
--- a/crates/request/tests/support/mod.rs
+++ b/crates/request/tests/support/mod.rs
@@ -45,6 +45,8 @@
         connections: 100,
         state: EndpointState::Alive,
         started,
+        version: None,
+        warm: None,
     }
 }
 
