Announce the version of a target where rollouts are enabled

Cause: A rollout needs to know which version each target has, and when a cold one will be warm.

Change: TargetReport, dw_mesh::Target and dw_wire::Target get an optional version, and the latter two the time at which a cold target is warm.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -244,6 +244,8 @@
         connections: target.connections,
         draining: false,
         started: 0,
+        version: None,
+        warm: None,
     };
     let (host, domain) = (settings.host.clone(), settings.domain.clone());
     NodeConfig {
--- a/crates/daemon/src/proxy/fleet.rs
+++ b/crates/daemon/src/proxy/fleet.rs
@@ -102,8 +102,8 @@
                         endpoint_state(member.state)
                     },
                     started: since,
-                    version: None,
-                    warm: None,
+                    version: target.version.clone(),
+                    warm: target.warm.map(|warm| self.instant_of(warm)),
                 });
             }
         }
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     CounterValues, IgnoreReason,
+    clock::unix_ms,
     counters::Counters,
     node::{NodeMessage, View, ask_status},
     proxy::{Proxy, Server},
@@ -126,6 +127,8 @@
                 || self.proxy.is_draining()
                 || self.proxy.is_leaving(reported.index),
             started: reported.report.started,
+            version: reported.report.version.clone(),
+            warm: warm_at(reported),
         };
         self.send_event(LocalEvent::Targets(reported_targets.iter().map(target).collect())).await;
     }
@@ -240,6 +243,15 @@
     }
 }
 
+/// When a cold target with a version will be warm, in ms since the Unix epoch, rounded up to a second, so that
+/// its next reports rarely change the member record.
+fn warm_at(reported: &ReportedTarget) -> Option<u64> {
+    let left = reported.report.warmup_left.saturating_sub(reported.reported_at.elapsed());
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let cold = reported.report.version.is_some() && left > 0;
+    cold.then(|| unix_ms().saturating_add(left).div_ceil(1000) * 1000)
+}
+
 impl std::fmt::Debug for Running {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Running").field("addrs", &self.addrs).finish_non_exhaustive()
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -44,6 +44,8 @@
         connections: 8,
         draining: false,
         started: 1,
+        version: None,
+        warm: None,
     }
 }
 
--- a/crates/mesh/src/convert.rs
+++ b/crates/mesh/src/convert.rs
@@ -33,6 +33,7 @@
     let fits = names.iter().all(|name| name.len() <= NAME_LIMIT)
         && wire.targets.len() <= TARGETS_LIMIT
         && wire.targets.iter().all(|target| target.service.len() <= NAME_LIMIT)
+        && wire.targets.iter().filter_map(|t| t.version.as_ref()).all(|v| v.len() <= NAME_LIMIT)
         && wire.started <= wire.incarnation
         && !wire.host.is_empty()
         && !wire.domain.is_empty();
@@ -77,6 +78,8 @@
         connections: target.connections,
         draining: target.draining,
         started: target.started,
+        version: target.version.as_ref().map(ToString::to_string),
+        warm: target.warm,
     }
 }
 
@@ -88,6 +91,8 @@
         connections: target.connections,
         draining: target.draining,
         started: target.started,
+        version: target.version.as_deref().map(Name::from),
+        warm: target.warm,
     }
 }
 
--- a/crates/mesh/src/member.rs
+++ b/crates/mesh/src/member.rs
@@ -66,6 +66,12 @@
     /// When the target started, in ms since the Unix epoch; 0 if it started with its daemon.
     #[serde(default)]
     pub started: u64,
+    /// The version; `None` unless rollouts are enabled.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Name>,
+    /// When the target will be warm, in ms since the Unix epoch, if it has a version and is cold.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warm: Option<u64>,
 }
 
 /// One member of the fleet.
--- a/crates/request/src/gate/reported_targets.rs
+++ b/crates/request/src/gate/reported_targets.rs
@@ -26,6 +26,8 @@
     pub draining: bool,
     /// Remaining time for which it is slow after its start.
     pub warmup_left: Duration,
+    /// Its version; `None` unless rollouts are enabled.
+    pub version: Option<Name>,
 }
 
 /// A target on the same host as the daemon.
--- a/crates/request/tests/reported_targets.rs
+++ b/crates/request/tests/reported_targets.rs
@@ -18,6 +18,7 @@
         slots: 12,
         draining: false,
         warmup_left: Duration::ZERO,
+        version: None,
     }
 }
 
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -89,6 +89,12 @@
     /// When the target started, in ms since the Unix epoch; 0 stands for the start of its daemon.
     #[prost(uint64, tag = "6")]
     pub started: u64,
+    /// The version; absent unless rollouts are enabled.
+    #[prost(string, optional, tag = "7")]
+    pub version: Option<String>,
+    /// When the target will be warm, in ms since the Unix epoch; absent without a version or once it is warm.
+    #[prost(uint64, optional, tag = "8")]
+    pub warm: Option<u64>,
 }
 
 impl Member {
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -5,7 +5,7 @@
 use bytes::{BufMut, BytesMut};
 use dw_wire::{
     Frame, FrameBody, FrameCodec, Hello, JoinReply, MAX_MEMBERS_BYTES, MAX_PACKET_BYTES, Member,
-    Packet, PacketBody, Ping, Snapshot, WireError, decode_packet, encode_packet,
+    Packet, PacketBody, Ping, Snapshot, Target, WireError, decode_packet, encode_packet,
 };
 use googletest::prelude::*;
 use proptest::prelude::{any, prop, proptest};
@@ -95,3 +95,22 @@
         let _ = FrameCodec::default().decode(&mut BytesMut::from(&bytes[..]));
     }
 }
+
+/// Guards against messages that change where rollouts are not enabled, and against a version that is lost.
+#[gtest]
+fn target_without_version_is_encoded_as_before() {
+    let plain = Target {
+        index: 1,
+        service: "tally".into(),
+        slots: 4,
+        connections: 8,
+        draining: true,
+        started: 300,
+        version: None,
+        warm: None,
+    };
+    let before = b"\x08\x01\x12\x05tally\x18\x04\x20\x08\x28\x01\x30\xac\x02";
+    expect_that!(plain.encode_to_vec().as_slice(), eq(before.as_slice()));
+    let versioned = Target { version: Some("v2".into()), warm: Some(5), ..plain };
+    expect_that!(Target::decode(versioned.encode_to_vec().as_slice()), ok(eq(&versioned)));
+}
