--- a/crates/request/src/rollout/sequential.rs
+++ b/crates/request/src/rollout/sequential.rs
@@ -80,7 +80,7 @@
 
     /// Whether the responses suggest that the version is worse, from the start or since a change, without
     /// proving it. Traffic is not switched then, however many good responses there were. Without the ratio
-    /// since the start, a version of which 4% of the responses were bad on one route passed in the model.
+    /// since the start, a version that was bad on one route, only under load, passed in the model.
     #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
     pub(super) fn is_suspicious(&self, periods: u64) -> bool {
         let changed = self.log_statistic() >= (periods.max(1) as f64 / MISSED).ln();
