Merge the decisions of canary rollouts

Distribution of shares, the leader's task and the operator's commands are not begun, so no order has any effect yet.

--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -16,6 +16,7 @@
 mod reason;
 mod refusal;
 mod retry;
+mod rollout;
 mod workspace;
 
 pub use choice::{
@@ -40,6 +41,11 @@
 pub use retry::{
     Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo, RetryAfterPolicy, RetryBudget,
 };
+pub use rollout::{
+    Comparison, Evidence, EvidenceReport, Judgement, MAX_AVOIDED_VERSIONS, RollbackReason,
+    RolloutAction, RolloutHolder, RolloutInput, RolloutLeader, RolloutOrder, RolloutPolicy,
+    RolloutState, RolloutStep, RouteEvidence, Tally, VersionShare,
+};
 pub use workspace::{
     Access, Allotment, Credentials, CreditAsk, CreditHolder, CreditOwner, Electorate, KeyIndex,
     Lease, Take,
