Decide on a request after the longest wait although no credit request was sent

A daemon that is stalled for 80 ms may not have sent the credit request by then. The request was refused as over the quota instead of being decided by the local bucket.

--- a/crates/request/src/workspace/holder.rs
+++ b/crates/request/src/workspace/holder.rs
@@ -77,7 +77,7 @@
     share: Option<(f64, Instant)>,
     /// When the owner stopped answering.
     alone: Option<Instant>,
-    /// When the last credit request was sent.
+    /// When the last credit request was sent, or should have been sent.
     asked: Instant,
     /// Whether requests wait for the owner although it did not answer before.
     retrying: bool,
@@ -229,6 +229,9 @@
     pub fn unanswered(&mut self, now: Instant) {
         self.open = None;
         self.retrying = false;
+        // A daemon that was stalled may have sent no credit request. Requests that have waited must not
+        // wait for another one, which may be sent at once.
+        self.asked = self.asked.max(now - PROBE_INTERVAL);
         if self.alone.is_none() {
             self.alone = Some(now);
             self.local.start(self.local_rate(now, now), self.members, now);
--- a/crates/request/tests/quota.rs
+++ b/crates/request/tests/quota.rs
@@ -329,3 +329,16 @@
     // The refunded token counts once.
     expect_that!(holder.poll(now), some(matches_pattern!(CreditAsk { spent: eq(1), .. })));
 }
+
+/// Guards against requests that are refused as over the quota, or that wait twice as long, because the
+/// daemon was stalled and sent no credit request within the longest wait.
+#[gtest]
+fn a_request_is_decided_after_the_longest_wait_although_none_was_sent() {
+    let start = Instant::now();
+    let mut holder = CreditHolder::new(QUOTA, 1, 1.0, start);
+    let now = start + ms(2000);
+    expect_that!(holder.take(now), eq(Take::Ask));
+    holder.unanswered(now + ms(80));
+    expect_that!(holder.take_again(now + ms(80)), eq(Take::Granted));
+    expect_that!(holder.poll(now + ms(80)), some(anything()));
+}
