State the time until a token in each denial

The stated time was at most 1.5 s, so that `Retry-After` was too early for rates below 2 requests per second and for owners that lease only a part of the rate.

--- a/crates/request/src/workspace/holder.rs
+++ b/crates/request/src/workspace/holder.rs
@@ -15,6 +15,10 @@
 /// it, a daemon with few requests would decide each of them from the local bucket after an outage.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Longest time for which a denial is kept. By then a refund may have returned tokens, or another owner may
+/// have some.
+const DENIAL_PERIOD: Duration = Duration::from_millis(1500);
+
 /// Time in which the last known share is used while the owner does not answer.
 const SHARE_PERIOD: Duration = Duration::from_secs(10);
 
@@ -57,6 +61,15 @@
     attempts: u32,
 }
 
+/// The owner's last denial.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    /// Until when it is kept.
+    until: Instant,
+    /// When tokens will be available.
+    available: Instant,
+}
+
 /// The credit of one daemon for one workspace.
 ///
 /// It addresses owners that do not answer, and the cost of asking: a daemon that receives many requests
@@ -67,7 +80,7 @@
     allotment: Allotment,
     members: usize,
     batches: VecDeque<(u32, Instant)>,
-    denied: Option<Instant>,
+    denied: Option<Denial>,
     open: Option<Open>,
     wanted: bool,
     next_id: u64,
@@ -139,12 +152,12 @@
             let want = self.want();
             let left: u32 = self.batches.iter().map(|(tokens, _)| *tokens).sum();
             let is_low = want > 1 && left <= want / 4;
-            self.wanted |= is_low && self.denied.is_none_or(|until| until <= now);
+            self.wanted |= is_low && self.denied.is_none_or(|denial| denial.until <= now);
             return Take::Granted;
         }
-        if let Some(until) = self.denied {
-            if now < until {
-                return Take::Denied { after: until - now };
+        if let Some(denial) = self.denied {
+            if now < denial.until {
+                return Take::Denied { after: denial.available - now };
             }
             self.denied = None;
         }
@@ -221,7 +234,8 @@
     /// Applies a denial.
     pub fn denied(&mut self, id: u64, wait: Duration, share: f64, now: Instant) {
         if self.answered(id, share, now).is_some() {
-            self.denied = Some(now + wait);
+            self.denied =
+                Some(Denial { until: now + wait.min(DENIAL_PERIOD), available: now + wait });
         }
     }
 
--- a/crates/request/src/workspace/owner.rs
+++ b/crates/request/src/workspace/owner.rs
@@ -23,6 +23,9 @@
 /// with 82 daemons, one workspace over its limit causes 820 credit requests per second at this value.
 const MIN_DENIAL: Duration = Duration::from_millis(100);
 
+/// Longest time that a denial states.
+const MAX_DENIAL: Duration = Duration::from_secs(3600);
+
 /// Tokens above the burst that the bucket may hold, out of the 20 that the bound allows above rate and
 /// burst. Without them the tokens on their way to holders would reduce the bursts of small workspaces.
 const EXTRA_TOKENS: f64 = 4.0;
@@ -217,7 +220,7 @@
         let share = if total > 0.0 { rate * recent / total } else { 0.0 };
         let answer = if tokens == 0 {
             let wait = (1.0 - self.level) / (rate * self.fraction).max(f64::MIN_POSITIVE);
-            let wait = Duration::from_secs_f64(wait.min(WARM_UP.as_secs_f64()));
+            let wait = Duration::from_secs_f64(wait.min(MAX_DENIAL.as_secs_f64()));
             Lease::Denied { wait: wait.max(MIN_DENIAL), share }
         } else {
             let ttl = if tokens == 1 { SINGLE_TTL } else { LEASE_TTL };
--- a/crates/request/tests/quota.rs
+++ b/crates/request/tests/quota.rs
@@ -361,3 +361,23 @@
     expect_that!(holder.poll(now + ms(80)), none());
     expect_that!(holder.is_deciding_locally(), eq(true));
 }
+
+/// Guards against a `Retry-After` that is too early for workspaces with a low rate, and against a denial
+/// that is kept for as long although another owner or a refund may have tokens by then.
+#[gtest]
+fn a_denial_states_the_time_until_a_token_and_is_kept_for_less() {
+    let now = Instant::now();
+    let slow = Allotment { rate: RequestRate::try_from(0.1).expect("a rate"), burst: 1 };
+    let mut owner = CreditOwner::new(slow, now);
+    let wait = match owner.lease(&"a".into(), ask(1, 1, 0), now) {
+        Lease::Denied { wait, .. } => wait,
+        _ => Duration::ZERO,
+    };
+    expect_that!(wait, eq(Duration::from_secs(10)));
+    let mut holder = asking_holder(now);
+    holder.denied(1, wait, 0.0, now);
+    expect_that!(holder.take_again(now), eq(Take::Denied { after: wait }));
+    let later = now + ms(1499);
+    expect_that!(holder.take_again(later), eq(Take::Denied { after: wait - ms(1499) }));
+    expect_that!(holder.take_again(now + ms(1500)), eq(Take::Ask));
+}
