--- a/crates/request/src/workspace/holder.rs
+++ b/crates/request/src/workspace/holder.rs
@@ -121,9 +121,12 @@
         }
     }
 
-    /// Replaces the quota. Tokens that are held expire as leased.
-    pub const fn set_allotment(&mut self, allotment: Allotment) {
-        self.allotment = allotment;
+    /// Replaces the quota. Tokens that are held expire as leased; a denial by another quota ends.
+    pub fn set_allotment(&mut self, allotment: Allotment) {
+        if allotment != self.allotment {
+            self.allotment = allotment;
+            self.denied = None;
+        }
     }
 
     /// Sets the number of daemons that share the rate; see [`super::Electorate::known`].
--- a/crates/request/tests/quota.rs
+++ b/crates/request/tests/quota.rs
@@ -381,3 +381,15 @@
     expect_that!(holder.take_again(later), eq(Take::Denied { after: wait - ms(1499) }));
     expect_that!(holder.take_again(now + ms(1500)), eq(Take::Ask));
 }
+
+/// Guards against requests that are refused by a limit which is no longer in force.
+#[gtest]
+fn a_changed_limit_ends_a_denial() {
+    let now = Instant::now();
+    let mut holder = asking_holder(now);
+    holder.denied(1, ms(1000), 0.0, now);
+    holder.set_allotment(QUOTA);
+    expect_that!(holder.take_again(now), eq(Take::Denied { after: ms(1000) }));
+    holder.set_allotment(quota(200));
+    expect_that!(holder.take_again(now), eq(Take::Ask));
+}
