Count configured daemons as known after the start

A daemon that has just started, or that starts while it is cut off, knew itself only. Until it knew the others it admitted the whole rate from its local bucket, and 12 requests at once, as all others did after a restart of all.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -129,6 +129,7 @@
         let targets = targets
             .map(|(t, idx)| Arc::new(LocalTarget::new(idx, Name::default(), t, tasks.clone())));
         let targets: Vec<_> = targets.collect();
+        let configured = settings.join.iter().filter(|addr| **addr != settings.peers).count() + 1;
         let proxy = Arc::new(Self {
             host,
             started: Instant::now(),
@@ -145,7 +146,7 @@
             node: OnceLock::new(),
             permits: Arc::new(Semaphore::new(settings.limits.requests as usize)),
             draining: AtomicBool::new(false),
-            quota: QuotaHandle::new(settings.host.clone(), counters.clone()),
+            quota: QuotaHandle::new(settings.host.clone(), configured, counters.clone()),
             in_flight: TaskTracker::new(),
             counters,
             log,
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -44,9 +44,10 @@
 }
 
 impl QuotaHandle {
-    /// Creates the handle of a daemon that knows no workspaces yet.
-    pub(crate) fn new(host: Name, counters: Counters) -> Self {
-        let state = Mutex::new(State::new(host));
+    /// Creates the handle of a daemon that knows no workspaces yet. The settings name `configured` daemons,
+    /// including this one.
+    pub(crate) fn new(host: Name, configured: usize, counters: Counters) -> Self {
+        let state = Mutex::new(State::new(host, configured));
         Self(Arc::new(Shared { state, wake: Notify::new(), counters }))
     }
 
--- a/crates/daemon/src/quota/state.rs
+++ b/crates/daemon/src/quota/state.rs
@@ -47,11 +47,11 @@
 }
 
 impl State {
-    pub(super) fn new(host: Name) -> Self {
+    pub(super) fn new(host: Name, configured: usize) -> Self {
         Self {
             host,
             quotas: HashMap::new(),
-            electorate: Electorate::default(),
+            electorate: Electorate::default().with_configured(configured),
             addrs: HashMap::new(),
             entries: HashMap::new(),
             owners: HashMap::new(),
--- a/crates/request/src/workspace/electorate.rs
+++ b/crates/request/src/workspace/electorate.rs
@@ -35,9 +35,19 @@
     live: usize,
     /// When the first view arrived.
     started: Option<Instant>,
+    /// Number of daemons that the settings name.
+    configured: usize,
 }
 
 impl Electorate {
+    /// Sets the number of daemons that the settings name, including this one. Until a minute after the
+    /// start, at least as many count as known.
+    #[must_use]
+    pub const fn with_configured(mut self, members: usize) -> Self {
+        self.configured = members;
+        self
+    }
+
     /// Applies a view of the members, which includes this daemon.
     ///
     /// A suspect can still be an owner, because most suspicions are refuted, but does not count as
@@ -113,7 +123,9 @@
                 |gone: Option<Instant>| gone.is_none_or(|at| now.duration_since(at) < KNOWN_FOR);
             self.seen.retain(|_, gone| is_known(*gone));
         }
-        self.seen.len().max(1)
+        let starting = self.started.is_none_or(|at| now.saturating_duration_since(at) < KNOWN_FOR);
+        let configured = if starting { self.configured } else { 0 };
+        self.seen.len().max(configured).max(1)
     }
 
     /// The part of the rate that an owner on this daemon may lease out.
--- a/crates/request/tests/quota.rs
+++ b/crates/request/tests/quota.rs
@@ -393,3 +393,24 @@
     holder.set_allotment(quota(200));
     expect_that!(holder.take_again(now), eq(Take::Ask));
 }
+
+/// Guards against daemons that each use the whole rate, because they have just started and don't know the
+/// others yet or are cut off from them.
+#[gtest]
+fn configured_members_count_until_a_minute_after_the_start() {
+    let now = Instant::now();
+    let mut electorate = Electorate::default().with_configured(10);
+    expect_that!(electorate.known(now), eq(10));
+    electorate.set_members(&members(&[], now), now);
+    expect_that!(electorate.known(now), eq(10));
+    electorate.set_members(&members(&[MemberState::Alive], now), now + ms(100));
+    expect_that!(electorate.known(now + ms(100)), eq(10));
+    expect_that!(electorate.fraction(now + ms(100)), near(0.1, 1e-9));
+    electorate.set_members(&members(&[MemberState::Alive; 12], now), now + ms(200));
+    expect_that!(electorate.known(now + ms(200)), eq(12));
+    expect_that!(electorate.fraction(now + ms(200)), eq(1.0));
+    // After a minute, configured hosts that were never seen are assumed not to serve.
+    let mut alone = Electorate::default().with_configured(10);
+    alone.set_members(&members(&[MemberState::Alive], now), now);
+    expect_that!(alone.fraction(now + Duration::from_secs(60)), eq(1.0));
+}
