--- a/crates/request/src/workspace/electorate.rs
+++ b/crates/request/src/workspace/electorate.rs
@@ -33,8 +33,10 @@
     /// The members that did not leave; those that are not live, with the time when that was noticed.
     seen: HashMap<Name, Option<Instant>>,
     live: usize,
-    /// When the first view arrived.
+    /// When the first view arrived, or the first one with other daemons if the settings name some.
     started: Option<Instant>,
+    /// Whether a view had other daemons.
+    joined: bool,
     /// Number of daemons that the settings name.
     configured: usize,
 }
@@ -53,6 +55,14 @@
     /// A suspect can still be an owner, because most suspicions are refuted, but does not count as
     /// live: a host that is cut off is suspected within about a second and declared dead 2 s later.
     pub fn set_members(&mut self, members: &[Member], now: Instant) {
+        // Until it has joined, a daemon does not know who else leases, so that time is no warm-up.
+        if !self.joined && members.len() > 1 {
+            self.joined = true;
+            if self.configured > 1 {
+                self.views.clear();
+                self.started = None;
+            }
+        }
         self.started.get_or_insert(now);
         let ranking = |states: &[MemberState]| {
             let fit = members.iter().filter(|m| states.contains(&m.state));
--- a/crates/request/tests/quota.rs
+++ b/crates/request/tests/quota.rs
@@ -414,3 +414,25 @@
     alone.set_members(&members(&[MemberState::Alive], now), now);
     expect_that!(alone.fraction(now + Duration::from_secs(60)), eq(1.0));
 }
+
+/// Guards against a restarted owner that joins late and leases a full bucket beside its successor, because
+/// it counts the time in which it knew no other daemon.
+#[gtest]
+fn a_late_join_begins_the_warm_up() {
+    let start = Instant::now();
+    let all = members(&[MemberState::Alive; 2], start);
+    let mut electorate = Electorate::default().with_configured(2);
+    electorate.set_members(&all, start);
+    let owner = electorate.owner("w").expect("an owner").clone();
+    let only: Vec<_> = all.iter().filter(|member| member.host == owner).cloned().collect();
+    let mut electorate = Electorate::default().with_configured(2);
+    electorate.set_members(&only, start);
+    expect_that!(electorate.leases_from("w", &owner), some(eq(start + ms(1500))));
+    let joined = start + ms(5000);
+    electorate.set_members(&all, joined);
+    expect_that!(electorate.leases_from("w", &owner), some(eq(joined + ms(1500))));
+    // Later views don't begin it again.
+    electorate.set_members(&only, joined + ms(2000));
+    electorate.set_members(&all, joined + ms(4000));
+    expect_that!(electorate.leases_from("w", &owner), some(eq(joined + ms(1500))));
+}
