Don't look through all members for each request with a quota

For a minute after a host was lost, every decision on a quota went through all members, under the lock of all decisions. Existing tests cover the result.

--- a/crates/request/src/workspace/electorate.rs
+++ b/crates/request/src/workspace/electorate.rs
@@ -32,6 +32,9 @@
     views: Vec<Candidates>,
     /// The members that did not leave; those that are not live, with the time when that was noticed.
     seen: HashMap<Name, Option<Instant>>,
+    /// When the next of those that are not live is forgotten, so that a request does not look through
+    /// all members.
+    forgets_at: Option<Instant>,
     live: usize,
     /// When the first view arrived, or the first one with other daemons if the settings name some.
     started: Option<Instant>,
@@ -95,6 +98,11 @@
                 }
             }
         }
+        self.plan_forgetting();
+    }
+
+    fn plan_forgetting(&mut self) {
+        self.forgets_at = self.seen.values().flatten().min().map(|at| *at + KNOWN_FOR);
     }
 
     /// The daemon that owns a workspace; `None` without members.
@@ -128,10 +136,9 @@
 
     /// Number of members known alive in the last 60 s that did not leave.
     pub fn known(&mut self, now: Instant) -> usize {
-        if self.seen.len() > self.live {
-            let is_known =
-                |gone: Option<Instant>| gone.is_none_or(|at| now.duration_since(at) < KNOWN_FOR);
-            self.seen.retain(|_, gone| is_known(*gone));
+        if self.forgets_at.is_some_and(|at| at <= now) {
+            self.seen.retain(|_, gone| gone.is_none_or(|at| now < at + KNOWN_FOR));
+            self.plan_forgetting();
         }
         let starting = self.started.is_none_or(|at| now.saturating_duration_since(at) < KNOWN_FOR);
         let configured = if starting { self.configured } else { 0 };
