--- a/crates/daemon/src/quota/state.rs
+++ b/crates/daemon/src/quota/state.rs
@@ -47,11 +47,11 @@
 }
 
 impl State {
-    pub(super) fn new(host: Name) -> Self {
+    pub(super) fn new(host: Name, configured: usize) -> Self {
         Self {
             host,
             quotas: HashMap::new(),
-            electorate: Electorate::default(),
+            electorate: Electorate::default().with_configured(configured),
             addrs: HashMap::new(),
             entries: HashMap::new(),
             owners: HashMap::new(),
@@ -158,7 +158,7 @@
             if !was_alone && entry.holder.is_alone() {
                 polled.alone += 1;
             }
-            if entry.holder.is_alone() {
+            if entry.holder.is_deciding_locally() {
                 entry.answered.notify_waiters();
             }
             if let Some(at) = entry.holder.deadline() {
--- a/crates/request/src/workspace/electorate.rs
+++ b/crates/request/src/workspace/electorate.rs
@@ -32,17 +32,40 @@
     views: Vec<Candidates>,
     /// The members that did not leave; those that are not live, with the time when that was noticed.
     seen: HashMap<Name, Option<Instant>>,
+    /// When the next of those that are not live is forgotten, so that a request does not look through
+    /// all members.
+    forgets_at: Option<Instant>,
     live: usize,
-    /// When the first view arrived.
+    /// When the first view arrived, or the first one with other daemons if the settings name some.
     started: Option<Instant>,
+    /// Whether a view had other daemons.
+    joined: bool,
+    /// Number of daemons that the settings name.
+    configured: usize,
 }
 
 impl Electorate {
+    /// Sets the number of daemons that the settings name, including this one. Until a minute after the
+    /// start, at least as many count as known.
+    #[must_use]
+    pub const fn with_configured(mut self, members: usize) -> Self {
+        self.configured = members;
+        self
+    }
+
     /// Applies a view of the members, which includes this daemon.
     ///
     /// A suspect can still be an owner, because most suspicions are refuted, but does not count as
     /// live: a host that is cut off is suspected within about a second and declared dead 2 s later.
     pub fn set_members(&mut self, members: &[Member], now: Instant) {
+        // Until it has joined, a daemon does not know who else leases, so that time is no warm-up.
+        if !self.joined && members.len() > 1 {
+            self.joined = true;
+            if self.configured > 1 {
+                self.views.clear();
+                self.started = None;
+            }
+        }
         self.started.get_or_insert(now);
         let ranking = |states: &[MemberState]| {
             let fit = members.iter().filter(|m| states.contains(&m.state));
@@ -75,6 +98,11 @@
                 }
             }
         }
+        self.plan_forgetting();
+    }
+
+    fn plan_forgetting(&mut self) {
+        self.forgets_at = self.seen.values().flatten().min().map(|at| *at + KNOWN_FOR);
     }
 
     /// The daemon that owns a workspace; `None` without members.
@@ -108,12 +136,13 @@
 
     /// Number of members known alive in the last 60 s that did not leave.
     pub fn known(&mut self, now: Instant) -> usize {
-        if self.seen.len() > self.live {
-            let is_known =
-                |gone: Option<Instant>| gone.is_none_or(|at| now.duration_since(at) < KNOWN_FOR);
-            self.seen.retain(|_, gone| is_known(*gone));
+        if self.forgets_at.is_some_and(|at| at <= now) {
+            self.seen.retain(|_, gone| gone.is_none_or(|at| now < at + KNOWN_FOR));
+            self.plan_forgetting();
         }
-        self.seen.len().max(1)
+        let starting = self.started.is_none_or(|at| now.saturating_duration_since(at) < KNOWN_FOR);
+        let configured = if starting { self.configured } else { 0 };
+        self.seen.len().max(configured).max(1)
     }
 
     /// The part of the rate that an owner on this daemon may lease out.
--- a/crates/request/src/workspace/holder.rs
+++ b/crates/request/src/workspace/holder.rs
@@ -15,6 +15,10 @@
 /// it, a daemon with few requests would decide each of them from the local bucket after an outage.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Longest time for which a denial is kept. By then a refund may have returned tokens, or another owner may
+/// have some.
+const DENIAL_PERIOD: Duration = Duration::from_millis(1500);
+
 /// Time in which the last known share is used while the owner does not answer.
 const SHARE_PERIOD: Duration = Duration::from_secs(10);
 
@@ -57,6 +61,15 @@
     attempts: u32,
 }
 
+/// The owner's last denial.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    /// Until when it is kept.
+    until: Instant,
+    /// When tokens will be available.
+    available: Instant,
+}
+
 /// The credit of one daemon for one workspace.
 ///
 /// It addresses owners that do not answer, and the cost of asking: a daemon that receives many requests
@@ -67,7 +80,7 @@
     allotment: Allotment,
     members: usize,
     batches: VecDeque<(u32, Instant)>,
-    denied: Option<Instant>,
+    denied: Option<Denial>,
     open: Option<Open>,
     wanted: bool,
     next_id: u64,
@@ -77,7 +90,7 @@
     share: Option<(f64, Instant)>,
     /// When the owner stopped answering.
     alone: Option<Instant>,
-    /// When the last credit request was sent.
+    /// When the last credit request was sent, or should have been sent.
     asked: Instant,
     /// Whether requests wait for the owner although it did not answer before.
     retrying: bool,
@@ -108,9 +121,12 @@
         }
     }
 
-    /// Replaces the quota. Tokens that are held expire as leased.
-    pub const fn set_allotment(&mut self, allotment: Allotment) {
-        self.allotment = allotment;
+    /// Replaces the quota. Tokens that are held expire as leased; a denial by another quota ends.
+    pub fn set_allotment(&mut self, allotment: Allotment) {
+        if allotment != self.allotment {
+            self.allotment = allotment;
+            self.denied = None;
+        }
     }
 
     /// Sets the number of daemons that share the rate; see [`super::Electorate::known`].
@@ -139,12 +155,12 @@
             let want = self.want();
             let left: u32 = self.batches.iter().map(|(tokens, _)| *tokens).sum();
             let is_low = want > 1 && left <= want / 4;
-            self.wanted |= is_low && self.denied.is_none_or(|until| until <= now);
+            self.wanted |= is_low && self.denied.is_none_or(|denial| denial.until <= now);
             return Take::Granted;
         }
-        if let Some(until) = self.denied {
-            if now < until {
-                return Take::Denied { after: until - now };
+        if let Some(denial) = self.denied {
+            if now < denial.until {
+                return Take::Denied { after: denial.available - now };
             }
             self.denied = None;
         }
@@ -221,7 +237,8 @@
     /// Applies a denial.
     pub fn denied(&mut self, id: u64, wait: Duration, share: f64, now: Instant) {
         if self.answered(id, share, now).is_some() {
-            self.denied = Some(now + wait);
+            self.denied =
+                Some(Denial { until: now + wait.min(DENIAL_PERIOD), available: now + wait });
         }
     }
 
@@ -229,6 +246,9 @@
     pub fn unanswered(&mut self, now: Instant) {
         self.open = None;
         self.retrying = false;
+        // A daemon that was stalled may have sent no credit request. Requests that have waited must not
+        // wait for another one, which may be sent at once.
+        self.asked = self.asked.max(now - PROBE_INTERVAL);
         if self.alone.is_none() {
             self.alone = Some(now);
             self.local.start(self.local_rate(now, now), self.members, now);
@@ -241,6 +261,12 @@
         self.alone.is_some()
     }
 
+    /// Whether requests that wait can be decided without the owner's answer.
+    #[must_use]
+    pub const fn is_deciding_locally(&self) -> bool {
+        self.alone.is_some() && !self.retrying
+    }
+
     /// Whether a credit request with this id is open.
     #[must_use]
     pub fn is_open(&self, id: u64) -> bool {
--- a/crates/request/tests/quota.rs
+++ b/crates/request/tests/quota.rs
@@ -329,3 +329,110 @@
     // The refunded token counts once.
     expect_that!(holder.poll(now), some(matches_pattern!(CreditAsk { spent: eq(1), .. })));
 }
+
+/// Guards against requests that are refused as over the quota, or that wait twice as long, because the
+/// daemon was stalled and sent no credit request within the longest wait.
+#[gtest]
+fn a_request_is_decided_after_the_longest_wait_although_none_was_sent() {
+    let start = Instant::now();
+    let mut holder = CreditHolder::new(QUOTA, 1, 1.0, start);
+    let now = start + ms(2000);
+    expect_that!(holder.take(now), eq(Take::Ask));
+    holder.unanswered(now + ms(80));
+    expect_that!(holder.take_again(now + ms(80)), eq(Take::Granted));
+    expect_that!(holder.poll(now + ms(80)), some(anything()));
+}
+
+/// Guards against requests that are woken without end while they wait for an owner that did not answer
+/// before, which takes all processor time of a small host for 80 ms in each second.
+#[gtest]
+fn a_retried_owner_is_waited_for() {
+    let start = Instant::now();
+    let mut holder = asking_holder(start);
+    holder.poll(start + ms(40));
+    holder.poll(start + ms(80));
+    expect_that!(holder.is_deciding_locally(), eq(true));
+    let now = start + ms(1200);
+    expect_that!(holder.take(now), eq(Take::Ask));
+    expect_that!(holder.poll(now), some(anything()));
+    expect_that!(holder.is_deciding_locally(), eq(false));
+    expect_that!(holder.poll(now + ms(40)), some(anything()));
+    expect_that!(holder.is_deciding_locally(), eq(false));
+    expect_that!(holder.poll(now + ms(80)), none());
+    expect_that!(holder.is_deciding_locally(), eq(true));
+}
+
+/// Guards against a `Retry-After` that is too early for workspaces with a low rate, and against a denial
+/// that is kept for as long although another owner or a refund may have tokens by then.
+#[gtest]
+fn a_denial_states_the_time_until_a_token_and_is_kept_for_less() {
+    let now = Instant::now();
+    let slow = Allotment { rate: RequestRate::try_from(0.1).expect("a rate"), burst: 1 };
+    let mut owner = CreditOwner::new(slow, now);
+    let wait = match owner.lease(&"a".into(), ask(1, 1, 0), now) {
+        Lease::Denied { wait, .. } => wait,
+        _ => Duration::ZERO,
+    };
+    expect_that!(wait, eq(Duration::from_secs(10)));
+    let mut holder = asking_holder(now);
+    holder.denied(1, wait, 0.0, now);
+    expect_that!(holder.take_again(now), eq(Take::Denied { after: wait }));
+    let later = now + ms(1499);
+    expect_that!(holder.take_again(later), eq(Take::Denied { after: wait - ms(1499) }));
+    expect_that!(holder.take_again(now + ms(1500)), eq(Take::Ask));
+}
+
+/// Guards against requests that are refused by a limit which is no longer in force.
+#[gtest]
+fn a_changed_limit_ends_a_denial() {
+    let now = Instant::now();
+    let mut holder = asking_holder(now);
+    holder.denied(1, ms(1000), 0.0, now);
+    holder.set_allotment(QUOTA);
+    expect_that!(holder.take_again(now), eq(Take::Denied { after: ms(1000) }));
+    holder.set_allotment(quota(200));
+    expect_that!(holder.take_again(now), eq(Take::Ask));
+}
+
+/// Guards against daemons that each use the whole rate, because they have just started and don't know the
+/// others yet or are cut off from them.
+#[gtest]
+fn configured_members_count_until_a_minute_after_the_start() {
+    let now = Instant::now();
+    let mut electorate = Electorate::default().with_configured(10);
+    expect_that!(electorate.known(now), eq(10));
+    electorate.set_members(&members(&[], now), now);
+    expect_that!(electorate.known(now), eq(10));
+    electorate.set_members(&members(&[MemberState::Alive], now), now + ms(100));
+    expect_that!(electorate.known(now + ms(100)), eq(10));
+    expect_that!(electorate.fraction(now + ms(100)), near(0.1, 1e-9));
+    electorate.set_members(&members(&[MemberState::Alive; 12], now), now + ms(200));
+    expect_that!(electorate.known(now + ms(200)), eq(12));
+    expect_that!(electorate.fraction(now + ms(200)), eq(1.0));
+    // After a minute, configured hosts that were never seen are assumed not to serve.
+    let mut alone = Electorate::default().with_configured(10);
+    alone.set_members(&members(&[MemberState::Alive], now), now);
+    expect_that!(alone.fraction(now + Duration::from_secs(60)), eq(1.0));
+}
+
+/// Guards against a restarted owner that joins late and leases a full bucket beside its successor, because
+/// it counts the time in which it knew no other daemon.
+#[gtest]
+fn a_late_join_begins_the_warm_up() {
+    let start = Instant::now();
+    let all = members(&[MemberState::Alive; 2], start);
+    let mut electorate = Electorate::default().with_configured(2);
+    electorate.set_members(&all, start);
+    let owner = electorate.owner("w").expect("an owner").clone();
+    let only: Vec<_> = all.iter().filter(|member| member.host == owner).cloned().collect();
+    let mut electorate = Electorate::default().with_configured(2);
+    electorate.set_members(&only, start);
+    expect_that!(electorate.leases_from("w", &owner), some(eq(start + ms(1500))));
+    let joined = start + ms(5000);
+    electorate.set_members(&all, joined);
+    expect_that!(electorate.leases_from("w", &owner), some(eq(joined + ms(1500))));
+    // Later views don't begin it again.
+    electorate.set_members(&only, joined + ms(2000));
+    electorate.set_members(&all, joined + ms(4000));
+    expect_that!(electorate.leases_from("w", &owner), some(eq(joined + ms(1500))));
+}
