--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, clippy::expect_used)]
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     io::{self, Write},
     net::SocketAddr,
     path::PathBuf,
@@ -13,6 +13,7 @@
 
 use dw_cli::{Admin, AdminError, Console, DaemonStatus, Edit, Exit, Invocation, parse_args, run};
 use dw_platform::{Commit, Entry, Event, LeaseId, Platform, PlatformError, Txn, Watch};
+use dw_tables::Name;
 
 /// A fault that is injected into the next transaction with guards, which is the write of the head.
 pub(crate) enum Fault {
@@ -142,6 +143,10 @@
     async fn watch(&self, _: &str, _: u64) -> Result<NoWatch, PlatformError> {
         Err(PlatformError::Compacted)
     }
+
+    async fn watch_prefix(&self, _: &str) -> Result<(Vec<Entry>, NoWatch), PlatformError> {
+        Err(PlatformError::Compacted)
+    }
 }
 
 pub(crate) struct NoWatch;
@@ -168,6 +173,11 @@
         let status = if list.len() > 1 { list.pop_front() } else { list.front().cloned() };
         status.ok_or(AdminError { addr, reason: "connection refused".to_owned() })
     }
+
+    /// Every service has targets of the versions v1 and v2.
+    async fn versions(&self, _: SocketAddr, _: &Name) -> Result<BTreeSet<Name>, AdminError> {
+        Ok(["v1", "v2"].into_iter().map(Name::new).collect())
+    }
 }
 
 #[derive(Clone, Default)]
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -149,9 +149,16 @@
         key: &str,
         revision: u64,
     ) -> impl Future<Output = Result<Self::Watch, PlatformError>> + Send;
+
+    /// Reads all keys that start with `prefix`, in key order, and watches them for later changes. A change
+    /// while the keys are read may be both in the list and reported.
+    fn watch_prefix(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<(Vec<Entry>, Self::Watch), PlatformError>> + Send;
 }
 
-/// An open watch on one key.
+/// An open watch on one key or on all keys with a prefix.
 pub trait Watch: Send + 'static {
     /// Waits for the next change. Dropping the future loses no event.
     fn next(&mut self) -> impl Future<Output = Result<Event, PlatformError>> + Send;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -235,6 +235,17 @@
         })
     }
 
+    /// Watches a range of keys for changes after `revision`.
+    async fn watch_range(
+        &self,
+        range: RangeRequest,
+        revision: u64,
+    ) -> Result<HttpWatch, PlatformError> {
+        let body = encode(&watch_request(range, revision + 1))?;
+        let open = |index, addr| self.open_watch(index, addr, body.clone(), revision);
+        self.try_addresses(Repeat::Safe, open).await.inspect_err(|error| self.record_failure(error))
+    }
+
     async fn open_watch(
         &self,
         index: usize,
@@ -338,9 +349,15 @@
             None => revision > 0,
         };
         let from = if changed { revision } else { present };
-        let body = encode(&watch_request(key, from + 1))?;
-        let open = |index, addr| self.open_watch(index, addr, body.clone(), from);
-        self.try_addresses(Repeat::Safe, open).await.inspect_err(|error| self.record_failure(error))
+        self.watch_range(RangeRequest::key(key), from).await
+    }
+
+    async fn watch_prefix(&self, prefix: &str) -> Result<(Vec<Entry>, HttpWatch), PlatformError> {
+        let request = RangeRequest::prefix(prefix);
+        let response: RangeResponse = self.call(Repeat::Safe, "/v3/kv/range", &request, 0).await?;
+        let present = response.header.revision.revision();
+        let entries = response.into_entries()?;
+        Ok((entries, self.watch_range(request, present).await?))
     }
 }
 
--- a/crates/platform/src/messages.rs
+++ b/crates/platform/src/messages.rs
@@ -160,6 +160,8 @@
 #[derive(Debug, Serialize)]
 pub(crate) struct WatchCreate {
     pub(crate) key: Base64,
+    #[serde(skip_serializing_if = "Base64::is_empty")]
+    pub(crate) range_end: Base64,
     pub(crate) start_revision: Int,
     pub(crate) progress_notify: bool,
 }
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -51,8 +51,9 @@
     LeaseRequest { ttl: seconds.max(1).into(), ..LeaseRequest::default() }
 }
 
-pub(crate) fn watch_request(key: &str, from: u64) -> WatchRequest {
-    let create_request =
-        WatchCreate { key: key.into(), start_revision: from.into(), progress_notify: true };
+pub(crate) fn watch_request(range: RangeRequest, from: u64) -> WatchRequest {
+    let RangeRequest { key, range_end } = range;
+    let start_revision = from.into();
+    let create_request = WatchCreate { key, range_end, start_revision, progress_notify: true };
     WatchRequest { create_request }
 }
