Follow orders for rollouts

Cause: the decisions about rollouts existed, but nothing drove them, so a bad version would have received its full part of all requests.

Change: a task of the daemon watches the orders, leads the rollout where it is in charge, exchanges shares and evidence with all daemons over the connections for requests, and stores each step on the condition of its revision. The leader is found by rank, without a lease. The completion waits for requests at the old targets. Off without the setting or the contract.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -57,6 +57,7 @@
             address: ([127, 0, 0, 1], 9).into(),
             slots: 12,
             connections: 120,
+            version: None,
         };
         let daemon = Daemon::new(
             Settings::new(host, Name::from(format!("domain-{domain}")), "region".into())
--- a/crates/bench/src/logs.rs
+++ b/crates/bench/src/logs.rs
@@ -106,6 +106,7 @@
             address: target.addr(),
             slots: SLOTS,
             connections: SLOTS,
+            version: None,
         });
     let format = LogSettings { level, format: LogFormat::Json };
     let log = dw_log::Log::with_output(format, "host".into(), io::sink())?;
--- a/crates/bench/src/memory/testbed.rs
+++ b/crates/bench/src/memory/testbed.rs
@@ -128,6 +128,7 @@
             address: self.target,
             slots: 12,
             connections: 24,
+            version: None,
         });
         let daemon = Daemon::new(settings).with_preset(boot.preset).with_dialect(dialect(&own));
         Ok(daemon.start_on(Some(OperatorView::new(Store::new(self.standin.addr())))).await?)
--- a/crates/bench/src/requests/testbed.rs
+++ b/crates/bench/src/requests/testbed.rs
@@ -195,6 +195,7 @@
                 address: target,
                 slots: SLOTS,
                 connections: CONNECTIONS,
+                version: None,
             });
         Ok(Daemon::new(settings).start().await?)
     }
--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -116,6 +116,7 @@
                     address,
                     slots,
                     connections,
+                    version: None,
                 })
                 .with_platform(vec![self.standin.addr()])
                 .with_preset(deployment.preset())
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -23,7 +23,7 @@
     registry::Registry,
 };
 
-use crate::{clock, quota::QuotaCounters};
+use crate::{clock, quota::QuotaCounters, rollout::RolloutCounters};
 
 type Label = [(&'static str, &'static str); 1];
 type NameLabel = [(&'static str, String); 1];
@@ -145,6 +145,7 @@
     answered_at: Gauge,
     in_flight: Gauge<i64, AtomicI64>,
     quota: QuotaCounters,
+    rollout: RolloutCounters,
 }
 
 /// The values of the counters at one moment.
@@ -238,6 +239,7 @@
             served: register(&mut registry, "version_served", "Number of the version served"),
             in_flight: register(&mut registry, "in_flight", "Requests in flight"),
             quota: QuotaCounters::new(&mut registry),
+            rollout: RolloutCounters::new(&mut registry),
             registry,
         };
         let mut inner = inner;
@@ -301,6 +303,11 @@
         self.0.received.get_or_create(&[("kind", kind)]).inc_by(bytes as u64);
     }
 
+    /// The metrics of rollouts.
+    pub(crate) fn rollout(&self) -> &RolloutCounters {
+        &self.0.rollout
+    }
+
     /// The counters of quotas.
     pub(crate) fn quota(&self) -> &QuotaCounters {
         &self.0.quota
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -24,6 +24,7 @@
     platform::PlatformTask,
     proxy::{Proxy, Server},
     quota::Quota,
+    rollout::{RolloutHandle, RolloutTask},
     running::Addrs,
     tasks::Tasks,
 };
@@ -177,6 +178,22 @@
         log: log.clone(),
     };
     tasks.spawn(quota.run());
+    if let Some(policy) = settings.rollouts {
+        let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
+        let handle = RolloutHandle::new(tx);
+        proxy.set_rollouts(handle.clone());
+        let rollouts = RolloutTask {
+            client: options.platform.clone(),
+            proxy: proxy.clone(),
+            handle,
+            host: settings.host.clone(),
+            policy,
+            counters: counters.clone(),
+            log: log.clone(),
+            tasks: tasks.clone(),
+        };
+        tasks.spawn(rollouts.run(rx));
+    }
     let platform = PlatformTask {
         client: options.platform,
         domain: settings.domain.clone(),
@@ -252,7 +269,7 @@
         connections: target.connections,
         draining: false,
         started: 0,
-        version: None,
+        version: target.version.clone(),
         warm: None,
     };
     let (host, domain) = (settings.host.clone(), settings.domain.clone());
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -29,6 +29,7 @@
     counters::Counters,
     node::{NodeMessage, View},
     quota::QuotaHandle,
+    rollout::RolloutHandle,
     tasks::Tasks,
 };
 
@@ -49,6 +50,7 @@
 mod local_target;
 mod meter;
 mod records;
+mod rollout;
 mod server;
 mod target_notice;
 mod target_pool;
@@ -82,6 +84,8 @@
 pub(crate) struct Proxy {
     host: Name,
     started: Instant,
+    /// The incarnation with which the process started.
+    incarnation: u64,
     caller_addr: SocketAddr,
     retry_body: usize,
     dispatcher: Mutex<Dispatcher>,
@@ -93,6 +97,8 @@
     dialect: Dialect,
     daemons: DaemonPool,
     node: OnceLock<mpsc::Sender<NodeMessage>>,
+    /// The task that leads rollouts; not set unless they are enabled.
+    rollouts: OnceLock<RolloutHandle>,
     permits: Arc<Semaphore>,
     draining: AtomicBool,
     /// Admits requests of workspaces with a limit.
@@ -129,10 +135,12 @@
         let targets = targets
             .map(|(t, idx)| Arc::new(LocalTarget::new(idx, Name::default(), t, tasks.clone())));
         let targets: Vec<_> = targets.collect();
+        let incarnation = own.started;
         let configured = settings.join.iter().filter(|addr| **addr != settings.peers).count() + 1;
         let proxy = Arc::new(Self {
             host,
             started: Instant::now(),
+            incarnation,
             caller_addr: settings.callers,
             retry_body: settings.limits.retry_body as usize,
             dispatcher: Mutex::new(dispatcher),
@@ -144,6 +152,7 @@
             dialect,
             daemons: DaemonPool::new(tasks.clone(), settings.ping_timeout.into()),
             node: OnceLock::new(),
+            rollouts: OnceLock::new(),
             permits: Arc::new(Semaphore::new(settings.limits.requests as usize)),
             draining: AtomicBool::new(false),
             quota: QuotaHandle::new(settings.host.clone(), configured, counters.clone()),
@@ -311,6 +320,7 @@
                     address: report.address,
                     slots: report.slots,
                     connections: report.slots.saturating_mul(CONNECTIONS_PER_SLOT),
+                    version: None,
                 };
                 let (name, tasks) = (report.name.clone(), self.tasks.clone());
                 let target = Arc::new(LocalTarget::new(reported.index, name, &settings, tasks));
@@ -394,6 +404,7 @@
             Some("keeper") => self.serve_keeper_request(request).await,
             Some("cede") => self.serve_record_request(checked(request)).await,
             Some("hand-over") => self.accept_records(checked(request)).await,
+            Some(rollout::ROLLOUT_STEP) => self.serve_rollout_poll(checked(request)).await,
             _ => answer::refuse(&Refusal::new(Reason::ProtocolError)),
         };
         hold_until_end(response, guard)
--- a/crates/daemon/src/proxy/keeper.rs
+++ b/crates/daemon/src/proxy/keeper.rs
@@ -255,7 +255,11 @@
         self.exchange(addr, request).await
     }
 
-    async fn exchange(&self, addr: SocketAddr, request: Request<Payload>) -> Option<Bytes> {
+    pub(super) async fn exchange(
+        &self,
+        addr: SocketAddr,
+        request: Request<Payload>,
+    ) -> Option<Bytes> {
         let work = async {
             let response =
                 self.daemons.send(addr, request, Instant::now() + RECORD_TIMEOUT).await.ok()?;
@@ -343,13 +347,13 @@
     }
 }
 
-async fn collect(body: Payload) -> Option<Bytes> {
+pub(super) async fn collect(body: Payload) -> Option<Bytes> {
     let collect = Limited::new(body, MAX_RECORDS_BYTES).collect();
     let collected = timeout(RECORD_TIMEOUT, collect).await.ok()?;
     collected.ok().map(http_body_util::Collected::to_bytes)
 }
 
-fn empty_response(status: StatusCode) -> Response<Payload> {
+pub(super) fn empty_response(status: StatusCode) -> Response<Payload> {
     let mut response = Response::new(empty());
     *response.status_mut() = status;
     response
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -2,7 +2,7 @@
 
 use derive_more::{Display, FromStr};
 use dw_log::{LogLevel, LogSettings};
-use dw_request::RetryAfterPolicy;
+use dw_request::{RetryAfterPolicy, RolloutPolicy};
 use dw_tables::{Millis, Name};
 
 mod fields;
@@ -59,6 +59,8 @@
     /// both daemons memory for buffers, and a daemon whose load spills over to other domains connects
     /// to the daemons of all targets in the fleet.
     pub idle_timeout: Millis,
+    /// The bounds of canary rollouts; `None` if orders for rollouts are not followed.
+    pub rollouts: Option<RolloutPolicy>,
 }
 
 /// A target on the daemon's host.
@@ -72,6 +74,8 @@
     pub slots: u32,
     /// How many connections it accepts.
     pub connections: u32,
+    /// The version that it runs, by which rollouts tell targets apart.
+    pub version: Option<Name>,
 }
 
 /// The limits of one daemon process.
@@ -145,6 +149,7 @@
             retry_after: RetryAfterPolicy::default(),
             ping_timeout: DEFAULT_PING_TIMEOUT,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            rollouts: None,
         }
     }
 
--- a/crates/daemon/src/settings/parse.rs
+++ b/crates/daemon/src/settings/parse.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use dw_request::RolloutPolicy;
 use dw_tables::{Findings, Name};
 use jsonc_parser::{
     ParseOptions,
@@ -10,14 +11,17 @@
 
 use super::{LogSettings, ProcessLimits, Settings, TargetSettings, fields::FieldReader};
 
-const SETTINGS_FIELDS: [&str; 16] = [
+const SETTINGS_FIELDS: [&str; 17] = [
     "host", "domain", "region", "callers", "peers", "data", "admin", "quota", "link", "targets",
-    "platform", "join", "limits", "preset", "log", "grace",
+    "platform", "join", "limits", "preset", "log", "grace", "rollouts",
 ];
-const TARGET_FIELDS: [&str; 4] = ["service", "address", "slots", "connections"];
+const TARGET_FIELDS: [&str; 5] = ["service", "address", "slots", "connections", "version"];
 const ACCEPTED_ADDRESS: &str = "an IP address and a port, such as \"127.0.0.1:7100\"";
 const ACCEPTED_NAME: &str = "a name";
 
+/// The largest exposure: all requests, per mille.
+const MAX_EXPOSURE: u32 = 1000;
+
 /// Parses settings from JSON with comments; findings refer to the file as `file`.
 ///
 /// # Errors
@@ -74,6 +78,7 @@
     fields.optional(object, "preset", &mut out.preset, |f, n, v| f.choice(n, v, preset));
     fields.optional(object, "log", &mut out.log, log);
     fields.optional(object, "grace", &mut out.grace, FieldReader::duration);
+    fields.optional(object, "rollouts", &mut out.rollouts, |f, n, v| Some(rollouts(f, n, v)));
     if out.platform.is_empty() && out.join.is_empty() {
         let message = "neither the platform nor a peer is named, so no tables can be found";
         fields.report(object.range.start, "platform", message, "addresses in platform or join");
@@ -126,14 +131,34 @@
         let message = "fewer connections than slots; HTTP/1.1 needs one for each request";
         fields.report(object.range.start, "connections", message, &format!("{slots} or more"));
     }
+    let mut version = None;
+    fields.optional(object, "version", &mut version, |f, n, v| Some(f.name(n, v)));
     Some(TargetSettings {
         service: service?,
         address: address?,
         slots: slots?,
         connections: connections?,
+        version,
     })
 }
 
+/// Reads the bounds on the requests that a bad version may receive. An empty object enables rollouts with the
+/// default bounds.
+fn rollouts(fields: &mut FieldReader<'_>, name: &str, value: &Value<'_>) -> Option<RolloutPolicy> {
+    let object = fields.object(name, value)?;
+    fields.check_known(object, &["exposure", "slack"]);
+    let defaults = RolloutPolicy::default();
+    let (mut exposure, mut slack) = (defaults.exposure, 0);
+    fields.optional(object, "exposure", &mut exposure, FieldReader::count);
+    fields.optional(object, "slack", &mut slack, FieldReader::count);
+    if exposure > MAX_EXPOSURE {
+        let message = "the part is larger than the whole";
+        fields.report(object.range.start, "exposure", message, "1 to 1000, per mille");
+    }
+    let slack = if slack == 0 { defaults.slack } else { slack.into() };
+    Some(defaults.with_exposure(exposure, slack))
+}
+
 fn limits(fields: &mut FieldReader<'_>, name: &str, value: &Value<'_>) -> Option<ProcessLimits> {
     let object = fields.object(name, value)?;
     fields.check_known(object, &["requests", "retry_body"]);
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -94,7 +94,7 @@
 
 /// Settings of a target of a service, with 4 slots.
 pub(crate) fn target(service: &str, address: SocketAddr) -> TargetSettings {
-    TargetSettings { service: service.into(), address, slots: 4, connections: 8 }
+    TargetSettings { service: service.into(), address, slots: 4, connections: 8, version: None }
 }
 
 /// Starts a daemon.
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -143,6 +143,16 @@
     RecordsRefused = "records-refused", Warn;
     /// The UDP port for quotas could not be opened; until then the daemon admits its part of each quota.
     QuotaUnavailable = "quota-unavailable", Warn;
+    /// This daemon leads the rollout of `service` to the version `detail`.
+    RolloutLed = "rollout-led", Info;
+    /// The rollout of `service` to the version `detail` is at the step `state` in the store.
+    RolloutStored = "rollout-stored", Info;
+    /// The state of a rollout could not be read or written; the leader tries again.
+    RolloutStoreFailed = "rollout-store-failed", Warn;
+    /// `count` per mille of this daemon's requests for `service` go to the version `detail`, at the step `state`.
+    RolloutChanged = "rollout-changed", Info;
+    /// An order for a rollout was ignored, because it cannot be read.
+    RolloutRefused = "rollout-refused", Error;
     /// A connection could not be accepted.
     AcceptFailed = "accept-failed", Warn;
     /// A detail of the control plane.
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -9,9 +9,9 @@
 use tokio::time::Instant;
 
 use crate::{
-    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, EndpointState, Fingerprint, Goal,
-    KeyIndex, Next, PoisonList, Reason, Refusal, RequestInfo, RolloutHolder, Router, TargetChange,
-    VersionShare,
+    Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, EndpointState, EvidenceReport,
+    Fingerprint, Goal, KeyIndex, Next, PoisonList, Reason, Refusal, RequestInfo, RolloutHolder,
+    Router, TargetChange, VersionShare,
     choice::{
         balancer::Constraints, locality::Locality, target::Observation, upstream::Upstream,
         view::Choice,
@@ -182,6 +182,19 @@
         &self.rollouts
     }
 
+    /// What to report to the leader about the rollouts that run.
+    pub fn rollout_reports(&self, host: &Name, incarnation: u64) -> Vec<EvidenceReport> {
+        let old_open = |share: &VersionShare| {
+            let open = self.pending.values().map(|request| &request.endpoint);
+            let old = open.filter(|endpoint| {
+                endpoint.service == share.service
+                    && endpoint.version.as_ref() != Some(&share.version)
+            });
+            u32::try_from(old.count()).unwrap_or(u32::MAX)
+        };
+        self.rollouts.reports(host, incarnation, old_open).collect()
+    }
+
     /// Stops sending to versions that this daemon's own evidence shows to be bad, where the leader of the
     /// rollout is not heard; called once per period. Returns the services concerned.
     pub fn check_rollouts(&mut self, now: Instant) -> Vec<Name> {
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -44,7 +44,7 @@
 pub use rollout::{
     Comparison, Evidence, EvidenceReport, Judgement, MAX_AVOIDED_VERSIONS, RollbackReason,
     RolloutAction, RolloutHolder, RolloutInput, RolloutLeader, RolloutOrder, RolloutPolicy,
-    RolloutState, RolloutStep, RouteEvidence, Tally, VersionShare,
+    RolloutState, RolloutStep, RouteEvidence, Succession, Tally, VersionShare,
 };
 pub use workspace::{
     Access, Allotment, Credentials, CreditAsk, CreditHolder, CreditOwner, Electorate, KeyIndex,
--- a/crates/request/src/rollout.rs
+++ b/crates/request/src/rollout.rs
@@ -7,6 +7,7 @@
 mod leader;
 mod plan;
 mod sequential;
+mod succession;
 
 pub use comparison::{Comparison, Judgement};
 pub use evidence::{Evidence, EvidenceReport, RouteEvidence, Tally};
@@ -16,3 +17,4 @@
     MAX_AVOIDED_VERSIONS, RollbackReason, RolloutOrder, RolloutPolicy, RolloutState, RolloutStep,
     VersionShare,
 };
+pub use succession::Succession;
--- a/crates/request/src/rollout/evidence.rs
+++ b/crates/request/src/rollout/evidence.rs
@@ -214,6 +214,9 @@
     pub epoch: u64,
     /// Whether the daemon stopped sending to the new version on its own evidence.
     pub stopped: bool,
+    /// Requests of the daemon that are in flight at targets of other versions.
+    #[serde(default)]
+    pub old_open: u32,
     /// The responses since the daemon learned of the rollout.
     pub evidence: Evidence,
 }
--- a/crates/request/src/rollout/holder.rs
+++ b/crates/request/src/rollout/holder.rs
@@ -112,8 +112,14 @@
         }
     }
 
-    /// What to report about the rollouts that run.
-    pub fn reports(&self, host: &Name, incarnation: u64) -> impl Iterator<Item = EvidenceReport> {
+    /// What to report about the rollouts that run. `old_open` counts the requests in flight at targets of the
+    /// share's service that have another version than the share.
+    pub fn reports(
+        &self,
+        host: &Name,
+        incarnation: u64,
+        old_open: impl Fn(&VersionShare) -> u32,
+    ) -> impl Iterator<Item = EvidenceReport> {
         let running = self.services.values().filter(|known| known.share.step.is_running());
         running.map(move |known| EvidenceReport {
             host: host.clone(),
@@ -121,6 +127,7 @@
             service: known.share.service.clone(),
             epoch: known.share.epoch,
             stopped: known.stopped,
+            old_open: old_open(&known.share),
             evidence: known.evidence.clone(),
         })
     }
--- a/crates/request/src/rollout/leader.rs
+++ b/crates/request/src/rollout/leader.rs
@@ -10,6 +10,10 @@
 /// Time that must be left before the limit to write the completion, in ms.
 const COMPLETION_MARGIN: u64 = 50;
 
+/// Time before the limit from which the completion no longer waits for requests at the old targets, in ms. The
+/// write itself may take a few hundred ms while the store is slow.
+const LAST_COMPLETION: u64 = 300;
+
 /// Time that must be left before the limit to switch, in ms: confirmations take one broadcast and one
 /// report.
 const SWITCH_MARGIN: u64 = 250;
@@ -73,6 +77,7 @@
     incarnation: u64,
     epoch: u64,
     stopped: bool,
+    old_open: u32,
     evidence: Evidence,
 }
 
@@ -266,7 +271,7 @@
     /// The first state of the rollout of an order that has none yet.
     fn next_state(&self) -> Option<RolloutState> {
         let order = self.order.as_ref()?;
-        let known = self.state.as_ref().is_some_and(|state| state.order == order.id);
+        let known = self.state.as_ref().is_some_and(|state| state.is_of(order));
         if known || (order.aborted && self.state.is_none()) {
             return None;
         }
@@ -282,7 +287,7 @@
     fn receive(&mut self, report: EvidenceReport, now: u64) {
         let Some(state) = &self.state else { return };
         let share = state.share(&self.service, &self.policy);
-        let EvidenceReport { host, incarnation, epoch, stopped, evidence, .. } = report;
+        let EvidenceReport { host, incarnation, epoch, stopped, old_open, evidence, .. } = report;
         if (VersionShare { epoch, ..share.clone() }).number() != share.number() {
             return;
         }
@@ -304,7 +309,7 @@
         let same = known.filter(|known| known.incarnation == incarnation);
         let epoch = same.map_or(epoch, |known| known.epoch.max(epoch));
         self.comparison.add(&fresh, early);
-        self.reporters.insert(host, Reporter { incarnation, epoch, stopped, evidence });
+        self.reporters.insert(host, Reporter { incarnation, epoch, stopped, old_open, evidence });
     }
 
     /// Takes the next step of the running rollout if it is due.
@@ -332,11 +337,7 @@
         }
         let next = match state.step {
             RolloutStep::Canary if self.may_switch(&state, now) => RolloutStep::Switch,
-            RolloutStep::Switch
-                if now + COMPLETION_MARGIN <= state.limit() && self.all_confirmed(&state) =>
-            {
-                RolloutStep::Complete
-            }
+            RolloutStep::Switch if self.may_complete(&state, now) => RolloutStep::Complete,
             _ => return,
         };
         self.write(state.at_step(next), out);
@@ -344,7 +345,7 @@
 
     /// Whether another order waits to be written.
     fn is_replaced(&self, state: &RolloutState) -> bool {
-        self.order.as_ref().is_some_and(|order| order.id != state.order)
+        self.order.as_ref().is_some_and(|order| !state.is_of(order))
     }
 
     fn judge(&mut self, state: &RolloutState, now: u64) {
@@ -372,7 +373,7 @@
         if self.judgement == Judgement::Bad {
             return Some(RollbackReason::BadResponses);
         }
-        let order = self.order.as_ref().filter(|order| order.id == state.order);
+        let order = self.order.as_ref().filter(|order| state.is_of(order));
         if order.is_some_and(|order| order.aborted) {
             return Some(RollbackReason::Aborted);
         }
@@ -383,12 +384,12 @@
     /// Whether all traffic may be switched: late enough for the bound on a bad version's requests, and with
     /// full evidence.
     fn may_switch(&self, state: &RolloutState, now: u64) -> bool {
-        let order = self.order.as_ref().filter(|order| order.id == state.order);
+        let order = self.order.as_ref().filter(|order| state.is_of(order));
         if order.is_some_and(|order| order.paused) || self.judgement != Judgement::Good {
             return false;
         }
         let left = state.limit().saturating_sub(now);
-        let by_share = as_millis(self.policy.lead_share * as_float(state.duration));
+        let by_share = state.duration * u64::from(self.policy.lead_share) / 1000;
         let lead = by_share.max(millis(self.policy.min_lead));
         left <= lead && left >= SWITCH_MARGIN && self.stays_bounded(state, left)
     }
@@ -408,10 +409,21 @@
         let per_ms = if *last.0 < takeover { mean } else { recent };
         // Reports are up to a period old, so the requests since then are not in the counts.
         let rest = per_ms * RATE_MARGIN * as_float(left);
-        let bound = self.policy.exposure * (as_float(all) + rest) + as_float(self.policy.slack);
+        let bound = f64::from(self.policy.exposure) / 1000.0 * (as_float(all) + rest)
+            + as_float(self.policy.slack);
         as_float(new) + rest <= bound
     }
 
+    /// Whether the old targets may stop: no daemon sends to them any more, and they have run what they received.
+    /// Shortly before the time limit, requests that still run there are given up.
+    fn may_complete(&self, state: &RolloutState, now: u64) -> bool {
+        if now + COMPLETION_MARGIN > state.limit() || !self.all_confirmed(state) {
+            return false;
+        }
+        let open = self.hosts.iter().filter_map(|host| self.reporters.get(host));
+        open.map(|known| known.old_open).sum::<u32>() == 0 || now + LAST_COMPLETION >= state.limit()
+    }
+
     /// Whether all live daemons follow the share of this state.
     fn all_confirmed(&self, state: &RolloutState) -> bool {
         let epoch = state.share(&self.service, &self.policy).epoch;
@@ -421,9 +433,19 @@
         !self.hosts.is_empty() && self.hosts.iter().all(confirmed)
     }
 
+    /// Time between two announcements in ms. After the switch it is short, because the time until the completion
+    /// is bounded and the confirmations come with the responses to announcements.
+    fn period(&self) -> u64 {
+        let period = millis(self.policy.period);
+        match &self.state {
+            Some(state) if state.step == RolloutStep::Switch => period / 5,
+            _ => period,
+        }
+    }
+
     /// Announces the current share, at once after a change and periodically while the rollout runs.
     fn announce(&mut self, now: u64, out: &mut Vec<RolloutAction>) {
-        let due = self.announced_at.is_none_or(|at| now >= at + millis(self.policy.period));
+        let due = self.announced_at.is_none_or(|at| now >= at + self.period());
         if let Some(next) = self.next_state().filter(|next| next.step.is_running() && due) {
             self.announced_at = Some(now);
             out.push(RolloutAction::Announce(next.hold(&self.service, &self.policy)));
@@ -453,8 +475,3 @@
 const fn as_float(value: u64) -> f64 {
     value as f64
 }
-
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped before")]
-const fn as_millis(value: f64) -> u64 {
-    value.clamp(0.0, 1e15) as u64
-}
--- a/crates/request/src/rollout/plan.rs
+++ b/crates/request/src/rollout/plan.rs
@@ -13,18 +13,18 @@
 const EPOCHS_PER_ROLLOUT: u64 = 16;
 
 /// Bounds and times of rollouts.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RolloutPolicy {
     /// Per mille of the requests, and of the new targets, that are used while evidence is collected.
     pub canary: u32,
-    /// Largest part of all requests between order and time limit that a bad version may receive.
-    pub exposure: f64,
+    /// Largest part of all requests between order and time limit that a bad version may receive, per mille.
+    pub exposure: u32,
     /// Requests that a bad version may receive in addition.
     pub slack: u64,
     /// Shortest time before the time limit at which all traffic is switched.
     pub min_lead: Duration,
-    /// The same as a part of the duration of the rollout.
-    pub lead_share: f64,
+    /// The same as a part of the duration of the rollout, per mille.
+    pub lead_share: u32,
     /// Period of evidence reports and of repeated announcements.
     pub period: Duration,
     /// Time without news from the leader after which a daemon decides on its own evidence.
@@ -39,10 +39,10 @@
     fn default() -> Self {
         Self {
             canary: 50,
-            exposure: 0.1,
+            exposure: 100,
             slack: 50,
             min_lead: Duration::from_millis(600),
-            lead_share: 0.05,
+            lead_share: 50,
             period: Duration::from_millis(500),
             silence: Duration::from_secs(2),
             store_retry: Duration::from_secs(1),
@@ -51,6 +51,17 @@
     }
 }
 
+impl RolloutPolicy {
+    /// Sets the bound on the requests of a bad version: `exposure` per mille of all requests of its service,
+    /// and `slack` further ones. Half of the part is spent on the canary share, the rest on the time between
+    /// the switch and the time limit.
+    #[must_use]
+    pub fn with_exposure(self, exposure: u32, slack: u64) -> Self {
+        let half = (exposure / 2).clamp(1, 500);
+        Self { canary: half, lead_share: half, exposure, slack, ..self }
+    }
+}
+
 /// An operator's order to move a service to a version of its targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutOrder {
@@ -111,6 +122,19 @@
         }
     }
 
+    /// The text for the log and for operators.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Canary => "canary",
+            Self::Switch => "switch",
+            Self::Complete => "complete",
+            Self::RolledBack(RollbackReason::BadResponses) => "rolled-back-bad-responses",
+            Self::RolledBack(RollbackReason::TimeLimit) => "rolled-back-time-limit",
+            Self::RolledBack(RollbackReason::Aborted) => "rolled-back-aborted",
+        }
+    }
+
     /// Whether it is a rollback, for any reason.
     #[must_use]
     pub const fn is_rolled_back(self) -> bool {
@@ -184,6 +208,14 @@
         self.begun.saturating_add(self.duration)
     }
 
+    /// Whether this is the state of the rollout that the order asks for. An order that is written a second time,
+    /// as after a lost response, does not restart a rollout that runs.
+    #[must_use]
+    pub fn is_of(&self, order: &RolloutOrder) -> bool {
+        let repeated = self.version == order.version && self.duration == order.duration;
+        self.order == order.id || (repeated && self.step.is_running())
+    }
+
     /// The share before this state is stored: the new version receives nothing. Its targets may already
     /// run, and without a share they would receive requests like all others until the store responds.
     #[must_use]
--- a/crates/request/tests/rollout.rs
+++ b/crates/request/tests/rollout.rs
@@ -4,7 +4,10 @@
 
 use std::ops::Range;
 
-use dw_request::{RollbackReason, RolloutAction, RolloutStep};
+use dw_request::{
+    Evidence, EvidenceReport, RollbackReason, RolloutAction, RolloutInput, RolloutLeader,
+    RolloutPolicy, RolloutState, RolloutStep,
+};
 use googletest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rollout_model::{FAILING, Fault, Fleet, SLOW, Scenario, order};
@@ -331,6 +334,65 @@
     expect_undisturbed_complete(&MEDIUM_RATES);
 }
 
+/// Guards against versions that complete although they are bad: one that fails only under load and late, with
+/// a leader that dies, and one that is slow in a fifth of the requests on one route.
+#[gtest]
+fn late_and_rare_faults_do_not_complete() {
+    for seed in [209, 281] {
+        let scenario = schedule(seed, MEDIUM_RATES);
+        let out = Fleet::run(scenario.clone());
+        expect_that!(out.is_detected(), eq(true), "{seed}: {scenario:?} {out:?}");
+        expect_that!(out.is_complete(), eq(false), "{seed}: {scenario:?} {out:?}");
+    }
+}
+
+/// Guards against a completion while requests run at old targets, which stop then; shortly before the time
+/// limit the completion no longer waits for them.
+#[gtest]
+fn completion_waits_for_requests_at_old_targets() {
+    let completes = |old_open: u32, now: u64| {
+        let (service, host) = (dw_tables::Name::from("tally"), dw_tables::Name::from("a"));
+        let mut leader = RolloutLeader::new(service.clone(), RolloutPolicy::default());
+        let order = order(1, "v2", 12_000);
+        let state = RolloutState::begin(None, &order, false, 1000).at_step(RolloutStep::Switch);
+        let share = state.share(&service, &RolloutPolicy::default());
+        let members = RolloutInput::Members {
+            hosts: [host.clone()].into(),
+            versions: [Some("v1".into()), Some("v2".into())].into(),
+        };
+        let report = EvidenceReport {
+            host,
+            incarnation: 1,
+            service,
+            epoch: share.epoch,
+            stopped: false,
+            old_open,
+            evidence: Evidence::default(),
+        };
+        let state = RolloutInput::State { state: Some(state), revision: 7 };
+        let inputs = [members, RolloutInput::Order(order), state, RolloutInput::Report(report)];
+        let actions = inputs.map(|input| leader.handle(input, now)).concat();
+        actions.iter().any(|action| {
+            matches!(action, RolloutAction::Write { state, .. } if state.step == RolloutStep::Complete)
+        })
+    };
+    expect_that!([completes(0, 12_500), completes(2, 12_500)], eq([true, false]));
+    expect_that!([completes(2, 12_700), completes(2, 12_960)], eq([true, false]));
+}
+
+/// Guards against an order that restarts a running rollout when it is written again, as after a lost response,
+/// and against a new order that is taken for an earlier one.
+#[gtest]
+fn a_repeated_order_continues_the_rollout() {
+    let state = RolloutState::begin(None, &order(1, "v2", 12_000), false, 1000);
+    expect_that!(state.is_of(&order(2, "v2", 12_000)), eq(true));
+    expect_that!(state.is_of(&order(2, "v3", 12_000)), eq(false));
+    expect_that!(state.is_of(&order(2, "v2", 9_000)), eq(false));
+    let ended = state.at_step(RolloutStep::RolledBack(RollbackReason::TimeLimit));
+    expect_that!(ended.is_of(&order(1, "v2", 12_000)), eq(true));
+    expect_that!(ended.is_of(&order(2, "v2", 12_000)), eq(false));
+}
+
 /// Guards against a bad version that exceeds the bounds on its requests and on the time until it receives
 /// none, or that completes, at all rates.
 #[gtest]
--- a/crates/request/tests/rollout_model/mod.rs
+++ b/crates/request/tests/rollout_model/mod.rs
@@ -436,7 +436,7 @@
             return;
         }
         let Daemon { dispatcher, host, .. } = &self.daemons[daemon];
-        let reports: Vec<_> = dispatcher.rollouts().reports(host, 1).collect();
+        let reports: Vec<_> = dispatcher.rollout_reports(host, 1);
         for report in reports {
             // Reports overtake each other.
             let delay = self.rng.random_range(2..40);
