--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -35,6 +35,8 @@
     Status(StatusArgs),
     /// wait until a version is in force everywhere
     Watch(WatchArgs),
+    /// move a service to another version of its targets, step by step
+    Rollout(RolloutArgs),
     /// print the hash of a workspace key that is read from standard input
     HashKey(HashKeyArgs),
     /// tell from logs what became of a request, and why
@@ -173,6 +175,104 @@
     pub limit: Millis,
 }
 
+/// `rollout` moves a service to another version of its targets, and back if that version responds worse.
+#[derive(Debug, Options)]
+pub struct RolloutArgs {
+    /// show this text
+    pub help: bool,
+    /// what to do
+    #[options(command)]
+    pub command: Option<RolloutCommand>,
+}
+
+/// The commands of `rollout`.
+#[derive(Debug, Options)]
+pub enum RolloutCommand {
+    /// order a rollout
+    Start(RolloutStartArgs),
+    /// show how the rollout of a service stands
+    Status(RolloutServiceArgs),
+    /// keep the share of the new version until the rollout is resumed; the time limit still applies
+    Pause(RolloutServiceArgs),
+    /// end a pause
+    Resume(RolloutServiceArgs),
+    /// roll back
+    Abort(RolloutServiceArgs),
+}
+
+/// `rollout start` orders that a service be moved to a version.
+#[derive(Debug, Options)]
+pub struct RolloutStartArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// the service, as pools name it
+    #[options(free, required)]
+    pub service: String,
+    /// the version that its targets shall have
+    #[options(free, required)]
+    pub version: String,
+    /// address of the platform (required); may be repeated
+    #[options(no_short, meta = "IP:PORT", parse(try_from_str = "read_addr"))]
+    pub platform: Vec<SocketAddr>,
+    /// admin address of a daemon that must know a target of the version; may be repeated
+    #[options(no_short, meta = "IP:PORT", parse(try_from_str = "read_addr"))]
+    pub daemon: Vec<SocketAddr>,
+    /// time limit, after which the service is moved back
+    #[options(no_short, meta = "TIME", default = "10m")]
+    pub within: Millis,
+}
+
+/// The commands of `rollout` that name a service only.
+#[derive(Debug, Options)]
+pub struct RolloutServiceArgs {
+    /// show this text
+    pub help: bool,
+    /// print one JSON object
+    #[options(no_short)]
+    pub json: bool,
+    /// the service, as pools name it
+    #[options(free, required)]
+    pub service: String,
+    /// address of the platform (required); may be repeated
+    #[options(no_short, meta = "IP:PORT", parse(try_from_str = "read_addr"))]
+    pub platform: Vec<SocketAddr>,
+}
+
+impl RolloutArgs {
+    /// Whether the result is printed as JSON.
+    #[must_use]
+    pub const fn json(&self) -> bool {
+        match &self.command {
+            Some(RolloutCommand::Start(args)) => args.json,
+            Some(
+                RolloutCommand::Status(args)
+                | RolloutCommand::Pause(args)
+                | RolloutCommand::Resume(args)
+                | RolloutCommand::Abort(args),
+            ) => args.json,
+            None => false,
+        }
+    }
+
+    /// The addresses of the platform.
+    #[must_use]
+    pub fn platform(&self) -> &[SocketAddr] {
+        match &self.command {
+            Some(RolloutCommand::Start(args)) => &args.platform,
+            Some(
+                RolloutCommand::Status(args)
+                | RolloutCommand::Pause(args)
+                | RolloutCommand::Resume(args)
+                | RolloutCommand::Abort(args),
+            ) => &args.platform,
+            None => &[],
+        }
+    }
+}
+
 /// `hash-key` prints the hash of a workspace key, as the table of workspaces holds it. The key is read
 /// from standard input, up to the end of its first line.
 #[derive(Debug, Options)]
@@ -229,6 +329,7 @@
             Self::History(args) => args.json,
             Self::Status(args) => args.json,
             Self::Watch(args) => args.json,
+            Self::Rollout(args) => args.json(),
             Self::HashKey(args) => args.json,
             Self::Explain(args) => args.json,
             Self::Demo(args) => args.json,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -18,6 +18,7 @@
 mod get;
 mod hash_key;
 mod history;
+mod rollout;
 mod run;
 mod show;
 mod stale;
@@ -31,7 +32,8 @@
 pub use apply::{Edit, apply};
 pub use args::{
     ApplyArgs, Args, CheckArgs, Command, DemoArgs, DiffArgs, ExplainArgs, GetArgs, HashKeyArgs,
-    HistoryArgs, StatusArgs, WatchArgs,
+    HistoryArgs, RolloutArgs, RolloutCommand, RolloutServiceArgs, RolloutStartArgs, StatusArgs,
+    WatchArgs,
 };
 pub use check::check;
 pub use console::Console;
@@ -47,6 +49,7 @@
 pub use get::get;
 pub use hash_key::hash_key;
 pub use history::history;
+pub use rollout::rollout;
 pub use run::run;
 pub use status::status;
 pub use usage::{Invocation, parse_args};
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Admin, Command, Console, Edit, Exit, Failure, apply, check, demo, diff, explain, get, hash_key,
-    history, status, watch,
+    history, rollout, status, watch,
 };
 
 /// Runs a command and returns its exit code. Only commands that use the platform call `connect`.
@@ -53,6 +53,10 @@
             require_addrs("--daemon", &args.daemon)?;
             watch(args, admin, console).await
         }
+        Command::Rollout(args) => {
+            let platform = connect(require_addrs("--platform", args.platform())?);
+            rollout(args, edit, &platform, admin, console).await
+        }
         Command::HashKey(_) => hash_key(std::io::stdin().lock(), console),
         Command::Explain(args) => explain(args, console),
         Command::Demo(args) => demo(args, console).await,
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -122,7 +122,7 @@
         .map_err(|e| Failure::new(Exit::Failed, format!("{key} in the platform is damaged: {e}")))
 }
 
-async fn retry<T, F>(call: impl Fn() -> F) -> Result<T, PlatformError>
+pub(crate) async fn retry<T, F>(call: impl Fn() -> F) -> Result<T, PlatformError>
 where
     F: Future<Output = Result<T, PlatformError>>,
 {
