--- a/crates/daemon/tests/settings_page.rs
+++ b/crates/daemon/tests/settings_page.rs
@@ -38,6 +38,7 @@
         ("Each of `targets`", r#"{"targets": [{"colour": 1}]}"#),
         ("`limits`", r#"{"limits": {"colour": 1}}"#),
         ("`log`", r#"{"log": {"colour": 1}}"#),
+        ("`rollouts`", r#"{"rollouts": {"colour": 1}}"#),
     ] {
         let fields: Vec<_> = rows(heading).iter().map(|row| row[0].to_owned()).collect();
         expect_that!(fields, eq(&accepted_fields(text)), "{heading}");
@@ -59,9 +60,21 @@
         platform,
         link_mbps,
         quota,
+        rollouts,
         ..
     } = settings;
+    let policy = parse_settings("s.jsonc", &format!(r#"{{{REQUIRED}, "rollouts": {{}}}}"#));
+    let policy = policy.expect("valid settings").rollouts.expect("rollouts");
+    let or_none = |text: Option<String>, none: &str| text.unwrap_or_else(|| none.to_owned());
     let expected = [
+        ("Fields", "`rollouts`", or_none(rollouts.map(|_| String::new()), "not followed")),
+        (
+            "Each of `targets`",
+            "`version`",
+            or_none(targets[0].version.as_ref().map(ToString::to_string), "none"),
+        ),
+        ("`rollouts`", "`exposure`", format!("`{}`", policy.exposure)),
+        ("`rollouts`", "`slack`", format!("`{}`", policy.slack)),
         ("Fields", "`quota`", "none".to_owned()),
         ("Fields", "`link`", "not known".to_owned()),
         ("Fields", "`platform`", "`[]`".to_owned()),
@@ -78,7 +91,7 @@
         ("`log`", "`level`", format!("`\"{}\"`", log.level)),
         ("`log`", "`format`", format!("`\"{}\"`", log.format)),
     ];
-    for heading in ["Fields", "Each of `targets`", "`limits`", "`log`"] {
+    for heading in ["Fields", "Each of `targets`", "`limits`", "`log`", "`rollouts`"] {
         for row in rows(heading) {
             let default = expected.iter().find(|(h, field, _)| *h == heading && *field == row[0]);
             let default = default.map_or("required", |(_, _, text)| text);
