--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -10,6 +10,7 @@
 
 use dw_log::LogLosses;
 use dw_mesh::{MemberState, MemberTable};
+use dw_platform::PlatformError;
 use dw_request::{Outcome, Rate, Reason};
 use dw_tables::{Name, Tables, VersionId};
 use prometheus_client::{
@@ -318,8 +319,18 @@
         self.0.dropped.inc();
     }
 
+    /// Counts a call to the platform by its result, which is passed on.
+    pub(crate) fn count_call<T>(
+        &self,
+        call: &'static str,
+        result: Result<T, PlatformError>,
+    ) -> Result<T, PlatformError> {
+        self.platform_call(call, result.is_ok());
+        result
+    }
+
     /// Counts a call to the platform.
-    pub(crate) fn platform_call(&self, call: &'static str, succeeded: bool) {
+    fn platform_call(&self, call: &'static str, succeeded: bool) {
         self.0.calls.get_or_create(&[("call", call)]).inc();
         if succeeded {
             self.0.answered_at.set(now_seconds());
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -93,7 +93,7 @@
             PlatformCall::ReleaseSlot { slot } => {
                 let lease = self.leases().remove(&slot);
                 if let Some(lease) = lease {
-                    self.count_call("revoke", client.revoke(lease).await)?;
+                    self.counters.count_call("revoke", client.revoke(lease).await)?;
                 }
                 return Ok(None);
             }
@@ -106,14 +106,14 @@
     }
 
     async fn read_head(&self, client: &P) -> Result<PlatformEvent, PlatformError> {
-        let entry = self.count_call("get", client.get(HEAD_KEY).await)?;
+        let entry = self.counters.count_call("get", client.get(HEAD_KEY).await)?;
         Ok(entry.map_or(PlatformEvent::HeadAbsent, |entry| head_event(&entry)))
     }
 
     async fn read_parts(&self, client: &P, head: Head) -> Result<PlatformEvent, PlatformError> {
         let mut parts = Vec::with_capacity(head.parts.len());
         for hash in &head.parts {
-            let entry = self.count_call("get", client.get(&part_key(*hash)).await)?;
+            let entry = self.counters.count_call("get", client.get(&part_key(*hash)).await)?;
             let Some(entry) = entry else {
                 return Err(PlatformError::Protocol(format!("part {hash} is missing")));
             };
@@ -123,7 +123,8 @@
     }
 
     async fn watch_head(&self, client: &P, revision: u64) -> Result<(), PlatformError> {
-        let mut watch = self.count_call("watch", client.watch(HEAD_KEY, revision).await)?;
+        let mut watch =
+            self.counters.count_call("watch", client.watch(HEAD_KEY, revision).await)?;
         loop {
             let event = match watch.next().await? {
                 Event::Put(entry) => head_event(&entry),
@@ -143,24 +144,26 @@
         let holder = |entry: Entry| serde_json::from_slice(&entry.value).ok();
         // The slot is nearly always taken when a candidate asks. This read then replaces a grant, a
         // write that is refused and a revocation.
-        if let Some(entry) = self.count_call("get", client.get(&key).await)? {
+        if let Some(entry) = self.counters.count_call("get", client.get(&key).await)? {
             return Ok(PlatformEvent::SlotTaken { slot, holder: holder(entry) });
         }
         let value = serde_json::to_vec(record).unwrap_or_default();
-        let lease = self.count_call("grant", client.grant(LEASE_TTL).await)?;
+        let lease = self.counters.count_call("grant", client.grant(LEASE_TTL).await)?;
         let txn = Txn {
             guards: vec![Guard { key: key.clone(), revision: 0 }],
             puts: vec![Put { key: key.clone(), value: value.into(), lease: Some(lease) }],
             deletes: Vec::new(),
         };
-        let present = match self.count_call("commit", client.commit(txn).await) {
+        let present = match self.counters.count_call("commit", client.commit(txn).await) {
             Ok(Commit::Done { .. }) => {
                 self.leases().insert(slot, lease);
                 return Ok(PlatformEvent::SlotClaimed { slot });
             }
             Ok(Commit::Conflict { present }) => present.into_iter().next(),
             // The response may have been lost after the write took effect.
-            Err(PlatformError::Unanswered) => self.count_call("get", client.get(&key).await)?,
+            Err(PlatformError::Unanswered) => {
+                self.counters.count_call("get", client.get(&key).await)?
+            }
             Err(error) => return Err(error),
         };
         if present.as_ref().is_some_and(|entry| entry.lease == Some(lease)) {
@@ -168,7 +171,7 @@
             return Ok(PlatformEvent::SlotClaimed { slot });
         }
         // If this fails, the unused lease still expires, only later.
-        let _ = self.count_call("revoke", client.revoke(lease).await);
+        let _ = self.counters.count_call("revoke", client.revoke(lease).await);
         Ok(PlatformEvent::SlotTaken { slot, holder: present.and_then(holder) })
     }
 
@@ -176,7 +179,7 @@
         let Some(lease) = self.leases().get(&slot).copied() else {
             return Ok(PlatformEvent::SlotLost { slot });
         };
-        match self.count_call("renew", client.renew(lease).await) {
+        match self.counters.count_call("renew", client.renew(lease).await) {
             Ok(()) => Ok(PlatformEvent::SlotRenewed { slot }),
             Err(PlatformError::LeaseGone) => {
                 self.leases().remove(&slot);
@@ -187,7 +190,7 @@
     }
 
     async fn read_relays(&self, client: &P) -> Result<PlatformEvent, PlatformError> {
-        let entries = self.count_call("range", client.range(RELAY_PREFIX).await)?;
+        let entries = self.counters.count_call("range", client.range(RELAY_PREFIX).await)?;
         let read = |entry: &Entry| serde_json::from_slice(&entry.value).ok();
         Ok(PlatformEvent::RelaysRead { records: entries.iter().filter_map(read).collect() })
     }
@@ -202,7 +205,7 @@
         for (hash, part) in split_parts(&version.tables.canonical(), MAX_PART_BYTES) {
             let put = Put { key: part_key(hash), value: part.into(), lease: None };
             let txn = Txn { puts: vec![put], ..Txn::default() };
-            self.count_call("commit", client.commit(txn).await)?;
+            self.counters.count_call("commit", client.commit(txn).await)?;
         }
         let number = head.number;
         let value = Bytes::from(serde_json::to_vec(&head).unwrap_or_default());
@@ -212,21 +215,12 @@
             puts: vec![put(HEAD_KEY.to_owned()), put(history_key(number))],
             deletes: Vec::new(),
         };
-        Ok(match self.count_call("commit", client.commit(txn).await)? {
+        Ok(match self.counters.count_call("commit", client.commit(txn).await)? {
             Commit::Done { revision } => PlatformEvent::Republished { number, revision },
             Commit::Conflict { .. } => PlatformEvent::RepublishConflict { number },
         })
     }
 
-    fn count_call<T>(
-        &self,
-        call: &'static str,
-        result: Result<T, PlatformError>,
-    ) -> Result<T, PlatformError> {
-        self.counters.platform_call(call, result.is_ok());
-        result
-    }
-
     async fn report_failure(&self, call: PlatformCallKind, reason: &str) {
         self.send_event(PlatformEvent::Failed { call, reason: reason.to_owned() }).await;
     }
--- a/crates/daemon/src/rollout/orders.rs
+++ b/crates/daemon/src/rollout/orders.rs
@@ -53,7 +53,7 @@
 
     async fn watch_orders(&self) -> Result<(), PlatformError> {
         let opened = self.client.watch_prefix(ORDER_PREFIX).await;
-        let (entries, mut watch) = self.count("watch", opened)?;
+        let (entries, mut watch) = self.counters.count_call("watch", opened)?;
         self.send(Input::Orders(entries)).await;
         loop {
             if let Event::Put(entry) = watch.next().await? {
@@ -66,7 +66,7 @@
     pub(super) async fn read(self, service: Name) {
         let key = format!("{STATE_PREFIX}{service}");
         let outcome = match timeout(CALL_TIMEOUT, self.client.get(&key)).await {
-            Ok(read) => match self.count("get", read) {
+            Ok(read) => match self.counters.count_call("get", read) {
                 Ok(entry) => parse_state(entry),
                 Err(error) => StoreOutcome::Failed(error.to_string()),
             },
@@ -85,7 +85,7 @@
             deletes: Vec::new(),
         };
         let outcome = match timeout(CALL_TIMEOUT, self.client.commit(txn)).await {
-            Ok(done) => match self.count("commit", done) {
+            Ok(done) => match self.counters.count_call("commit", done) {
                 Ok(Commit::Done { revision }) => StoreOutcome::Written(revision),
                 Ok(Commit::Conflict { .. }) => StoreOutcome::Conflict,
                 Err(error) => StoreOutcome::Failed(error.to_string()),
@@ -95,15 +95,6 @@
         self.send(Input::Stored { service, outcome }).await;
     }
 
-    fn count<T>(
-        &self,
-        call: &'static str,
-        result: Result<T, PlatformError>,
-    ) -> Result<T, PlatformError> {
-        self.counters.platform_call(call, result.is_ok());
-        result
-    }
-
     async fn send(&self, input: Input) {
         // The task has ended only if the daemon is closing.
         let _ = self.tx.send(input).await;
--- a/crates/daemon/src/rollout/task.rs
+++ b/crates/daemon/src/rollout/task.rs
@@ -58,18 +58,26 @@
 
 /// The task that leads rollouts where this daemon is in charge.
 pub(crate) struct RolloutTask<P> {
+    /// The client of the store; without one, this daemon only follows the shares of others.
     pub(crate) client: Option<P>,
+    /// Applies shares, collects evidence, and sends announcements.
     pub(crate) proxy: Arc<Proxy>,
+    /// The handle that the proxy uses.
     pub(crate) handle: RolloutHandle,
+    /// This host.
     pub(crate) host: Name,
+    /// Bounds and times of rollouts.
     pub(crate) policy: RolloutPolicy,
+    /// Counts calls and announcements.
     pub(crate) counters: Counters,
+    /// The log.
     pub(crate) log: Log,
+    /// Runs a task for each call and each announcement.
     pub(crate) tasks: Tasks,
 }
 
 /// A rollout that this daemon leads.
-struct Led {
+struct LedRollout {
     leader: RolloutLeader,
     /// The share announced last.
     share: Option<VersionShare>,
@@ -82,11 +90,12 @@
 }
 
 /// An order, and when this daemon first read it.
-struct Known {
+struct KnownOrder {
     order: RolloutOrder,
     since: Instant,
 }
 
+/// What the task knows.
 struct State<P> {
     task: RolloutTask<P>,
     store: Option<RolloutStore<P>>,
@@ -94,9 +103,10 @@
     members: Arc<MemberTable>,
     /// Ends the watch on the orders; `None` while there is none.
     watch: Option<CancellationToken>,
-    orders: BTreeMap<Name, Known>,
-    led: BTreeMap<Name, Led>,
-    /// The daemons that have not replied yet.
+    orders: BTreeMap<Name, KnownOrder>,
+    led: BTreeMap<Name, LedRollout>,
+    /// The daemons that have not replied to the last announcement yet. They get no other one meanwhile, so that slow
+    /// daemons do not accumulate them.
     polled: HashSet<Name>,
     /// When this daemon's own evidence is tested next.
     check_at: Instant,
@@ -213,7 +223,7 @@
         };
         let known = self.orders.get(&service).filter(|known| known.order.id == order.id);
         let since = known.map_or(now, |known| known.since);
-        self.orders.insert(service.clone(), Known { order: order.clone(), since });
+        self.orders.insert(service.clone(), KnownOrder { order: order.clone(), since });
         self.feed(&service, RolloutInput::Order(order));
     }
 
@@ -308,7 +318,7 @@
     fn update_led(&mut self, now: Instant) {
         let count = self.led.len();
         let leads =
-            |service: &Name, known: &Known| self.succession.leads(service, known.since, now);
+            |service: &Name, known: &KnownOrder| self.succession.leads(service, known.since, now);
         self.led.retain(|service, _| {
             self.orders.get(service).is_some_and(|known| leads(service, known))
         });
@@ -319,7 +329,7 @@
         let begins: Vec<_> =
             begins.map(|(service, known)| (service.clone(), known.order.clone())).collect();
         for (service, order) in begins {
-            let led = Led {
+            let led = LedRollout {
                 leader: RolloutLeader::new(service.clone(), self.task.policy),
                 share: None,
                 due: false,
