Measure how late tasks run, and log the version of a 404

Logs could not tell a version that came late over the network from one that waited for the processor: nothing says how late a task runs that is due. The line of a 404 names the version that has no such route.

--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -24,7 +24,7 @@
     registry::Registry,
 };
 
-use crate::{clock, quota::QuotaCounters, rollout::RolloutCounters};
+use crate::{clock, quota::QuotaCounters, rollout::RolloutCounters, scheduling::Plane};
 
 type Label = [(&'static str, &'static str); 1];
 type NameLabel = [(&'static str, String); 1];
@@ -133,6 +133,7 @@
     seen_routes: Mutex<BTreeSet<Name>>,
     steps: Histograms<Label>,
     load_ages: Histogram,
+    delays: Histograms<Label>,
     members: Family<Label, Gauge>,
     ignored: ByLabel,
     target_requests: Family<NameLabel, Counter>,
@@ -199,6 +200,7 @@
             seen_routes: Mutex::default(),
             steps: Family::new_with_constructor(seconds_histogram),
             load_ages: seconds_histogram(),
+            delays: Family::new_with_constructor(seconds_histogram),
             members: register(&mut registry, "members", "Members of the fleet, by state"),
             ignored: by_label(&mut registry, "reports_ignored", "Reports of targets not used"),
             target_requests: register(
@@ -250,6 +252,8 @@
         histograms.register("step_seconds", "Time of one step of a request", inner.steps.clone());
         let help = "Age of what was known of a target's load when it was chosen";
         histograms.register("load_age_seconds", help, inner.load_ages.clone());
+        let help = "How late tasks run that are due, by plane";
+        histograms.register("scheduling_delay_seconds", help, inner.delays.clone());
         inner.create_series();
         Self(Arc::new(inner))
     }
@@ -281,6 +285,9 @@
         for step in [Step::Queue, Step::Target, Step::Hop] {
             drop(self.steps.get_or_create(&[("step", step.as_str())]));
         }
+        for plane in [Plane::Requests, Plane::Control] {
+            drop(self.delays.get_or_create(&[("plane", plane.as_str())]));
+        }
         for state in MEMBER_STATES {
             drop(self.members.get_or_create(&[("state", state.1)]));
         }
@@ -375,6 +382,11 @@
         self.0.load_ages.observe(age.as_secs_f64());
     }
 
+    /// Observes how late a task ran that was due.
+    pub(crate) fn observe_delay(&self, plane: Plane, delay: Duration) {
+        self.0.delays.get_or_create(&[("plane", plane.as_str())]).observe(delay.as_secs_f64());
+    }
+
     /// Sets the number of members in each state.
     pub(crate) fn set_members(&self, members: &MemberTable) {
         for (state, name) in MEMBER_STATES {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -26,6 +26,7 @@
     quota::Quota,
     rollout::{RolloutHandle, RolloutTask},
     running::Addrs,
+    scheduling::{DelayProbe, Plane},
     tasks::Tasks,
 };
 
@@ -216,6 +217,11 @@
     };
     tasks.spawn(node.run(node_rx));
 
+    for plane in [Plane::Requests, Plane::Control] {
+        let probe = DelayProbe { plane, counters: counters.clone(), log: log.clone() };
+        tasks.spawn(probe.run());
+    }
+
     tasks.spawn(proxy.clone().sweep());
     tasks.spawn(proxy.clone().prune_connections(settings.idle_timeout.into()));
     tasks.spawn(proxy.clone().follow_members(view.clone()));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod quota;
 mod rollout;
 mod running;
+mod scheduling;
 mod settings;
 mod socket;
 mod tasks;
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -1,5 +1,6 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use dw_log::Field;
 use dw_request::{
     Allotment, Attempt, AttemptId, AttemptOutcome, Death, Decision, Next, Outcome, Reason, Refusal,
 };
@@ -57,7 +58,11 @@
                 if let Some(reason) = refusal.no_retry {
                     self.counters.not_retried(reason);
                 }
-                call.trace.end(|| events::refused(&refusal, call.deadline));
+                call.trace.end(|| {
+                    let version =
+                        (refusal.reason == Reason::NoRoute).then(|| self.dispatcher().version());
+                    events::refused(&refusal, call.deadline).with_some(Field::Version, version)
+                });
                 answer::refuse_for_caller(&refusal, &self.dialect)
             }
         };
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -62,6 +62,8 @@
     SettingsRefused = "settings-refused", Warn;
     /// Lines were lost because standard output did not accept them; `count` since the previous line.
     LinesDropped = "lines-dropped", Warn;
+    /// Tasks of the plane `detail` run `wait_ms` after they are due, because others occupy the processor.
+    TasksDelayed = "tasks-delayed", Warn;
     /// Requests were left out of the log; `count` in the last second, of `reason` `plain`, `refused` or `failed`;
     /// one in `candidates` is kept from now on.
     RequestsSampled = "requests-sampled", Info;
@@ -73,7 +75,8 @@
     Moved = "moved", Info;
     /// The request is sent again after `retry_ms`.
     Retried = "retried", Warn;
-    /// The request was refused or given up; the caller was told to retry after `retry_ms`.
+    /// The request was refused or given up; the caller was told to retry after `retry_ms`. For `no-route`, `version`
+    /// is the one that has no such route.
     Refused = "refused", Warn;
     /// The response of a target was passed on in full.
     Answered = "answered", Info;
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// The number of the configuration version in use; 0 if there is none.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version.number
+    }
+
     /// Starts to use a configuration version. Requests in flight keep the routes and pools that they
     /// began with.
     pub fn set_version(&mut self, version: Arc<Version>) {
