Run the control plane on a thread of its own

Callers of an overloaded host saw routes and time-outs of older versions, and running hosts were suspected: messages of the control plane took turns with requests on one runtime, and each passes several tasks (socket, node, store's client, links), each of which waits for all requests that are due.

The programs now give the daemon a runtime on a thread of its own for membership, versions, the platform's calls, quotas, rollouts and the reports of targets. The operating system shares the processor among the two threads, however many requests wait. Tasks stay on the runtime of their plane whoever spawns them.

Requests that are read after their callers left (GONE) remain; they wait on the other thread.

--- a/crates/daemon/src/bin/damaskwickd.rs
+++ b/crates/daemon/src/bin/damaskwickd.rs
@@ -2,7 +2,9 @@
 
 use std::process::ExitCode;
 
-use dw_daemon::{Daemon, Failure, Settings, exit_code, parse_settings, print_text, read_file};
+use dw_daemon::{
+    ControlThread, Daemon, Failure, Settings, exit_code, parse_settings, print_text, read_file,
+};
 use gumdrop::Options;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -52,11 +54,14 @@
     // The handlers stay installed, so a second signal does not interrupt the graceful shutdown.
     let mut term = signal(SignalKind::terminate()).map_err(signal_error)?;
     let mut int = signal(SignalKind::interrupt()).map_err(signal_error)?;
-    let running = Daemon::new(settings).start().await.map_err(|error| Failure::start(&error))?;
+    let control = ControlThread::new().map_err(|error| Failure::start(&error))?;
+    let daemon = Daemon::new(settings).with_control(control.handle().clone());
+    let running = daemon.start().await.map_err(|error| Failure::start(&error))?;
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
     running.close().await;
+    control.close();
     Ok(())
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 use tokio::{
     net::{TcpListener, UdpSocket},
+    runtime::Handle,
     sync::{mpsc, watch},
     time::Instant,
 };
@@ -44,6 +45,7 @@
     preset: Preset,
     dialect: Dialect,
     log: Option<Log>,
+    control: Option<Handle>,
 }
 
 /// Why a daemon did not start.
@@ -79,7 +81,7 @@
     #[must_use]
     pub fn new(settings: Settings) -> Self {
         let preset = Preset::new(settings.preset.to_mesh());
-        Self { settings, preset, dialect: Dialect::default(), log: None }
+        Self { settings, preset, dialect: Dialect::default(), log: None, control: None }
     }
 
     /// Replaces the control plane's periods and fan-outs, which otherwise come from the preset of the
@@ -104,6 +106,14 @@
         self
     }
 
+    /// Replaces the runtime of the control plane, which otherwise shares the current one with requests; see
+    /// [`ControlThread`](crate::ControlThread).
+    #[must_use]
+    pub fn with_control(mut self, runtime: Handle) -> Self {
+        self.control = Some(runtime);
+        self
+    }
+
     /// Listens on all addresses and starts the daemon's tasks.
     ///
     /// # Errors
@@ -119,17 +129,17 @@
     /// # Errors
     /// An address that cannot be listened on, or a log that cannot be set up.
     pub async fn start_on<P: Platform>(self, platform: Option<P>) -> Result<Running, StartError> {
-        let mut settings = self.settings;
-        let log = match self.log {
+        let Self { mut settings, preset, dialect, log, control } = self;
+        let log = match log {
             Some(log) => log,
             None => Log::new(settings.log, settings.host.clone())?,
         };
-        let sockets = Sockets::bind(&settings).await?;
+        let sockets = Sockets::bind(&settings, control.as_ref()).await?;
         // Replaces the ports that were 0 with those that the system chose.
         let addrs = sockets.addrs;
         (settings.callers, settings.peers) = (addrs.callers, addrs.peers);
         (settings.data, settings.admin) = (addrs.data, addrs.admin);
-        let options = LaunchOptions { preset: self.preset, dialect: self.dialect, platform };
+        let options = LaunchOptions { preset, dialect, control, platform };
         Ok(launch(&settings, options, sockets, log))
     }
 }
@@ -138,6 +148,7 @@
 struct LaunchOptions<P> {
     preset: Preset,
     dialect: Dialect,
+    control: Option<Handle>,
     platform: Option<P>,
 }
 
@@ -147,7 +158,10 @@
     sockets: Sockets,
     log: Log,
 ) -> Running {
-    let (tasks, counters) = (Tasks::default(), Counters::default());
+    let (requests, counters) = (Handle::current(), Counters::default());
+    let control = options.control.unwrap_or_else(|| requests.clone());
+    let tasks = Tasks::new(requests);
+    let control = tasks.with_runtime(control);
     let (node_tx, node_rx) = mpsc::channel(CHANNEL_CAPACITY);
     let (links_tx, links_rx) = mpsc::channel(CHANNEL_CAPACITY);
     let (datagrams_tx, datagrams_rx) = mpsc::channel(CHANNEL_CAPACITY);
@@ -165,20 +179,20 @@
         control: links_tx.clone(),
         node: node_tx.clone(),
         counters: counters.clone(),
-        tasks: tasks.clone(),
+        tasks: control.clone(),
     };
-    tasks.spawn(links.clone().accept(sockets.peers));
-    tasks.spawn(links.run(links_rx));
+    control.spawn(links.clone().accept(sockets.peers));
+    control.spawn(links.run(links_rx));
     let datagrams =
         Datagrams { socket: sockets.datagrams, node: node_tx.clone(), counters: counters.clone() };
-    tasks.spawn(datagrams.run(datagrams_rx));
+    control.spawn(datagrams.run(datagrams_rx));
     let quota = Quota {
         handle: proxy.quota.clone(),
         addr: settings.quota,
         counters: counters.clone(),
         log: log.clone(),
     };
-    tasks.spawn(quota.run());
+    control.spawn(quota.run());
     if let Some(policy) = settings.rollouts {
         let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
         let handle = RolloutHandle::new(tx);
@@ -191,19 +205,19 @@
             policy,
             counters: counters.clone(),
             log: log.clone(),
-            tasks: tasks.clone(),
+            tasks: control.clone(),
         };
-        tasks.spawn(rollouts.run(rx));
+        control.spawn(rollouts.run(rx));
     }
     let platform = PlatformTask {
         client: options.platform,
         domain: settings.domain.clone(),
         node: node_tx.clone(),
         counters: counters.clone(),
-        tasks: tasks.clone(),
+        tasks: control.clone(),
         leases: Arc::default(),
     };
-    tasks.spawn(platform.run(platform_rx));
+    control.spawn(platform.run(platform_rx));
     let node = NodeTask {
         node: Node::new(config, Instant::now()),
         blocked: HashSet::new(),
@@ -215,9 +229,9 @@
         counters: counters.clone(),
         log: log.clone(),
     };
-    tasks.spawn(node.run(node_rx));
+    control.spawn(node.run(node_rx));
 
-    for plane in [Plane::Requests, Plane::Control] {
+    for (plane, tasks) in [(Plane::Requests, &tasks), (Plane::Control, &control)] {
         let probe = DelayProbe { plane, counters: counters.clone(), log: log.clone() };
         tasks.spawn(probe.run());
     }
@@ -292,9 +306,21 @@
 }
 
 impl Sockets {
-    async fn bind(settings: &Settings) -> Result<Self, StartError> {
+    /// Binds all sockets, those of the control plane on its runtime.
+    async fn bind(settings: &Settings, control: Option<&Handle>) -> Result<Self, StartError> {
         let callers = listen("callers", settings.callers).await?;
-        let (peers, datagrams) = listen_peers(settings.peers).await?;
+        let (peers, datagrams) = match control {
+            Some(runtime) => {
+                let addr = settings.peers;
+                let failed = |error| StartError::Listen {
+                    purpose: "peers",
+                    addr,
+                    source: io::Error::other(error),
+                };
+                runtime.spawn(listen_peers(addr)).await.map_err(failed)??
+            }
+            None => listen_peers(settings.peers).await?,
+        };
         let data = listen("data", settings.data).await?;
         let admin = listen("admin", settings.admin).await?;
         let addrs = Addrs {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,10 +1,11 @@
 //! The daemon `damaskwickd` as a library: settings, the tasks that own sockets, the proxy, the admin
 //! API, logs and metrics. `dw_mesh` and `dw_request` make the decisions; this crate does the I/O.
-//! Several daemons can run in one process, because a daemon has no global state and no threads of
-//! its own.
+//! Several daemons can run in one process, because a daemon has no global state, and no threads but
+//! those of the runtimes that it is given.
 
 mod admin;
 mod clock;
+mod control_thread;
 mod counters;
 mod daemon;
 mod dialect;
@@ -23,6 +24,7 @@
 mod tasks;
 
 pub use clock::unix_ms;
+pub use control_thread::ControlThread;
 pub use counters::{CounterValues, IgnoreReason};
 pub use daemon::{Daemon, StartError};
 pub use dialect::Dialect;
