Ask for the next version at once after one was refused

A host that refused a version asked no peer for 10 s, whichever version became known: the timer that ends the pause also counted as a fetch in progress. Only the refused version and lower ones are left out now; sources of newer versions are asked at once. A version is refused here and served elsewhere when daemons of two releases run side by side.

--- a/crates/mesh/src/pull.rs
+++ b/crates/mesh/src/pull.rs
@@ -355,13 +355,18 @@
         }
     }
 
-    /// Suspends fetching of a refused version for some time, whichever peer serves it.
+    /// Suspends fetching of a refused version for some time, whichever peer serves it. Sources of newer versions
+    /// are asked at once, now and when they become known.
     fn reject(&mut self, number: u64) {
         self.pull.asked.clear();
         self.pull.fetch = None;
         self.pull.sources.retain(|_, source| source.number > number);
         self.pull.rejected = Some((number, self.now + REJECT_BACKOFF));
-        self.timers.set(Timer::Pull, self.now + REJECT_BACKOFF);
+        if self.pull.sources.is_empty() {
+            self.timers.clear(Timer::Pull);
+        } else {
+            self.timers.set(Timer::Pull, self.now);
+        }
     }
 }
 
--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -259,6 +259,11 @@
         self.feed(id, Input::Tick);
     }
 
+    /// Gives an input to the process on a host.
+    pub(crate) fn input(&mut self, id: usize, input: Input) {
+        self.feed(id, input);
+    }
+
     pub(crate) fn local(&mut self, id: usize, event: LocalEvent) {
         self.feed(id, Input::Local(event));
     }
