Ignore an answer about the head that a newer one has overtaken

An answer to a read of the head may arrive after the watch has reported a newer head: it may be large, or its connection slow. The node then took the older head for the latest, read its parts, and missed the newer version until the next read of the head, 15 to 45 s later, unless a peer had it. While a watch is open, an answer with a lower revision is now ignored; a platform that is restored from a backup, where revisions go back, ends the watch.

--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -261,7 +261,17 @@
         }
     }
 
+    /// Whether an answer with this revision was sent before one that has already arrived, such as a read of the
+    /// head that is slower than the watch. Revisions go back only if the platform is restored from a backup,
+    /// which ends the watch.
+    fn is_overtaken(&self, revision: u64) -> bool {
+        self.relay.watching && self.relay.head.as_ref().is_some_and(|(_, known)| revision < *known)
+    }
+
     fn on_head(&mut self, head: Option<Head>, revision: u64) {
+        if head.is_some() && self.is_overtaken(revision) {
+            return;
+        }
         self.start_watch(revision);
         let newest = self.store.newest().number;
         let number = head.as_ref().map_or(0, |head| head.number);
--- a/crates/mesh/tests/harness/platform.rs
+++ b/crates/mesh/tests/harness/platform.rs
@@ -64,6 +64,11 @@
         PlatformEvent::HeadRead { head, revision: self.revision }
     }
 
+    /// The head and its revision.
+    pub(crate) fn latest(&self) -> Option<(Head, u64)> {
+        self.head.clone().map(|head| (head, self.revision))
+    }
+
     /// Creates a backup of the store.
     pub(crate) fn backup(&self) -> Backup {
         Backup { head: self.head.clone(), revision: self.revision, slots: self.slots.clone() }
--- a/crates/mesh/tests/late.rs
+++ b/crates/mesh/tests/late.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dw_mesh::Input;
+use dw_mesh::{Input, PlatformEvent};
 use dw_tables::Hash;
 use dw_wire::{Frame, FrameBody, Snapshot, VersionId};
 use harness::World;
@@ -50,3 +50,24 @@
         assert_eq!(world.hosts[id].served.number, next, "seed {seed}");
     }
 }
+
+/// Guards against an answer of the platform that was overtaken by a newer one and replaces it.
+#[test]
+fn an_overtaken_answer_does_not_hide_the_newest_version() {
+    for seed in 0..8 {
+        let mut world = started(seed);
+        let watching: Vec<_> = world.platform.watches.iter().map(|(id, _)| *id).collect();
+        world.apply();
+        let (head, revision) = world.platform.latest().expect("a head");
+        world.apply();
+        world.run(Duration::from_millis(3));
+        for id in watching {
+            let answer = PlatformEvent::HeadRead { head: head.clone(), revision };
+            world.input(id, Input::Platform(answer));
+        }
+        world.run(IN_FORCE);
+        for host in &world.hosts {
+            assert_eq!(host.served.number, 3, "seed {seed}: {}", host.cfg.host);
+        }
+    }
+}
