Let the review's consumers respect Connection: close

A consumer of the review used a connection again after the daemon had announced that it closes it, which no sound client does.

--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -546,13 +546,15 @@
                     writer.write(message(f"{method} {path} HTTP/1.1", fields, b"x"))
                     await writer.drain()
                     try:
-                        first, _, _ = await asyncio.wait_for(read_message(reader), 3)
+                        first, fields, _ = await asyncio.wait_for(read_message(reader), 3)
                     except (OSError, asyncio.IncompleteReadError):
                         self.sent[rid].update(status=0, done=now())
                         self.record(f"closed {rid} without an answer")
                         break
                     self.sent[rid].update(status=int(first.split()[1]), done=now())
                     self.record(f"answer {rid} {first}")
+                    if fields.get("connection", "").lower() == "close":
+                        break
                     await asyncio.sleep(pause)
             except (OSError, TimeoutError):
                 pass
