--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 import rig as r
 
 HOST = "jepu9.example"
-# sites/vhs-mesh.toml, troubles: srv_grey with how "shed", share 0.14, x 0.45 and for_s 6.5.
+# grown/vhs-mesh-grown.toml, troubles: srv_grey with share 0.14, x 0.45 and for_s 6.5; a day has "shed all" with x 0.55.
 PART, FOR_S = 0.45, 6.5
 
 
