Read no more of a refusal than its connection is worth

While a target refused a part of its requests with bodies that never end, the daemon beside it exceeded its memory within a second and was killed, again and again; requests that other targets were running for callers of that host ended with a closed connection.

Cause: the body of a refusal was collected in a task of its own, without a limit of bytes or time, only so that its connection could be used again. The limit on bytes that are no part of a response does not apply, since each part of a body restarts its count. This is the only place that reads a body for which nobody waits; all others pass it on, drop it, or have a limit.

Change: the body is read part by part, none of it is kept, and it is dropped after 64 KiB or 500 ms, which closes the connection.

--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -1,6 +1,7 @@
 use std::{
     pin::Pin,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -10,9 +11,17 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, BodyStream, Empty, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use super::meter::Meter;
 
+/// Maximum size of an unused body that is read so that its connection can be reused. The body of a refusal is a short
+/// note; a new connection costs less than reading a long one.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+
+/// Timeout for reading an unused body. Until then it keeps one of the few connections that the target accepts.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The body of every request and response that passes through the proxy.
 pub(crate) type Payload = UnsyncBoxBody<Bytes, BodyError>;
 
@@ -55,6 +64,22 @@
     StreamBody::new(first.chain(BodyStream::new(rest))).boxed_unsync()
 }
 
+/// Reads an unused body to its end and keeps none of it. A body that is too long, or doesn't end in time, is dropped,
+/// which closes its connection.
+pub(crate) async fn discard(mut body: Payload) {
+    let read = async {
+        let mut size = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            size += frame.data_ref().map_or(0, Bytes::len);
+            if size > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
+    // A timeout has the same effect as a body that is too long.
+    let _ = timeout(DISCARD_TIMEOUT, read).await;
+}
+
 /// A body from the network whose end is verified.
 ///
 /// hyper also reports the end of an HTTP/2 body after a reset with `NO_ERROR`; unless END_STREAM was
--- a/crates/daemon/src/proxy/local.rs
+++ b/crates/daemon/src/proxy/local.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Proxy, answer,
-    body::{BodyEnd, Payload, TrackedBody},
+    body::{BodyEnd, Payload, TrackedBody, discard},
     call::start_trace,
     error::SendError,
     events::{self, NoticeChange},
@@ -80,8 +80,8 @@
                     StatusCode::MISDIRECTED_REQUEST => Reason::UnknownTarget,
                     _ => Reason::TargetRefused,
                 };
-                // Read the rest of the response, so that its connection can be reused.
-                self.tasks.spawn(async move { response.into_body().collect().await.is_ok() });
+                // Lets the connection be reused without making the caller wait for the rest of the refusal.
+                self.tasks.spawn(discard(response.into_body()));
                 not_run(reason, None)
             }
             Ok(Ok(response)) if !self.has_request_id(&response, request_id.as_ref()) => {
--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -13,11 +13,12 @@
     time::Duration,
 };
 
-use dw_daemon::Running;
+use dw_daemon::{Daemon, Dialect, Running};
 use dw_fakes::{RunningStandin, Standin};
 use dw_tables::Millis;
 use googletest::prelude::*;
-use support::{connect, get, publish, send, settings, start, target, text};
+use http::HeaderName;
+use support::{connect, get, publish, send, settings, target, text};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -127,7 +128,9 @@
     let settings = settings("p1", "portland")
         .with_platform(vec![standin.addr()])
         .with_target(target("tally", addr));
-    let running = start(settings).await;
+    let dialect =
+        Dialect { refused: Some(HeaderName::from_static("x-not-run")), ..Dialect::default() };
+    let running = Daemon::new(settings).with_dialect(dialect).start().await.expect("a daemon");
     running.wait_version(1).await;
     (standin, running)
 }
@@ -224,6 +227,25 @@
     .await
 }
 
+/// The head of a refusal whose body follows in chunks.
+const REFUSAL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// Guards against a refusal with an endless body, which nobody waits for, that fills the memory of the daemon.
+#[gtest]
+#[tokio::test]
+async fn an_endless_refusal_closes_the_connection() -> Result<()> {
+    check_stream(Stream::new(REFUSAL, "8\r\nnot now\n\r\n")).await
+}
+
+/// Guards against a refusal that keeps a connection to the target busy for as long as its body goes on.
+#[gtest]
+#[tokio::test]
+async fn a_refusal_that_goes_on_slowly_closes_the_connection() -> Result<()> {
+    let pause = Duration::from_millis(50);
+    check_stream(Stream::new(REFUSAL, "1\r\nx\r\n").with_pause(pause)).await
+}
+
 /// Guards against bytes after a complete response that are taken for the next one, or read endlessly.
 #[gtest]
 #[tokio::test]
