Let a prefix with a slash at its end take only paths that contain the slash

A configuration that adds a route with the prefix /orders/ sent requests for /orders, with and without a query, to the service of that route, although the prefix does not begin that path.

Cause: the adapter cuts the slash at the end off, because a path of the product's own tables has none, and there a path takes itself as well as what is below it. The meaning of the slash was lost in the translation.

Change: Router has two ways to match, SelfAndBelow for the product's tables and Below for the platform, which its Dialect names. The rows stay as they were, so that daemons of this and of earlier releases compute the same hash and do not take each other's versions for forks. Keys, splits, time-outs and rollouts follow from the route that the router found; no other code compares paths with prefixes.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -1,3 +1,4 @@
+use dw_request::PathMatch;
 use http::{HeaderName, HeaderValue};
 
 /// The default header of a request's id.
@@ -35,6 +36,8 @@
     /// Whether the end of the connection may delimit a target's response. Such a response is complete
     /// if the connection was closed without an error.
     pub close_delimited: bool,
+    /// Which paths of requests the path of a route takes.
+    pub path_match: PathMatch,
 }
 
 impl Dialect {
@@ -67,6 +70,7 @@
             leaving: HeaderName::from_static("damaskwick-target-leaving"),
             fractional_seconds: false,
             close_delimited: false,
+            path_match: PathMatch::default(),
         }
     }
 }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -128,7 +128,8 @@
             seed: rand::random(),
             reroutes: settings.limits.reroutes,
             retry_after: settings.retry_after,
-        });
+        })
+        .with_path_match(dialect.path_match);
         let keeper =
             Keeper::new(KeeperConfig { host: host.clone(), domain, ..KeeperConfig::default() });
         let targets = settings.targets.iter().zip(0..);
--- a/crates/request/src/choice.rs
+++ b/crates/request/src/choice.rs
@@ -14,5 +14,5 @@
 
 pub use endpoint::{Endpoint, EndpointState};
 pub use load::{Load, ParseLoadError};
-pub use router::{ResolvedRoute, Router};
+pub use router::{PathMatch, ResolvedRoute, Router};
 pub use view::{Avoidance, Basis, TargetChange};
--- a/crates/request/src/choice/router.rs
+++ b/crates/request/src/choice/router.rs
@@ -27,6 +27,16 @@
     }
 }
 
+/// Which paths of requests the path of a route takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PathMatch {
+    /// The path itself and all paths below it: `/credits` takes `/credits` and `/credits/7`.
+    #[default]
+    SelfAndBelow,
+    /// Only paths below it: `/credits` takes `/credits/` and `/credits/7`, but not `/credits`.
+    Below,
+}
+
 /// The routes of one version, indexed by host and path.
 ///
 /// A lookup costs one hash lookup per path segment, up to the longest prefix in the table,
@@ -36,6 +46,7 @@
     hosts: HashMap<Name, Paths>,
     any_host: Paths,
     max_segments: usize,
+    path_match: PathMatch,
 }
 
 impl Router {
@@ -61,6 +72,13 @@
         router
     }
 
+    /// Sets which paths of requests the path of a route takes.
+    #[must_use]
+    pub const fn with_path_match(mut self, path_match: PathMatch) -> Self {
+        self.path_match = path_match;
+        self
+    }
+
     /// The most specific route that matches: one for exactly this host is preferred to one for any
     /// host, then the longest path prefix, then a route that lists the method to one for any method.
     #[must_use]
@@ -83,7 +101,12 @@
     ) -> Option<&'a ResolvedRoute> {
         let slashes = path.match_indices('/').map(|(idx, _)| idx).filter(|idx| *idx > 0);
         let ends = [0].into_iter().chain(slashes).chain([path.len()]);
-        ends.take(self.max_segments + 1)
+        let is_taken = |end: &usize| match self.path_match {
+            PathMatch::SelfAndBelow => true,
+            PathMatch::Below => path[*end..].starts_with('/'),
+        };
+        ends.filter(is_taken)
+            .take(self.max_segments + 1)
             .filter_map(|end| {
                 paths.get(&path[..end])?.iter().find(|e| accepts_method(&e.route, method))
             })
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, EndpointState, EvidenceReport,
-    Fingerprint, Goal, KeyIndex, Next, PoisonList, Reason, Refusal, RequestInfo, RolloutHolder,
-    Router, TargetChange, VersionShare,
+    Fingerprint, Goal, KeyIndex, Next, PathMatch, PoisonList, Reason, Refusal, RequestInfo,
+    RolloutHolder, Router, TargetChange, VersionShare,
     choice::{
         balancer::Constraints, locality::Locality, target::Observation, upstream::Upstream,
         view::Choice,
@@ -54,6 +54,7 @@
     locality: Locality,
     reroutes: u32,
     retry_after: RetryAfterPolicy,
+    path_match: PathMatch,
     timeouts: HashMap<Name, CallerTimeouts>,
     version: Arc<Version>,
     router: Arc<Router>,
@@ -81,6 +82,7 @@
             locality: Locality { domain: config.domain, region: config.region },
             reroutes: config.reroutes,
             retry_after: config.retry_after,
+            path_match: PathMatch::default(),
             timeouts: HashMap::new(),
             version: Arc::default(),
             router: Arc::default(),
@@ -99,6 +101,13 @@
         }
     }
 
+    /// Sets which paths of requests the path of a route takes, for versions set from now on.
+    #[must_use]
+    pub const fn with_path_match(mut self, path_match: PathMatch) -> Self {
+        self.path_match = path_match;
+        self
+    }
+
     /// The number of the configuration version in use; 0 if there is none.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -108,7 +117,7 @@
     /// Starts to use a configuration version. Requests in flight keep the routes and pools that they
     /// began with.
     pub fn set_version(&mut self, version: Arc<Version>) {
-        self.router = Arc::new(Router::new(&version));
+        self.router = Arc::new(Router::new(&version).with_path_match(self.path_match));
         if self.version.tables.workspaces != version.tables.workspaces {
             self.keys = Arc::new(KeyIndex::new(&version.tables.workspaces));
         }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -20,8 +20,8 @@
 mod workspace;
 
 pub use choice::{
-    Avoidance, Basis, Endpoint, EndpointState, Load, ParseLoadError, ResolvedRoute, Router,
-    TargetChange,
+    Avoidance, Basis, Endpoint, EndpointState, Load, ParseLoadError, PathMatch, ResolvedRoute,
+    Router, TargetChange,
 };
 pub use dispatcher::{Dispatcher, DispatcherConfig};
 pub use fingerprint::Fingerprint;
--- a/crates/request/tests/router.rs
+++ b/crates/request/tests/router.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use dw_request::Router;
+use dw_request::{PathMatch, Router};
 use googletest::prelude::*;
 use support::version;
 
@@ -60,3 +60,31 @@
         expect_that!(router.find(host, path, method).is_none(), eq(true), "{method} {host} {path}");
     }
 }
+
+/// Guards against a route with a prefix that ends with a slash, such as `/api/`, that takes the request for `/api`.
+#[gtest]
+fn a_route_for_paths_below_does_not_take_the_path_itself() {
+    let router = routes().with_path_match(PathMatch::Below);
+    for (host, path, method, wanted) in [
+        ("x", "/", "GET", Some("any")),
+        ("x", "/api", "GET", Some("any")),
+        ("x", "/api?next=/api/", "GET", Some("any")),
+        ("x", "/api#/", "GET", Some("any")),
+        ("x", "/api%2Fcredit", "GET", Some("any")),
+        ("x", "//api/credit/7", "GET", Some("any")),
+        ("x", "/api/", "GET", Some("api")),
+        ("x", "/api//", "GET", Some("api")),
+        ("x", "/api/credit", "POST", Some("api")),
+        ("x", "/api/credit?a=b", "POST", Some("api")),
+        ("x", "/api/credit/", "POST", Some("post")),
+        ("x", "/api/credit/7", "GET", Some("credit")),
+        ("x", "/api/credit//7", "GET", Some("credit")),
+        ("desk.example", "/api", "GET", Some("any")),
+        ("desk.example", "/api/7", "GET", Some("desk")),
+        ("x", "", "GET", None),
+        ("x", "*", "OPTIONS", None),
+    ] {
+        let found = router.find(host, path, method).map(|e| e.route.name.as_str());
+        expect_that!(found, eq(wanted), "{method} {host} {path}");
+    }
+}
