Keep targets that left away from a daemon that was killed and started again

A daemon acknowledged that its target leaves, was killed and started again; the last report that the target had sent before arrived late, and the fleet sent requests to it 6 s after the acknowledgement.

Cause: the ended incarnations are kept in the memory of the process only. Nothing told the next one, which took the first report of any incarnation as current. The same holds for a drain, which an earlier report reverts after a restart.

Change: a target that drains or leaves has a tombstone (name, start, last void report). Before the acknowledgement it goes to the store, under a lease of 300 s and for at most 400 ms, and into the member record of the host. A process that starts reads those of its host from the store, and the peer that admits it tells what the record of the earlier process said. Until one of the two has told, a target gets requests only after two reports half a period apart: a late report is not followed by another. Both sources are needed: with all processes killed only the store knows, and with the store down only peers do. Ruled out: comparing the start of an incarnation with that of the process, because a clock may step; and waiting for two reports always, which costs a period of each target after each restart.

Old and new daemons ignore each other's fields. Nothing is persisted for targets from the settings, which an operator drains.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -29,6 +29,7 @@
     running::Addrs,
     scheduling::{DelayProbe, Plane},
     tasks::Tasks,
+    tombstones::{Past, TombstoneTask},
 };
 
 /// Capacity of the channel to each task, in messages. Senders wait while it is full; datagrams are
@@ -209,6 +210,16 @@
         };
         control.spawn(rollouts.run(rx));
     }
+    let (past, _) = watch::channel(Past::default());
+    let tombstones = TombstoneTask {
+        client: options.platform.clone(),
+        host: settings.host.clone(),
+        past: past.clone(),
+        counters: counters.clone(),
+        log: log.clone(),
+        tasks: control.clone(),
+    };
+    let tombstones = tombstones.start(CHANNEL_CAPACITY);
     let platform = PlatformTask {
         client: options.platform,
         domain: settings.domain.clone(),
@@ -226,6 +237,7 @@
         datagrams: datagrams_tx,
         platform: platform_tx,
         view: view_tx,
+        past,
         counters: counters.clone(),
         log: log.clone(),
     };
@@ -268,6 +280,7 @@
         node: node_tx,
         proxy,
         server,
+        tombstones,
         counters,
         log,
         tasks,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod settings;
 mod socket;
 mod tasks;
+mod tombstones;
 
 pub use clock::unix_ms;
 pub use control_thread::ControlThread;
@@ -34,3 +35,4 @@
 pub use running::{Addrs, Running};
 pub use settings::{PresetName, ProcessLimits, Settings, TargetSettings, parse_settings};
 pub use socket::detect_dead_peer;
+pub use tombstones::Past;
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -11,7 +11,7 @@
 use dw_log::{Event, Field, Kind, Log};
 use dw_mesh::{Input, LocalEvent, MemberTable, Status, Target};
 use dw_request::ReportedTarget;
-use dw_tables::{Millis, Name, Version, VersionId};
+use dw_tables::{Millis, Name, Tombstone, Version, VersionId};
 use tokio::{
     sync::{mpsc, watch},
     time::{Instant, sleep, timeout, timeout_at},
@@ -24,6 +24,7 @@
     node::{NodeMessage, View, ask_status},
     proxy::{Proxy, Server},
     tasks::Tasks,
+    tombstones::{Past, TombstoneHandle},
 };
 
 /// Delay between the announcement that a daemon drains and the end of its idle connections, so that
@@ -69,6 +70,7 @@
     pub(crate) node: mpsc::Sender<NodeMessage>,
     pub(crate) proxy: Arc<Proxy>,
     pub(crate) server: Server,
+    pub(crate) tombstones: TombstoneHandle,
     pub(crate) counters: Counters,
     pub(crate) log: Log,
     pub(crate) tasks: Tasks,
@@ -114,8 +116,12 @@
     }
 
     /// Replaces the targets on this host by those that reported themselves, and announces them to the
-    /// fleet. Once it returns, a target that is not open gets no request.
-    pub async fn set_reported_targets(&self, reported_targets: &[ReportedTarget]) {
+    /// fleet, with the tombstones of others. Once it returns, a target that is not open gets no request.
+    pub async fn set_reported_targets(
+        &self,
+        reported_targets: &[ReportedTarget],
+        tombstones: Vec<Tombstone>,
+    ) {
         let version = self.version();
         self.proxy.set_reported_targets(reported_targets, &version);
         let target = |reported: &ReportedTarget| Target {
@@ -130,7 +136,20 @@
             version: reported.report.version.clone(),
             warm: warm_at(reported),
         };
-        self.send_event(LocalEvent::Targets(reported_targets.iter().map(target).collect())).await;
+        let targets = reported_targets.iter().map(target).collect();
+        self.send_event(LocalEvent::Targets { targets, tombstones }).await;
+    }
+
+    /// Asks the store which targets on this host left, or were draining, when an earlier process ended. What it and
+    /// peers tell is published.
+    pub async fn read_past(&self) -> watch::Receiver<Past> {
+        self.tombstones.read_past().await
+    }
+
+    /// Stores tombstones for the next process on this host. Returns at the latest after 400 ms; what the store has not
+    /// taken by then is written as soon as it does.
+    pub async fn save_tombstones(&self, tombstones: Vec<Tombstone>) {
+        self.tombstones.save(tombstones).await;
     }
 
     /// Whether the daemon accepts new work: it serves a version and was not told to stop.
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -103,6 +103,10 @@
     /// The responses of a target state something new: `limited` to `limit` requests a second, `unlimited`,
     /// `leaving`, or `unreadable` if the limit is not a number.
     TargetSaid = "target-said", Info;
+    /// The store told which targets left, or were draining, when an earlier process on this host ended; `count` of them.
+    TombstonesRead = "tombstones-read", Info;
+    /// The store did not take the record that `count` targets left or are draining; it is written again.
+    TombstonesUnsaved = "tombstones-unsaved", Warn;
     /// A report of a target was ignored: `stale` or `unreadable`.
     ReportIgnored = "report-ignored", Warn;
     /// Requests avoid a target: `failing`, `leaving` or `unreachable`.
--- a/crates/mesh/src/convert.rs
+++ b/crates/mesh/src/convert.rs
@@ -1,4 +1,4 @@
-use dw_tables::{Hash, Name, VersionId};
+use dw_tables::{Hash, Name, Tombstone, VersionId};
 use dw_wire::State;
 
 use crate::{Member, MemberState, Target};
@@ -9,6 +9,9 @@
 /// The most targets of a single host that are accepted from a peer.
 const TARGETS_LIMIT: usize = 64;
 
+/// The most tombstones of a single host that are accepted from a peer.
+const TOMBSTONES_LIMIT: usize = 64;
+
 /// Encodes a member for the wire.
 pub(crate) fn member_to_wire(member: &Member) -> dw_wire::Member {
     dw_wire::Member {
@@ -24,6 +27,7 @@
         targets: member.targets.iter().map(target_to_wire).collect(),
         dead_ms: 0,
         link: member.link,
+        tombstones: tombstones_to_wire(&member.tombstones),
     }
 }
 
@@ -50,6 +54,7 @@
             relay: wire.relay,
             link: wire.link,
             targets: wire.targets.iter().map(target_from_wire).collect(),
+            tombstones: tombstones_from_wire(&wire.tombstones),
         })
     })?
 }
@@ -70,6 +75,27 @@
     list.iter().filter(|name| name.len() <= NAME_LIMIT).map(|name| name.as_str().into())
 }
 
+/// Encodes tombstones for the wire.
+pub(crate) fn tombstones_to_wire(list: &[Tombstone]) -> Vec<dw_wire::Tombstone> {
+    let to_wire = |tombstone: &Tombstone| dw_wire::Tombstone {
+        name: tombstone.name.to_string(),
+        started: tombstone.started,
+        sequence: tombstone.sequence,
+    };
+    list.iter().map(to_wire).collect()
+}
+
+/// Decodes tombstones, skipping those with a name that is too long and those beyond the limit.
+pub(crate) fn tombstones_from_wire(list: &[dw_wire::Tombstone]) -> Vec<Tombstone> {
+    let fits = |tombstone: &&dw_wire::Tombstone| tombstone.name.len() <= NAME_LIMIT;
+    let from_wire = |tombstone: &dw_wire::Tombstone| Tombstone {
+        name: tombstone.name.as_str().into(),
+        started: tombstone.started,
+        sequence: tombstone.sequence,
+    };
+    list.iter().filter(fits).take(TOMBSTONES_LIMIT).map(from_wire).collect()
+}
+
 fn target_to_wire(target: &Target) -> dw_wire::Target {
     dw_wire::Target {
         index: target.index,
--- a/crates/mesh/src/io.rs
+++ b/crates/mesh/src/io.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use derive_more::{Display, From};
-use dw_tables::{Head, Name, Version};
+use dw_tables::{Head, Name, Tombstone, Version};
 use dw_wire::{Frame, Packet};
 use serde::{Deserialize, Serialize};
 
@@ -232,8 +232,13 @@
         /// Whether the target is draining, that is, takes no new work.
         draining: bool,
     },
-    /// The targets that the daemon serves, which replace the earlier list.
-    Targets(Vec<Target>),
+    /// The targets on the host, which replace the earlier lists.
+    Targets {
+        /// Those that the daemon serves.
+        targets: Vec<Target>,
+        /// Those that take no more requests.
+        tombstones: Vec<Tombstone>,
+    },
     /// A fingerprint to broadcast to the fleet.
     Poison(Fingerprint),
     /// The status is about to be read. A node that is not a relay fetches it from one within a
@@ -274,6 +279,9 @@
     Poison(Fingerprint),
     /// Report a refused version.
     Refused(RefusedVersion),
+    /// Ignore reports of these targets on this host. A peer knows them from the earlier process here, and from no
+    /// other one.
+    FormerTargets(Vec<Tombstone>),
     /// Count an event.
     Count(Counter),
     /// Write a log line.
--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -5,9 +5,12 @@
 use tokio::time::Instant;
 
 use crate::{
-    Counter, LogEvent, MemberState, Node, NodeConfig, PlatformCall, RelayRecord,
+    Action, Counter, LogEvent, MemberState, Node, NodeConfig, PlatformCall, RelayRecord,
     bucket::{TokenBucket, backoff},
-    convert::{member_from_wire, member_to_wire, version_id_to_wire},
+    convert::{
+        member_from_wire, member_to_wire, tombstones_from_wire, tombstones_to_wire,
+        version_id_to_wire,
+    },
     records::RECORDS_BYTES,
     timer::Timer,
 };
@@ -218,6 +221,8 @@
             floor_only: join.floor_only,
             incarnation: known.map_or(0, |m| m.incarnation),
             has_version: version_id.number > 0,
+            knows_former: known.is_some(),
+            tombstones: known.map_or_else(Vec::new, |m| tombstones_to_wire(&m.tombstones)),
             ..JoinReply::default()
         };
         let room = &mut RECORDS_BYTES.to_owned();
@@ -263,6 +268,10 @@
             }
             self.update_own_record(self.me.clone());
         }
+        if reply.knows_former {
+            let tombstones = tombstones_from_wire(&reply.tombstones);
+            self.out.push(Action::FormerTargets(tombstones));
+        }
         for wire in &reply.members {
             // The domain already has these records. Gossiping them would fill the probes of a
             // joining node for minutes.
--- a/crates/mesh/src/member.rs
+++ b/crates/mesh/src/member.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use derive_more::Display;
-use dw_tables::Name;
+use dw_tables::{Name, Tombstone};
 use serde::{Deserialize, Serialize};
 
 use crate::NodeConfig;
@@ -101,6 +101,9 @@
     pub link: u32,
     /// The targets that the member's daemon serves.
     pub targets: Vec<Target>,
+    /// Targets on the host that take no more requests, for the next process there.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tombstones: Vec<Tombstone>,
 }
 
 impl Member {
@@ -119,6 +122,7 @@
             relay: false,
             link: cfg.link,
             targets: cfg.targets.clone(),
+            tombstones: Vec::new(),
         }
     }
 
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -221,11 +221,13 @@
                     self.update_own_record(me);
                 }
             }
-            LocalEvent::Targets(ref targets) if *targets != self.me.targets => {
-                let me = Member { targets: targets.clone(), ..self.me.clone() };
-                self.update_own_record(me);
+            LocalEvent::Targets { ref targets, ref tombstones } => {
+                let (targets, tombstones) = (targets.clone(), tombstones.clone());
+                let me = Member { targets, tombstones, ..self.me.clone() };
+                if me != self.me {
+                    self.update_own_record(me);
+                }
             }
-            LocalEvent::Targets(_) => {}
             LocalEvent::Poison(fingerprint) => self.broadcast_poison(fingerprint),
             LocalEvent::StatusRequested => self.on_status_request(),
         }
--- a/crates/mesh/tests/durable.rs
+++ b/crates/mesh/tests/durable.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use dw_mesh::{LocalEvent, PlatformCallKind};
-use dw_tables::Hash;
+use dw_tables::{Hash, Tombstone};
 use harness::{World, versions::version};
 
 const fn ms(ms: u64) -> Duration {
@@ -274,3 +274,38 @@
         assert_eq!(host.served.number, next, "{}", host.cfg.host);
     }
 }
+
+/// Guards against a process that nobody tells, while the platform is down, which targets of its host left before.
+#[test]
+fn peers_tell_a_restarted_host_which_targets_left() {
+    let mut world = World::durable(6, &[3, 3]);
+    world.set_platform_down(true);
+    let tombstones = vec![Tombstone::of_departed("i-1".into(), 100)];
+    let left = LocalEvent::Targets { targets: Vec::new(), tombstones: tombstones.clone() };
+    world.local(1, left);
+    world.run(ms(500));
+    for restart in 0..2 {
+        world.crash(1);
+        world.hosts[1].cfg.join = vec![world.hosts[2].cfg.peer];
+        world.start(1);
+        world.run(ms(500));
+        assert_eq!(world.hosts[1].former.as_ref(), Some(&tombstones), "restart {restart}");
+        // The process announces what it was told, so that the next one learns of it as well.
+        let left = LocalEvent::Targets { targets: Vec::new(), tombstones: tombstones.clone() };
+        world.local(1, left);
+        world.run(ms(500));
+    }
+}
+
+/// Guards against a process that takes it for certain that no target left, only because a peer that does not know its host
+/// says nothing of any.
+#[test]
+fn peers_that_do_not_know_a_host_tell_nothing_of_its_targets() {
+    let mut world = World::durable(7, &[4]);
+    (0..4).for_each(|id| world.crash(id));
+    (0..4).for_each(|id| world.start(id));
+    world.run(ms(1000));
+    for host in &world.hosts {
+        assert_eq!(host.former, None, "{}", host.cfg.host);
+    }
+}
--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -19,7 +19,7 @@
     Action, Counter, Input, LocalEvent, Node, NodeConfig, PlatformCallKind, PlatformEvent, Preset,
     PresetName, RolloutState,
 };
-use dw_tables::{Version, VersionId, validate};
+use dw_tables::{Tombstone, Version, VersionId, validate};
 use dw_wire::{decode_packet, encode_packet};
 use link::Link;
 use platform::Store;
@@ -61,6 +61,8 @@
     pub(crate) link: Option<Link>,
     pub(crate) counts: BTreeMap<Counter, u64>,
     pub(crate) poison: Vec<u64>,
+    /// What peers told the running process about targets of the earlier one; `None` if no peer knew that one.
+    pub(crate) former: Option<Vec<Tombstone>>,
 }
 
 enum Event {
@@ -145,6 +147,7 @@
                     link: None,
                     counts: BTreeMap::new(),
                     poison: Vec::new(),
+                    former: None,
                 });
             }
         }
@@ -227,6 +230,7 @@
         host.cfg.seed = seed;
         host.paused = None;
         host.served = VersionId::default();
+        host.former = None;
         host.node = Some(Node::new(host.cfg.clone(), self.now));
     }
 
@@ -450,6 +454,7 @@
                 let peer = self.hosts.iter().position(|host| host.cfg.peer == to);
                 peer.and_then(|peer| self.silent.remove(&pair(id, peer)));
             }
+            Action::FormerTargets(tombstones) => self.hosts[id].former = Some(tombstones),
             Action::Members(_) | Action::Refused(_) => {}
         }
     }
--- a/crates/request/src/gate/reported_targets.rs
+++ b/crates/request/src/gate/reported_targets.rs
@@ -1,11 +1,17 @@
 use std::{net::SocketAddr, time::Duration};
 
-use dw_tables::Name;
+use dw_tables::{Name, Tombstone};
 use tokio::time::Instant;
 
 /// Maximum number of ended incarnations that are remembered, so that a late report does not restore one.
 const MAX_ENDED: usize = 64;
 
+/// Maximum number of tombstones that are announced to peers; each is a part of the host's member record.
+const MAX_ANNOUNCED: usize = 4;
+
+/// How long tombstones are announced. A report that is held up on its way arrives seconds late.
+const ANNOUNCE_DURATION: Duration = Duration::from_secs(300);
+
 /// The report that a target sends about itself to the daemon beside it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetReport {
@@ -41,13 +47,19 @@
     pub reported_at: Instant,
     /// Whether its reports have stopped.
     pub silent: bool,
+    /// Whether it is known not to have left before this process started.
+    pub confirmed: bool,
 }
 
 impl ReportedTarget {
     /// Whether it may receive new requests.
     #[must_use]
     pub const fn is_open(&self) -> bool {
-        !self.report.draining && !self.silent
+        !self.report.draining && !self.silent && self.confirmed
+    }
+
+    fn is_covered(&self, tombstone: &Tombstone) -> bool {
+        tombstone.covers(&self.report.name, self.report.started, self.report.sequence)
     }
 }
 
@@ -62,19 +74,34 @@
     Stale,
 }
 
-/// Incarnations whose reports are ignored.
+/// An incarnation whose reports are ignored, all of them or those up to its drain.
 #[derive(Debug)]
-struct EndedIncarnation {
-    name: Name,
-    /// Incarnations that started at this time or before, in ms since the Unix epoch.
-    started: u64,
+struct Ended {
+    tombstone: Tombstone,
+    since: Instant,
+    /// Whether the next process on this host has to know it too.
+    announced: bool,
+    /// Whether it has been returned by [`ReportedTargets::take_unsaved`].
+    saved: bool,
+}
+
+/// What is known of targets that left before this process started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Past {
+    Known,
+    /// Nobody has told yet. A late report of a target that has left looks like any other, but is not followed by a
+    /// later one: a target that sends two reports at least `interval` apart is running.
+    Unknown {
+        interval: Duration,
+    },
 }
 
 /// The targets on the host of a daemon, as known from their own reports.
 #[derive(Debug)]
 pub struct ReportedTargets {
     list: Vec<ReportedTarget>,
-    ended: Vec<EndedIncarnation>,
+    ended: Vec<Ended>,
+    past: Past,
     silence_timeout: Duration,
     next_index: u16,
 }
@@ -83,7 +110,16 @@
     /// Creates an empty list. A target counts as silent after `silence_timeout` without a report.
     #[must_use]
     pub const fn new(silence_timeout: Duration) -> Self {
-        Self { list: Vec::new(), ended: Vec::new(), silence_timeout, next_index: 0 }
+        let past = Past::Known;
+        Self { list: Vec::new(), ended: Vec::new(), past, silence_timeout, next_index: 0 }
+    }
+
+    /// Keeps targets closed until [`Self::learn_past`] has told which ones left before this process started, or until they
+    /// have sent two reports at least `interval` apart.
+    #[must_use]
+    pub const fn with_unknown_past(mut self, interval: Duration) -> Self {
+        self.past = Past::Unknown { interval };
+        self
     }
 
     /// The targets, in the order of their first reports.
@@ -95,8 +131,9 @@
     /// Applies a report. A later incarnation with the same name or address replaces the earlier one,
     /// whose reports are ignored from then on.
     pub fn apply_report(&mut self, report: TargetReport, now: Instant) -> ReportEffect {
-        let outdated = |e: &EndedIncarnation| e.name == report.name && report.started <= e.started;
-        if self.ended.iter().any(outdated) {
+        let is_void =
+            |ended: &Ended| ended.tombstone.covers(&report.name, report.started, report.sequence);
+        if self.ended.iter().any(is_void) {
             return ReportEffect::Stale;
         }
         let known = |r: &&ReportedTarget| {
@@ -111,23 +148,35 @@
         }
         let same =
             |r: &ReportedTarget| r.report.name == report.name && r.report.started == report.started;
+        let drained = self.list.iter().any(|r| same(r) && r.report.draining);
+        if report.draining && !drained {
+            self.end(tombstone_of(&report), true, now);
+        }
+        let past = self.past;
+        let is_confirmed = |first: Option<Instant>| match past {
+            Past::Known => true,
+            Past::Unknown { interval } => first.is_some_and(|at| now >= at + interval),
+        };
         if let Some(target) = self.list.iter_mut().find(|r| same(r)) {
             let old = (target.is_open(), target.report.slots, target.report.address);
-            *target = ReportedTarget { report, reported_at: now, silent: false, ..*target };
+            let confirmed = target.confirmed || is_confirmed(Some(target.reported_at));
+            *target =
+                ReportedTarget { report, reported_at: now, silent: false, confirmed, ..*target };
             let new = (target.is_open(), target.report.slots, target.report.address);
             return if old == new { ReportEffect::Same } else { ReportEffect::Changed };
         }
         let replaced =
             |r: &ReportedTarget| r.report.name == report.name || r.report.address == report.address;
-        let gone: Vec<_> =
-            self.list.iter().filter(|r| replaced(r)).map(ended_incarnation).collect();
-        self.list.retain(|r| !replaced(r));
-        gone.into_iter().for_each(|ended| self.remember_ended(ended));
+        let gone = self.list.extract_if(.., |r| replaced(r)).collect::<Vec<_>>();
+        for ReportedTarget { report, .. } in gone {
+            self.end(Tombstone::of_departed(report.name, report.started), false, now);
+        }
         self.list.push(ReportedTarget {
             index: self.next_index,
             report,
             reported_at: now,
             silent: false,
+            confirmed: is_confirmed(None),
         });
         self.next_index = self.next_index.wrapping_add(1);
         ReportEffect::Changed
@@ -136,23 +185,71 @@
     /// Removes the target with this name, which has ended or is about to; returns `false` if it is not
     /// known. In that case this daemon may have just started, and reports of incarnations that started
     /// at the current time `unix_ms` or before are ignored.
-    pub fn leave(&mut self, name: &str, unix_ms: u64) -> bool {
-        let gone: Vec<_> = self
-            .list
-            .iter()
-            .filter(|r| r.report.name.as_str() == name)
-            .map(ended_incarnation)
-            .collect();
-        self.list.retain(|r| r.report.name.as_str() != name);
+    pub fn leave(&mut self, name: &str, unix_ms: u64, now: Instant) -> bool {
+        let gone: Vec<_> = self.list.extract_if(.., |r| r.report.name.as_str() == name).collect();
         let known = !gone.is_empty();
-        // A repeated announcement may arrive after the next incarnation has started.
-        if !known && !self.ended.iter().any(|e| e.name.as_str() == name) {
-            self.remember_ended(EndedIncarnation { name: name.into(), started: unix_ms });
+        let departed = match known {
+            true => gone.into_iter().map(|r| (r.report.name, r.report.started)).collect(),
+            // A repeated announcement may arrive after the next incarnation has started.
+            false => {
+                let named = |e: &&Ended| e.tombstone.name.as_str() == name;
+                let ended = self.ended.iter().filter(named);
+                let ended: Vec<_> =
+                    ended.map(|e| (e.tombstone.name.clone(), e.tombstone.started)).collect();
+                if ended.is_empty() { vec![(Name::new(name), unix_ms)] } else { ended }
+            }
+        };
+        for (name, started) in departed {
+            self.end(Tombstone::of_departed(name, started), true, now);
         }
-        gone.into_iter().for_each(|ended| self.remember_ended(ended));
         known
     }
 
+    /// Applies what others know of targets that left before this process started; `known` states that this is all.
+    /// Returns whether any target was opened or removed.
+    pub fn learn_past(&mut self, tombstones: &[Tombstone], known: bool, now: Instant) -> bool {
+        let count = self.list.len();
+        for tombstone in tombstones {
+            self.end(tombstone.clone(), true, now);
+            // The store or a peer has it already.
+            self.ended
+                .iter_mut()
+                .filter(|e| e.tombstone == *tombstone)
+                .for_each(|e| e.saved = true);
+            self.list.retain(|target| !target.is_covered(tombstone));
+        }
+        let mut changed = self.list.len() != count;
+        if known {
+            self.past = Past::Known;
+            for target in self.list.iter_mut().filter(|target| !target.confirmed) {
+                target.confirmed = true;
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// The tombstones that have to outlive this process and were not returned before.
+    pub fn take_unsaved(&mut self) -> Vec<Tombstone> {
+        let unsaved = self.ended.iter_mut().filter(|ended| ended.announced && !ended.saved);
+        unsaved
+            .map(|ended| {
+                ended.saved = true;
+                ended.tombstone.clone()
+            })
+            .collect()
+    }
+
+    /// The tombstones to announce to peers, which tell them to the next process on this host.
+    #[must_use]
+    pub fn tombstones(&self, now: Instant) -> Vec<Tombstone> {
+        let recent = |ended: &&Ended| {
+            ended.announced && now.saturating_duration_since(ended.since) < ANNOUNCE_DURATION
+        };
+        let recent = self.ended.iter().rev().filter(recent).take(MAX_ANNOUNCED);
+        recent.map(|ended| ended.tombstone.clone()).collect()
+    }
+
     /// Marks targets whose reports have stopped as silent; returns whether any became silent.
     pub fn expire(&mut self, now: Instant) -> bool {
         let silence_timeout = self.silence_timeout;
@@ -167,14 +264,27 @@
         changed
     }
 
-    fn remember_ended(&mut self, ended: EndedIncarnation) {
+    /// Ignores reports that the tombstone covers from now on.
+    fn end(&mut self, tombstone: Tombstone, announced: bool, now: Instant) {
+        let Tombstone { name, started, sequence } = &tombstone;
+        let same = |e: &&mut Ended| e.tombstone.name == *name && e.tombstone.started == *started;
+        if let Some(ended) = self.ended.iter_mut().find(same) {
+            let raised = ended.tombstone.sequence < *sequence;
+            if raised || (announced && !ended.announced) {
+                ended.tombstone.sequence = ended.tombstone.sequence.max(*sequence);
+                ended.announced |= announced;
+                (ended.since, ended.saved) = (now, false);
+            }
+            return;
+        }
         if self.ended.len() >= MAX_ENDED {
             self.ended.remove(0);
         }
-        self.ended.push(ended);
+        self.ended.push(Ended { tombstone, since: now, announced, saved: false });
     }
 }
 
-fn ended_incarnation(target: &ReportedTarget) -> EndedIncarnation {
-    EndedIncarnation { name: target.report.name.clone(), started: target.report.started }
+/// The tombstone of a target that is draining: its earlier reports are void.
+fn tombstone_of(report: &TargetReport) -> Tombstone {
+    Tombstone { name: report.name.clone(), started: report.started, sequence: report.sequence }
 }
--- a/crates/request/tests/reported_targets.rs
+++ b/crates/request/tests/reported_targets.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dw_request::{ReportEffect, ReportedTargets, TargetReport};
+use dw_tables::Tombstone;
 use googletest::prelude::*;
 use tokio::time::Instant;
 
@@ -61,8 +62,8 @@
     let now = Instant::now();
     let mut targets = ReportedTargets::new(SILENCE_TIMEOUT);
     targets.apply_report(report("a", 100, 1), now);
-    expect_that!(targets.leave("a", 500), eq(true));
-    expect_that!(targets.leave("a", 500), eq(false));
+    expect_that!(targets.leave("a", 500, now), eq(true));
+    expect_that!(targets.leave("a", 500, now), eq(false));
     expect_that!(targets.apply_report(report("a", 100, 2), now), eq(ReportEffect::Stale));
     expect_that!(targets.apply_report(report("a", 101, 1), now), eq(ReportEffect::Changed));
 }
@@ -91,7 +92,7 @@
 fn a_target_that_left_before_it_was_known_stays_away() {
     let now = Instant::now();
     let mut targets = ReportedTargets::new(SILENCE_TIMEOUT);
-    expect_that!(targets.leave("a", 500), eq(false));
+    expect_that!(targets.leave("a", 500, now), eq(false));
     expect_that!(targets.apply_report(report("a", 100, 9), now), eq(ReportEffect::Stale));
     expect_that!(targets.list().is_empty(), eq(true));
     // A later start under the same name is another target.
@@ -100,3 +101,101 @@
     let other = TargetReport { address: ([127, 0, 0, 1], 8001).into(), ..report("b", 100, 1) };
     expect_that!(targets.apply_report(other, now), eq(ReportEffect::Changed));
 }
+
+const INTERVAL: Duration = Duration::from_millis(700);
+
+/// A process that knows from another one that the incarnation `a`, started at 100, has left.
+fn restarted(tombstones: &[Tombstone], now: Instant) -> ReportedTargets {
+    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_unknown_past(INTERVAL);
+    targets.learn_past(tombstones, true, now);
+    targets
+}
+
+/// Guards against a process that takes back a target which left before it started, because of a report that was sent
+/// earlier and arrives late.
+#[gtest]
+fn a_target_that_left_before_a_restart_stays_away() {
+    let now = Instant::now();
+    let mut before = ReportedTargets::new(SILENCE_TIMEOUT);
+    before.apply_report(report("a", 100, 1), now);
+    before.leave("a", 500, now);
+    let unsaved = before.take_unsaved();
+    expect_that!(unsaved, elements_are![eq(&Tombstone::of_departed("a".into(), 100))]);
+    expect_that!(before.take_unsaved(), is_empty());
+    expect_that!(before.tombstones(now), eq(&unsaved));
+
+    let mut after = restarted(&unsaved, now);
+    expect_that!(after.apply_report(report("a", 100, 2), now), eq(ReportEffect::Stale));
+    expect_that!(after.list().is_empty(), eq(true));
+    // The next process has to know it as well, but the store has it already.
+    expect_that!(after.take_unsaved(), is_empty());
+    expect_that!(after.tombstones(now), eq(&unsaved));
+    expect_that!(after.apply_report(report("a", 101, 1), now), eq(ReportEffect::Changed));
+    expect_that!(after.list()[0].is_open(), eq(true));
+}
+
+/// Guards against a process that opens a target which was draining before it started, because of an earlier report.
+#[gtest]
+fn a_drain_outlives_a_restart() {
+    let now = Instant::now();
+    let mut before = ReportedTargets::new(SILENCE_TIMEOUT);
+    before.apply_report(report("a", 100, 1), now);
+    for sequence in [3, 4, 5] {
+        before.apply_report(TargetReport { draining: true, ..report("a", 100, sequence) }, now);
+    }
+    let unsaved = before.take_unsaved();
+    // Later reports of the same drain are not saved again.
+    let tombstone = Tombstone { name: "a".into(), started: 100, sequence: 3 };
+    expect_that!(unsaved, elements_are![eq(&tombstone)]);
+
+    let mut after = restarted(&unsaved, now);
+    expect_that!(after.apply_report(report("a", 100, 2), now), eq(ReportEffect::Stale));
+    let draining = TargetReport { draining: true, ..report("a", 100, 6) };
+    expect_that!(after.apply_report(draining, now), eq(ReportEffect::Changed));
+    expect_that!(after.list()[0].is_open(), eq(false));
+    expect_that!(after.leave("a", 500, now), eq(true));
+    expect_that!(after.take_unsaved().last(), some(eq(&Tombstone::of_departed("a".into(), 100))));
+}
+
+/// Guards against a process that forgets the end of a target which left while it did not know it.
+#[gtest]
+fn a_target_that_leaves_after_its_drain_and_a_restart_stays_away() {
+    let now = Instant::now();
+    let mut after = restarted(&[Tombstone { name: "a".into(), started: 100, sequence: 3 }], now);
+    expect_that!(after.leave("a", 500, now), eq(false));
+    expect_that!(after.apply_report(report("a", 100, 9), now), eq(ReportEffect::Stale));
+    expect_that!(after.take_unsaved(), elements_are![eq(&Tombstone::of_departed("a".into(), 100))]);
+}
+
+/// Guards against requests to a target that left, before the new process has been told of it.
+#[gtest]
+fn a_target_is_closed_until_the_past_is_known() {
+    let now = Instant::now();
+    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_unknown_past(INTERVAL);
+    let other = TargetReport { address: ([127, 0, 0, 1], 8001).into(), ..report("b", 100, 1) };
+    targets.apply_report(report("a", 100, 2), now);
+    targets.apply_report(other, now);
+    expect_that!(targets.list().iter().any(|r| r.is_open()), eq(false));
+    // A peer knows a part of it.
+    let tombstones = [Tombstone::of_departed("a".into(), 100)];
+    expect_that!(targets.learn_past(&tombstones, false, now), eq(true));
+    expect_that!(names(&targets), eq(&vec![(1, "b".to_owned())]));
+    expect_that!(targets.list()[0].is_open(), eq(false));
+    expect_that!(targets.learn_past(&[], true, now), eq(true));
+    expect_that!(targets.list()[0].is_open(), eq(true));
+}
+
+/// Guards against a target that gets no request for as long as nobody can tell whether it left, and against late reports
+/// that arrive together and open one.
+#[gtest]
+fn a_target_that_keeps_reporting_is_opened_without_knowing_the_past() {
+    let now = Instant::now();
+    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_unknown_past(INTERVAL);
+    for sequence in [1, 2, 3] {
+        targets.apply_report(report("a", 100, sequence), now);
+    }
+    expect_that!(targets.list()[0].is_open(), eq(false));
+    let later = now + INTERVAL;
+    expect_that!(targets.apply_report(report("a", 100, 4), later), eq(ReportEffect::Changed));
+    expect_that!(targets.list()[0].is_open(), eq(true));
+}
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -22,6 +22,7 @@
 mod share;
 mod source;
 mod tables;
+mod tombstone;
 mod version;
 mod workspace;
 
@@ -46,5 +47,6 @@
     Tables, parse_pools, parse_routes, parse_tables, parse_with_workspaces, parse_workspaces,
     validate,
 };
+pub use tombstone::Tombstone;
 pub use version::{Hash, Version, VersionId};
 pub use workspace::Workspace;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,4 +1,4 @@
-use crate::{Member, PROTOCOL, VersionId};
+use crate::{Member, PROTOCOL, Tombstone, VersionId};
 
 /// A message on a connection between daemons.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -112,6 +112,12 @@
     /// Whether the sender serves a version; if not, the floor is not conclusive.
     #[prost(bool, tag = "8")]
     pub has_version: bool,
+    /// Whether `tombstones` are those of the earlier process on the new member's host, as far as the sender knows.
+    #[prost(bool, tag = "9")]
+    pub knows_former: bool,
+    /// Targets of the new member's host that take no more requests.
+    #[prost(message, repeated, tag = "10")]
+    pub tombstones: Vec<Tombstone>,
 }
 
 /// Announces a version along the distribution tree, to the members whose rank lies in `lo..=hi`.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,7 @@
     JoinReply, Offer, Origin, Pull, Refusal, Snapshot, StatusPull, StatusReply, Summary,
     SyncMembers, SyncReply,
 };
-pub use member::{Member, State, Target, VersionId};
+pub use member::{Member, State, Target, Tombstone, VersionId};
 pub use packet::{Ack, Packet, PacketBody, Ping, PingReq};
 pub use quota::{CreditPacket, CreditReply, CreditRequest};
 
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -66,6 +66,23 @@
     /// The speed of the host's link in Mbit/s; 0 if it is not known.
     #[prost(uint32, tag = "12")]
     pub link: u32,
+    /// Targets of the host that take no more requests.
+    #[prost(message, repeated, tag = "13")]
+    pub tombstones: Vec<Tombstone>,
+}
+
+/// A target that takes no more requests.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Tombstone {
+    /// The name of its incarnation.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// When the incarnation started, in ms since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub started: u64,
+    /// The sequence number of its last report that is void.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
 }
 
 /// A target on the host of a member.
