Pass on no request that a stopping daemon cannot end

What callers of another operator saw: in a planned stop of one host, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated.

It can happen here.

Cause: the end of the grace bounds how long the daemon waits for requests in flight, but not what it passes on. Whether a request is new was decided when its head arrived.

Change: the moment at which the connections are closed (less 50 ms, for the responses) is a limit for what begins after the signal. The gate refuses a request of a peer whose deadline is later, as not run; the peer sends it to another target at once. A request of a caller is refused if its objective is longer than what is left, or if its body ends after the daemon began to refuse; otherwise its attempts end at the limit, with a response. Once nothing is in flight and connections are closed, nothing is passed on at all.

Requests that were passed on before the signal are not affected.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -12,7 +12,7 @@
 use dw_mesh::{Input, LocalEvent, Member, MemberTable};
 use dw_request::{
     Dispatcher, DispatcherConfig, Fingerprint, Keeper, KeeperConfig, POISON_DURATION, Reason,
-    Refusal, ReportedTarget,
+    Refusal, ReportedTarget, StopLimit,
 };
 use dw_tables::{Name, Version};
 use http::{Request, Response};
@@ -101,6 +101,8 @@
     rollouts: OnceLock<RolloutHandle>,
     permits: Arc<Semaphore>,
     draining: AtomicBool,
+    /// Bounds what a daemon that was told to stop still accepts.
+    stop_limit: Mutex<StopLimit>,
     /// Admits requests of workspaces with a limit.
     pub(crate) quota: QuotaHandle,
     /// Tracks the requests in flight.
@@ -156,6 +158,7 @@
             rollouts: OnceLock::new(),
             permits: Arc::new(Semaphore::new(settings.limits.requests as usize)),
             draining: AtomicBool::new(false),
+            stop_limit: Mutex::default(),
             quota: QuotaHandle::new(settings.host.clone(), configured, counters.clone()),
             in_flight: TaskTracker::new(),
             counters,
@@ -224,6 +227,15 @@
         }
     }
 
+    /// Accepts only requests that can be expected to end before `ends_at` from now on.
+    pub(crate) fn stop_at(&self, ends_at: Instant) {
+        *lock(&self.stop_limit) = StopLimit::new(ends_at);
+    }
+
+    fn stop_limit(&self) -> StopLimit {
+        *lock(&self.stop_limit)
+    }
+
     /// Refuses new requests as not run from now on, except nested calls that targets on this host
     /// make for requests still in flight there.
     pub(crate) fn drain(&self) {
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -94,10 +94,7 @@
         call: &mut Call,
         from: SocketAddr,
     ) -> Result<Response<Payload>, Refusal> {
-        // A target on this host may need nested calls to complete a request in flight there.
-        if self.is_draining() && call.depth() == 0 {
-            return Err(Refusal::new(Reason::Draining));
-        }
+        self.check_draining(call)?;
         let Some(route) = self.check_key(call)? else {
             return self.forward(call).await;
         };
@@ -115,6 +112,15 @@
         result
     }
 
+    /// Refuses a request if the daemon is draining. A target on this host may need nested calls to complete a request in
+    /// flight there.
+    fn check_draining(&self, call: &Call) -> Result<(), Refusal> {
+        if self.is_draining() && call.depth() == 0 {
+            return Err(Refusal::new(Reason::Draining));
+        }
+        Ok(())
+    }
+
     /// Forwards a request that is within its quota.
     async fn route_admitted(
         self: &Arc<Self>,
@@ -131,6 +137,8 @@
             // Nothing has been forwarded yet.
             Err(_) => return Err(Refusal::new(Reason::DeadlinePassed)),
         }
+        // The daemon may have been told to stop while the body arrived.
+        self.check_draining(call)?;
         Self::check_key_again(&self.dispatcher(), call)?;
         if call.fingerprint().is_some_and(|fingerprint| self.is_poisoned(fingerprint)) {
             return Err(Refusal::new(Reason::Poisoned));
@@ -160,13 +168,20 @@
         call.late_at = Some(attempt.goal.late_at);
         call.route = Some(attempt.route.name.clone());
         let mut unknown = false;
+        let mut last = None;
         loop {
+            let pending = PendingAttempt { proxy: self.clone(), id: Some(attempt.id) };
+            let sent = Instant::now();
+            let limit = self.stop_limit();
+            if !limit.admits(attempt.goal.objective, sent) {
+                let refuse = |last| access::refuse_retry(last, Reason::Draining, unknown);
+                return Err(last.map_or(Refusal::new(Reason::Draining), refuse));
+            }
+            call.deadline = call.deadline.map(|at| limit.limit(at));
             call.trace.record(|| events::placed(&attempt));
             if let Some(age) = attempt.basis.load_age {
                 self.counters.observe_load_age(age);
             }
-            let pending = PendingAttempt { proxy: self.clone(), id: Some(attempt.id) };
-            let sent = Instant::now();
             let AttemptResult { outcome, response, detail } =
                 self.attempt(&attempt, call, sent).await;
             if let Some((reason, ran)) = failure_of(&outcome) {
@@ -188,8 +203,10 @@
                     sleep(after).await;
                     unknown |= !matches!(outcome, AttemptOutcome::NotRun { .. });
                     if Self::check_key_again(&self.dispatcher(), call).is_err() {
-                        return Err(access::refuse_retry(refusal_of(&outcome), unknown));
+                        let last = refusal_of(&outcome);
+                        return Err(access::refuse_retry(last, Reason::KeyUnknown, unknown));
                     }
+                    last = Some(refusal_of(&outcome));
                     upcoming.disarm();
                     if let Some(cause) = next.cause {
                         self.counters.retried(cause);
@@ -206,7 +223,7 @@
         call: &mut Call,
         sent: Instant,
     ) -> AttemptResult {
-        let deadline = sent + attempt.timeout;
+        let deadline = self.stop_limit().limit(sent + attempt.timeout);
         let request = call.target_request(attempt, deadline);
         let endpoint = &attempt.endpoint;
         let response = if endpoint.host == self.host {
--- a/crates/daemon/src/proxy/local.rs
+++ b/crates/daemon/src/proxy/local.rs
@@ -41,7 +41,12 @@
         let target = &target;
         let trace = start_trace(&self.log, map.get(self.dialect.id_header()));
         let queued_at = Instant::now();
-        let slot = match target.admit(arrival).await {
+        let admitted = match self.stop_limit().outlasts(deadline) {
+            true => target.admit(arrival).await,
+            // The peer sends the request to another target.
+            false => Err(Refusal::new(Reason::Draining)),
+        };
+        let slot = match admitted {
             Ok(slot) => slot,
             Err(refusal) => {
                 let load = target.load_for(&arrival);
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -31,6 +31,9 @@
 /// a request sent on one of them at that moment is still refused with a response.
 const NOTICE_DELAY: Duration = Duration::from_millis(300);
 
+/// Time between the end of the last requests and that of their connections, in which the responses are sent.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(50);
+
 /// Time allowed for the hand-over of records after the grace has ended.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -185,6 +188,9 @@
             return;
         }
         let until = Instant::now() + self.grace;
+        let close_timeout = CLOSE_TIMEOUT.min(self.grace / CLOSE_GRACE_DIVISOR);
+        // Requests may also end while idle connections are closed.
+        self.proxy.stop_at(until + IDLE_CLOSE_DELAY + close_timeout - RESPONSE_MARGIN);
         let drain_delay = Duration::from(self.drain_delay).min(self.grace);
         self.stopping.store(true, Ordering::Relaxed);
         if !drain_delay.is_zero() {
@@ -202,6 +208,8 @@
             let left = self.proxy.in_flight.len();
             self.log.write(&Event::new(Kind::GraceEnded).with(Field::Count, left));
         }
+        // Nothing that arrives while the connections are closed could still end.
+        self.proxy.stop_at(Instant::now());
         let limit = until.max(Instant::now() + HAND_OVER_TIMEOUT);
         if timeout_at(limit, self.proxy.hand_over()).await.is_err() {
             let detail = "the grace has ended";
@@ -213,8 +221,7 @@
         self.proxy.close_idle();
         self.server.connections.close();
         // Connections that do not close in time end with the process.
-        let wait = CLOSE_TIMEOUT.min(self.grace / CLOSE_GRACE_DIVISOR);
-        let _ = timeout(wait, self.server.connections.wait()).await;
+        let _ = timeout(close_timeout, self.server.connections.wait()).await;
         self.send_event(LocalEvent::DrainComplete).await;
         sleep(FLUSH_DELAY).await;
         self.log.write(&Event::new(Kind::Stopped));
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -17,6 +17,7 @@
 mod refusal;
 mod retry;
 mod rollout;
+mod stop;
 mod workspace;
 
 pub use choice::{
@@ -46,6 +47,7 @@
     RolloutAction, RolloutHolder, RolloutInput, RolloutLeader, RolloutOrder, RolloutPolicy,
     RolloutState, RolloutStep, RouteEvidence, Succession, Tally, VersionShare,
 };
+pub use stop::StopLimit;
 pub use workspace::{
     Access, Allotment, Credentials, CreditAsk, CreditHolder, CreditOwner, Electorate, KeyIndex,
     Lease, Take,
