Announce tombstones that a process was told, for the process after it

A process that learned from a peer which targets had left put them into its member record only with the next change of its own targets. If it was killed before, its peers knew the record without them, and while the store was down nobody could tell the third process.

Change: learning a tombstone counts as a change to announce. Also renames what was called the past: FormerTargets.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -29,7 +29,7 @@
     running::Addrs,
     scheduling::{DelayProbe, Plane},
     tasks::Tasks,
-    tombstones::{Past, TombstoneTask},
+    tombstones::{FormerTargets, TombstoneTask},
 };
 
 /// Capacity of the channel to each task, in messages. Senders wait while it is full; datagrams are
@@ -210,11 +210,11 @@
         };
         control.spawn(rollouts.run(rx));
     }
-    let (past, _) = watch::channel(Past::default());
+    let (former, _) = watch::channel(FormerTargets::default());
     let tombstones = TombstoneTask {
         client: options.platform.clone(),
         host: settings.host.clone(),
-        past: past.clone(),
+        former: former.clone(),
         counters: counters.clone(),
         log: log.clone(),
         tasks: control.clone(),
@@ -237,7 +237,7 @@
         datagrams: datagrams_tx,
         platform: platform_tx,
         view: view_tx,
-        past,
+        former,
         counters: counters.clone(),
         log: log.clone(),
     };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -35,4 +35,4 @@
 pub use running::{Addrs, Running};
 pub use settings::{PresetName, ProcessLimits, Settings, TargetSettings, parse_settings};
 pub use socket::detect_dead_peer;
-pub use tombstones::Past;
+pub use tombstones::FormerTargets;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,7 +13,7 @@
     link::{LinkMessage, OutgoingDatagram},
     log_events::control_event,
     proxy::Proxy,
-    tombstones::{Past, TombstoneHandle},
+    tombstones::{FormerTargets, TombstoneHandle},
 };
 
 /// Delay before the status is read, in which the totals of a relay can arrive.
@@ -57,7 +57,7 @@
     /// Where versions and members are published.
     pub(crate) view: watch::Sender<View>,
     /// Where the targets that peers know to have left are published.
-    pub(crate) past: watch::Sender<Past>,
+    pub(crate) former: watch::Sender<FormerTargets>,
     /// Counts events.
     pub(crate) counters: Counters,
     /// The log.
@@ -119,7 +119,7 @@
             Action::Poison(fingerprint) => self.proxy.refuse_fingerprint(fingerprint),
             // The node reports it in its status and logs it.
             Action::Refused(_) => {}
-            Action::FormerTargets(tombstones) => TombstoneHandle::learn(&self.past, tombstones),
+            Action::FormerTargets(tombstones) => TombstoneHandle::learn(&self.former, tombstones),
             Action::Count(counter) => self.count(counter),
             Action::Log(event) => self.log.write(&control_event(event)),
         }
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -24,7 +24,7 @@
     node::{NodeMessage, View, ask_status},
     proxy::{Proxy, Server},
     tasks::Tasks,
-    tombstones::{Past, TombstoneHandle},
+    tombstones::{FormerTargets, TombstoneHandle},
 };
 
 /// Delay between the announcement that a daemon drains and the end of its idle connections, so that
@@ -145,8 +145,8 @@
 
     /// Asks the store which targets on this host left, or were draining, when an earlier process ended. What it and
     /// peers tell is published.
-    pub async fn read_past(&self) -> watch::Receiver<Past> {
-        self.tombstones.read_past().await
+    pub async fn read_former_targets(&self) -> watch::Receiver<FormerTargets> {
+        self.tombstones.read_former().await
     }
 
     /// Stores tombstones for the next process on this host. Returns at the latest after 400 ms; what the store has not
--- a/crates/daemon/src/tombstones.rs
+++ b/crates/daemon/src/tombstones.rs
@@ -39,11 +39,11 @@
 
 /// What others know of the targets on this host that left, or were draining, when an earlier process here ended.
 #[derive(Clone, Debug, Default)]
-pub struct Past {
+pub struct FormerTargets {
     /// The targets.
     pub tombstones: Vec<Tombstone>,
     /// Whether the store, or a peer that knew the earlier process, has told all that it knows.
-    pub known: bool,
+    pub complete: bool,
 }
 
 /// Tombstones to be written to the store.
@@ -62,25 +62,25 @@
 #[derive(Debug)]
 pub(crate) struct TombstoneHandle {
     tx: mpsc::Sender<Message>,
-    past: watch::Sender<Past>,
+    former: watch::Sender<FormerTargets>,
 }
 
 impl TombstoneHandle {
     /// Reads the store once; the result is published with what peers tell.
-    pub(crate) async fn read_past(&self) -> watch::Receiver<Past> {
+    pub(crate) async fn read_former(&self) -> watch::Receiver<FormerTargets> {
         // The task has ended only if the daemon is closing.
         let _ = self.tx.send(Message::Read).await;
-        let mut past = self.past.subscribe();
+        let mut former = self.former.subscribe();
         // A peer may have told before.
-        past.mark_changed();
-        past
+        former.mark_changed();
+        former
     }
 
     /// Publishes what a peer or the store told.
-    pub(crate) fn learn(past: &watch::Sender<Past>, tombstones: Vec<Tombstone>) {
-        past.send_modify(|past| {
-            past.tombstones.extend(tombstones);
-            past.known = true;
+    pub(crate) fn learn(former: &watch::Sender<FormerTargets>, tombstones: Vec<Tombstone>) {
+        former.send_modify(|former| {
+            former.tombstones.extend(tombstones);
+            former.complete = true;
         });
     }
 
@@ -102,8 +102,8 @@
     pub(crate) client: Option<P>,
     /// This host.
     pub(crate) host: Name,
-    /// Where the past is published.
-    pub(crate) past: watch::Sender<Past>,
+    /// Where they are published.
+    pub(crate) former: watch::Sender<FormerTargets>,
     /// Counts calls.
     pub(crate) counters: Counters,
     /// The log.
@@ -116,9 +116,9 @@
     /// Starts the task.
     pub(crate) fn start(self, capacity: usize) -> TombstoneHandle {
         let (tx, rx) = mpsc::channel(capacity);
-        let past = self.past.clone();
+        let former = self.former.clone();
         self.tasks.clone().spawn(self.run(rx));
-        TombstoneHandle { tx, past }
+        TombstoneHandle { tx, former }
     }
 
     /// Runs until the daemon is closed.
@@ -161,7 +161,7 @@
                     let tombstones: Vec<Tombstone> = entries.iter().filter_map(read).collect();
                     let event = Event::new(Kind::TombstonesRead);
                     self.log.write(&event.with(Field::Count, tombstones.len()));
-                    return TombstoneHandle::learn(&self.past, tombstones);
+                    return TombstoneHandle::learn(&self.former, tombstones);
                 }
                 Err(_) => {
                     let delay = backoff.delay(&mut rand::rng());
--- a/crates/request/src/gate/reported_targets.rs
+++ b/crates/request/src/gate/reported_targets.rs
@@ -85,9 +85,9 @@
     saved: bool,
 }
 
-/// What is known of targets that left before this process started.
+/// Whether it is known which targets left before this process started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Past {
+enum FormerTargets {
     Known,
     /// Nobody has told yet. A late report of a target that has left looks like any other, but is not followed by a
     /// later one: a target that sends two reports at least `interval` apart is running.
@@ -101,7 +101,7 @@
 pub struct ReportedTargets {
     list: Vec<ReportedTarget>,
     ended: Vec<Ended>,
-    past: Past,
+    former: FormerTargets,
     silence_timeout: Duration,
     next_index: u16,
 }
@@ -110,15 +110,15 @@
     /// Creates an empty list. A target counts as silent after `silence_timeout` without a report.
     #[must_use]
     pub const fn new(silence_timeout: Duration) -> Self {
-        let past = Past::Known;
-        Self { list: Vec::new(), ended: Vec::new(), past, silence_timeout, next_index: 0 }
+        let former = FormerTargets::Known;
+        Self { list: Vec::new(), ended: Vec::new(), former, silence_timeout, next_index: 0 }
     }
 
-    /// Keeps targets closed until [`Self::learn_past`] has told which ones left before this process started, or until they
+    /// Keeps targets closed until [`Self::learn_former`] has told which ones left before this process started, or until they
     /// have sent two reports at least `interval` apart.
     #[must_use]
-    pub const fn with_unknown_past(mut self, interval: Duration) -> Self {
-        self.past = Past::Unknown { interval };
+    pub const fn with_unknown_former(mut self, interval: Duration) -> Self {
+        self.former = FormerTargets::Unknown { interval };
         self
     }
 
@@ -152,10 +152,10 @@
         if report.draining && !drained {
             self.end(tombstone_of(&report), true, now);
         }
-        let past = self.past;
-        let is_confirmed = |first: Option<Instant>| match past {
-            Past::Known => true,
-            Past::Unknown { interval } => first.is_some_and(|at| now >= at + interval),
+        let former = self.former;
+        let is_confirmed = |first: Option<Instant>| match former {
+            FormerTargets::Known => true,
+            FormerTargets::Unknown { interval } => first.is_some_and(|at| now >= at + interval),
         };
         if let Some(target) = self.list.iter_mut().find(|r| same(r)) {
             let old = (target.is_open(), target.report.slots, target.report.address);
@@ -205,12 +205,12 @@
         known
     }
 
-    /// Applies what others know of targets that left before this process started; `known` states that this is all.
-    /// Returns whether any target was opened or removed.
-    pub fn learn_past(&mut self, tombstones: &[Tombstone], known: bool, now: Instant) -> bool {
-        let count = self.list.len();
+    /// Applies what others know of targets that left before this process started; `complete` states that this is all.
+    /// Returns whether a target was opened or removed, or a tombstone is new and has to be announced.
+    pub fn learn_former(&mut self, tombstones: &[Tombstone], complete: bool, now: Instant) -> bool {
+        let mut changed = false;
         for tombstone in tombstones {
-            self.end(tombstone.clone(), true, now);
+            changed |= self.end(tombstone.clone(), true, now);
             // The store or a peer has it already.
             self.ended
                 .iter_mut()
@@ -218,9 +218,8 @@
                 .for_each(|e| e.saved = true);
             self.list.retain(|target| !target.is_covered(tombstone));
         }
-        let mut changed = self.list.len() != count;
-        if known {
-            self.past = Past::Known;
+        if complete {
+            self.former = FormerTargets::Known;
             for target in self.list.iter_mut().filter(|target| !target.confirmed) {
                 target.confirmed = true;
                 changed = true;
@@ -264,23 +263,25 @@
         changed
     }
 
-    /// Ignores reports that the tombstone covers from now on.
-    fn end(&mut self, tombstone: Tombstone, announced: bool, now: Instant) {
+    /// Ignores reports that the tombstone covers from now on. Returns whether any of them was not ignored before, or is
+    /// to be announced now.
+    fn end(&mut self, tombstone: Tombstone, announced: bool, now: Instant) -> bool {
         let Tombstone { name, started, sequence } = &tombstone;
         let same = |e: &&mut Ended| e.tombstone.name == *name && e.tombstone.started == *started;
         if let Some(ended) = self.ended.iter_mut().find(same) {
-            let raised = ended.tombstone.sequence < *sequence;
-            if raised || (announced && !ended.announced) {
+            let changed = ended.tombstone.sequence < *sequence || (announced && !ended.announced);
+            if changed {
                 ended.tombstone.sequence = ended.tombstone.sequence.max(*sequence);
                 ended.announced |= announced;
                 (ended.since, ended.saved) = (now, false);
             }
-            return;
+            return changed;
         }
         if self.ended.len() >= MAX_ENDED {
             self.ended.remove(0);
         }
         self.ended.push(Ended { tombstone, since: now, announced, saved: false });
+        true
     }
 }
 
--- a/crates/request/tests/reported_targets.rs
+++ b/crates/request/tests/reported_targets.rs
@@ -106,8 +106,10 @@
 
 /// A process that knows from another one that the incarnation `a`, started at 100, has left.
 fn restarted(tombstones: &[Tombstone], now: Instant) -> ReportedTargets {
-    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_unknown_past(INTERVAL);
-    targets.learn_past(tombstones, true, now);
+    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_unknown_former(INTERVAL);
+    // The next process has to be told of it as well.
+    expect_that!(targets.learn_former(tombstones, true, now), eq(true));
+    expect_that!(targets.learn_former(tombstones, true, now), eq(false));
     targets
 }
 
@@ -127,7 +129,7 @@
     let mut after = restarted(&unsaved, now);
     expect_that!(after.apply_report(report("a", 100, 2), now), eq(ReportEffect::Stale));
     expect_that!(after.list().is_empty(), eq(true));
-    // The next process has to know it as well, but the store has it already.
+    // The store has it already.
     expect_that!(after.take_unsaved(), is_empty());
     expect_that!(after.tombstones(now), eq(&unsaved));
     expect_that!(after.apply_report(report("a", 101, 1), now), eq(ReportEffect::Changed));
@@ -171,17 +173,17 @@
 #[gtest]
 fn a_target_is_closed_until_the_past_is_known() {
     let now = Instant::now();
-    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_unknown_past(INTERVAL);
+    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_unknown_former(INTERVAL);
     let other = TargetReport { address: ([127, 0, 0, 1], 8001).into(), ..report("b", 100, 1) };
     targets.apply_report(report("a", 100, 2), now);
     targets.apply_report(other, now);
     expect_that!(targets.list().iter().any(|r| r.is_open()), eq(false));
     // A peer knows a part of it.
     let tombstones = [Tombstone::of_departed("a".into(), 100)];
-    expect_that!(targets.learn_past(&tombstones, false, now), eq(true));
+    expect_that!(targets.learn_former(&tombstones, false, now), eq(true));
     expect_that!(names(&targets), eq(&vec![(1, "b".to_owned())]));
     expect_that!(targets.list()[0].is_open(), eq(false));
-    expect_that!(targets.learn_past(&[], true, now), eq(true));
+    expect_that!(targets.learn_former(&[], true, now), eq(true));
     expect_that!(targets.list()[0].is_open(), eq(true));
 }
 
@@ -190,7 +192,7 @@
 #[gtest]
 fn a_target_that_keeps_reporting_is_opened_without_knowing_the_past() {
     let now = Instant::now();
-    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_unknown_past(INTERVAL);
+    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_unknown_former(INTERVAL);
     for sequence in [1, 2, 3] {
         targets.apply_report(report("a", 100, sequence), now);
     }
