Keep a target whose address or name another writer reports

Cause: ReportedTargets::apply_report took any later start at the address or under the name of a target as proof that the target had ended, whatever service it named, and ignored the target's own reports from then on. They were acknowledged all the same.

Change: a report of another service than the host's is not used. A target whose reports are not overdue holds its name and its address; a later incarnation takes over once they are overdue, an earlier one only when the holder is silent and it goes on reporting itself. A claim that is not used leaves no tombstone, and when the list of ended incarnations is full, those that were replaced are dropped first.

The test the_latest_incarnation_holds_the_address expected that a second incarnation replaces the first at the same instant, which is the fault. It now lets the reports of the first fall overdue, and expects in addition that late reports leave the list as it is.

--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -96,10 +96,14 @@
     Stale,
     /// The report cannot be parsed.
     Unreadable,
+    /// It names another service than that of the targets on this host.
+    Foreign,
+    /// Another target that goes on reporting has the name or the address.
+    Held,
 }
 
 impl IgnoreReason {
-    const ALL: [Self; 2] = [Self::Stale, Self::Unreadable];
+    const ALL: [Self; 4] = [Self::Stale, Self::Unreadable, Self::Foreign, Self::Held];
 
     /// The text for the log and the metrics.
     #[must_use]
@@ -107,6 +111,8 @@
         match self {
             Self::Stale => "stale",
             Self::Unreadable => "unreadable",
+            Self::Foreign => "foreign",
+            Self::Held => "held",
         }
     }
 }
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -107,7 +107,7 @@
     TombstonesRead = "tombstones-read", Info;
     /// The store did not take the record that `count` targets left or are draining; it is written again.
     TombstonesUnsaved = "tombstones-unsaved", Warn;
-    /// A report of a target was ignored: `stale` or `unreadable`.
+    /// A report of a target was ignored: `stale`, `unreadable`, `foreign` or `held`. The last three are not acknowledged.
     ReportIgnored = "report-ignored", Warn;
     /// Requests avoid a target: `failing`, `leaving` or `unreachable`.
     TargetAvoided = "target-avoided", Warn;
--- a/crates/request/src/gate/reported_targets.rs
+++ b/crates/request/src/gate/reported_targets.rs
@@ -6,6 +6,9 @@
 /// Maximum number of ended incarnations that are remembered, so that a late report does not restore one.
 const MAX_ENDED: usize = 64;
 
+/// Maximum number of claims that are remembered; a target that goes on reporting repeats its own.
+const MAX_CLAIMS: usize = 8;
+
 /// Maximum number of tombstones that are announced to peers; each is a part of the host's member record.
 const MAX_ANNOUNCED: usize = 4;
 
@@ -72,6 +75,37 @@
     Same,
     /// It was outdated and ignored.
     Stale,
+    /// It names another service than that of the targets on this host, and was ignored.
+    Foreign,
+    /// It claims the name or the address of another incarnation that goes on reporting, or that started later, and was
+    /// not used.
+    Held,
+}
+
+/// What the sender of a report states to be. Another writer may use the name or the address of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Identity<'a> {
+    name: &'a Name,
+    started: u64,
+    service: &'a Name,
+    address: SocketAddr,
+}
+
+impl TargetReport {
+    const fn identity(&self) -> Identity<'_> {
+        let Self { name, started, service, address, .. } = self;
+        Identity { name, started: *started, service, address: *address }
+    }
+}
+
+/// The reports of an incarnation that were not used because another one holds its name or its address.
+#[derive(Debug)]
+struct Claim {
+    /// The newest of them.
+    report: TargetReport,
+    /// When the first one arrived since the holder's last report.
+    first_at: Instant,
+    newest_at: Instant,
 }
 
 /// An incarnation whose reports are ignored, all of them or those up to its drain.
@@ -79,7 +113,8 @@
 struct Ended {
     tombstone: Tombstone,
     since: Instant,
-    /// Whether the next process on this host has to know it too.
+    /// Whether the incarnation said so itself, so that the next process on this host has to know it too. One that was
+    /// replaced by another may turn out to be the one that runs.
     announced: bool,
     /// Whether it has been returned by [`ReportedTargets::take_unsaved`].
     saved: bool,
@@ -101,7 +136,10 @@
 pub struct ReportedTargets {
     list: Vec<ReportedTarget>,
     ended: Vec<Ended>,
+    claims: Vec<Claim>,
     former: FormerTargets,
+    /// The service that targets on this host run; `None` if any is accepted.
+    service: Option<Name>,
     silence_timeout: Duration,
     next_index: u16,
 }
@@ -110,8 +148,22 @@
     /// Creates an empty list. A target counts as silent after `silence_timeout` without a report.
     #[must_use]
     pub const fn new(silence_timeout: Duration) -> Self {
-        let former = FormerTargets::Known;
-        Self { list: Vec::new(), ended: Vec::new(), former, silence_timeout, next_index: 0 }
+        Self {
+            list: Vec::new(),
+            ended: Vec::new(),
+            claims: Vec::new(),
+            former: FormerTargets::Known,
+            service: None,
+            silence_timeout,
+            next_index: 0,
+        }
+    }
+
+    /// Uses only reports of targets that run `service`; an empty name stands for any.
+    #[must_use]
+    pub fn with_service(mut self, service: Name) -> Self {
+        self.service = Some(service).filter(|service| !service.as_str().is_empty());
+        self
     }
 
     /// Keeps targets closed until [`Self::learn_former`] has told which ones left before this process started, or until they
@@ -128,65 +180,138 @@
         &self.list
     }
 
-    /// Applies a report. A later incarnation with the same name or address replaces the earlier one,
-    /// whose reports are ignored from then on.
+    /// Applies a report. A later incarnation with the same name or address replaces an earlier one once that one's reports
+    /// are overdue. An earlier one, whose reports may only have been held up on their way, replaces a later one only once
+    /// that one is silent and the earlier one goes on reporting.
     pub fn apply_report(&mut self, report: TargetReport, now: Instant) -> ReportEffect {
-        let is_void =
-            |ended: &Ended| ended.tombstone.covers(&report.name, report.started, report.sequence);
-        if self.ended.iter().any(is_void) {
-            return ReportEffect::Stale;
+        if self.service.as_ref().is_some_and(|service| *service != report.service) {
+            return ReportEffect::Foreign;
         }
-        let known = |r: &&ReportedTarget| {
-            r.report.name == report.name || r.report.address == report.address
-        };
-        let newer = |r: &ReportedTarget| {
-            let (old, new) = ((r.report.started, &r.report.name), (report.started, &report.name));
-            old.0 > new.0 || (old == new && r.report.sequence >= report.sequence)
-        };
-        if self.list.iter().filter(known).any(newer) {
+        let is_void =
+            |ended: &&Ended| ended.tombstone.covers(&report.name, report.started, report.sequence);
+        if self.ended.iter().filter(is_void).any(|ended| ended.announced) {
             return ReportEffect::Stale;
         }
-        let same =
-            |r: &ReportedTarget| r.report.name == report.name && r.report.started == report.started;
-        let drained = self.list.iter().any(|r| same(r) && r.report.draining);
-        if report.draining && !drained {
-            self.end(tombstone_of(&report), true, now);
+        let same = |r: &ReportedTarget| r.report.identity() == report.identity();
+        if let Some(idx) = self.list.iter().position(same) {
+            return self.renew(idx, report, now);
         }
-        let former = self.former;
-        let is_confirmed = |first: Option<Instant>| match former {
-            FormerTargets::Known => true,
-            FormerTargets::Unknown { interval } => first.is_some_and(|at| now >= at + interval),
+        let first_claim = match self.check_claim(&report, now) {
+            Ok(first) => first,
+            Err(effect) => {
+                self.remember_claim(report, now);
+                return effect;
+            }
         };
-        if let Some(target) = self.list.iter_mut().find(|r| same(r)) {
-            let old = (target.is_open(), target.report.slots, target.report.address);
-            let confirmed = target.confirmed || is_confirmed(Some(target.reported_at));
-            *target =
-                ReportedTarget { report, reported_at: now, silent: false, confirmed, ..*target };
-            let new = (target.is_open(), target.report.slots, target.report.address);
-            return if old == new { ReportEffect::Same } else { ReportEffect::Changed };
-        }
-        let replaced =
-            |r: &ReportedTarget| r.report.name == report.name || r.report.address == report.address;
-        let gone = self.list.extract_if(.., |r| replaced(r)).collect::<Vec<_>>();
+        self.claims.retain(|claim| claim.report.identity() != report.identity());
+        self.ended.retain(|ended| !is_void(&ended));
+        let gone = self.list.extract_if(.., |r| conflict(&r.report, &report)).collect::<Vec<_>>();
         for ReportedTarget { report, .. } in gone {
             self.end(Tombstone::of_departed(report.name, report.started), false, now);
         }
+        if report.draining {
+            self.end(tombstone_of(&report), true, now);
+        }
         self.list.push(ReportedTarget {
             index: self.next_index,
             report,
             reported_at: now,
             silent: false,
-            confirmed: is_confirmed(None),
+            confirmed: self.is_confirmed(first_claim, now),
         });
         self.next_index = self.next_index.wrapping_add(1);
         ReportEffect::Changed
     }
 
+    /// Applies a further report of a listed incarnation.
+    fn renew(&mut self, idx: usize, report: TargetReport, now: Instant) -> ReportEffect {
+        let old = &self.list[idx];
+        if old.report.sequence >= report.sequence {
+            return ReportEffect::Stale;
+        }
+        if report.draining && !old.report.draining {
+            self.end(tombstone_of(&report), true, now);
+        }
+        // Whoever claimed its place before has to show again that it goes on reporting.
+        self.claims.retain(|claim| !conflict(&claim.report, &report));
+        let old = &self.list[idx];
+        let before = (old.is_open(), old.report.slots);
+        let confirmed = old.confirmed || self.is_confirmed(Some(old.reported_at), now);
+        let target = &mut self.list[idx];
+        *target = ReportedTarget { report, reported_at: now, silent: false, confirmed, ..*target };
+        match (target.is_open(), target.report.slots) == before {
+            true => ReportEffect::Same,
+            false => ReportEffect::Changed,
+        }
+    }
+
+    /// Whether an incarnation that is not listed may take the place of those that hold its name or its address. Returns when
+    /// it first claimed it.
+    fn check_claim(
+        &self,
+        report: &TargetReport,
+        now: Instant,
+    ) -> Result<Option<Instant>, ReportEffect> {
+        let holders = || self.list.iter().filter(|r| conflict(&r.report, report));
+        let overdue = |r: &ReportedTarget| {
+            now.saturating_duration_since(r.reported_at) >= self.silence_timeout / 2
+        };
+        if !holders().all(overdue) {
+            return Err(ReportEffect::Held);
+        }
+        let claim = self.claims.iter().find(|c| c.report.identity() == report.identity());
+        let first = claim.map(|claim| claim.first_at);
+        let replaced =
+            |e: &Ended| e.tombstone.covers(&report.name, report.started, report.sequence);
+        let is_latest = |r: &ReportedTarget| {
+            r.report.started < report.started
+                || (r.report.started == report.started && r.report.name != report.name)
+        };
+        if holders().all(is_latest) && !self.ended.iter().any(replaced) {
+            return Ok(first);
+        }
+        // Two reports that were held up may arrive together; a later one shows that its sender runs.
+        let goes_on = claim.is_some_and(|claim| {
+            claim.report.sequence < report.sequence
+                && now.saturating_duration_since(claim.first_at) >= self.silence_timeout / 4
+        });
+        match goes_on && holders().all(|r| r.silent) {
+            true => Ok(first),
+            false => Err(ReportEffect::Held),
+        }
+    }
+
+    fn remember_claim(&mut self, report: TargetReport, now: Instant) {
+        let silence_timeout = self.silence_timeout;
+        self.claims.retain(|c| now.saturating_duration_since(c.newest_at) < silence_timeout);
+        if let Some(claim) =
+            self.claims.iter_mut().find(|c| c.report.identity() == report.identity())
+        {
+            if claim.report.sequence < report.sequence {
+                (claim.report, claim.newest_at) = (report, now);
+            }
+            return;
+        }
+        if self.claims.len() >= MAX_CLAIMS {
+            self.claims.remove(0);
+        }
+        self.claims.push(Claim { report, first_at: now, newest_at: now });
+    }
+
+    /// Whether a target is known not to have left before this process started; `first_at` is the time of an earlier report.
+    fn is_confirmed(&self, first_at: Option<Instant>, now: Instant) -> bool {
+        match self.former {
+            FormerTargets::Known => true,
+            FormerTargets::Unknown { interval } => first_at.is_some_and(|at| now >= at + interval),
+        }
+    }
+
     /// Removes the target with this name, which has ended or is about to; returns `false` if it is not
     /// known. In that case this daemon may have just started, and reports of incarnations that started
     /// at the current time `unix_ms` or before are ignored.
     pub fn leave(&mut self, name: &str, unix_ms: u64, now: Instant) -> bool {
         let gone: Vec<_> = self.list.extract_if(.., |r| r.report.name.as_str() == name).collect();
+        self.claims.retain(|claim| !gone.iter().any(|r| conflict(&claim.report, &r.report)));
         let known = !gone.is_empty();
         let departed = match known {
             true => gone.into_iter().map(|r| (r.report.name, r.report.started)).collect(),
@@ -278,13 +403,19 @@
             return changed;
         }
         if self.ended.len() >= MAX_ENDED {
-            self.ended.remove(0);
+            let replaced = self.ended.iter().position(|ended| !ended.announced);
+            self.ended.remove(replaced.unwrap_or(0));
         }
         self.ended.push(Ended { tombstone, since: now, announced, saved: false });
         true
     }
 }
 
+/// Whether two incarnations cannot both run, because they have the same name or the same address.
+fn conflict(a: &TargetReport, b: &TargetReport) -> bool {
+    a.name == b.name || a.address == b.address
+}
+
 /// The tombstone of a target that is draining: its earlier reports are void.
 fn tombstone_of(report: &TargetReport) -> Tombstone {
     Tombstone { name: report.name.clone(), started: report.started, sequence: report.sequence }
--- a/crates/request/tests/reported_targets.rs
+++ b/crates/request/tests/reported_targets.rs
@@ -47,13 +47,116 @@
     let now = Instant::now();
     let mut targets = ReportedTargets::new(SILENCE_TIMEOUT);
     targets.apply_report(report("a", 100, 9), now);
+    // The earlier incarnation has ended: its reports are overdue.
+    let now = now + OVERDUE;
     expect_that!(targets.apply_report(report("b", 200, 1), now), eq(ReportEffect::Changed));
     expect_that!(names(&targets), eq(&vec![(1, "b".to_owned())]));
-    expect_that!(targets.apply_report(report("a", 100, 10), now), eq(ReportEffect::Stale));
+    expect_that!(targets.apply_report(report("a", 100, 10), now), eq(ReportEffect::Held));
     // A new incarnation with the same name, whose sequence numbers start again.
+    let now = now + OVERDUE;
     expect_that!(targets.apply_report(report("b", 300, 1), now), eq(ReportEffect::Changed));
     expect_that!(names(&targets), eq(&vec![(2, "b".to_owned())]));
-    expect_that!(targets.apply_report(report("b", 200, 2), now), eq(ReportEffect::Stale));
+    expect_that!(targets.apply_report(report("b", 200, 2), now), eq(ReportEffect::Held));
+    expect_that!(names(&targets), eq(&vec![(2, "b".to_owned())]));
+}
+
+/// A time after which a target that goes on reporting has sent its next report.
+const OVERDUE: Duration = SILENCE_TIMEOUT.checked_div(2).expect("not zero");
+
+/// The time between two reports of a target.
+const PERIOD: Duration = SILENCE_TIMEOUT.checked_div(3).expect("not zero");
+
+/// Guards against a report of another writer, with the address of a target and a service that nobody runs here, that
+/// takes the target out for good.
+#[gtest]
+fn a_report_of_another_service_displaces_no_target() {
+    let now = Instant::now();
+    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_service("tally".into());
+    targets.apply_report(report("a", 100, 1), now);
+    let foreign = |name: &str| TargetReport { service: "another".into(), ..report(name, 900, 1) };
+    for at in [now, now + OVERDUE, now + SILENCE_TIMEOUT * 3] {
+        targets.expire(at);
+        expect_that!(targets.apply_report(foreign("b"), at), eq(ReportEffect::Foreign));
+        expect_that!(targets.apply_report(foreign("a"), at), eq(ReportEffect::Foreign));
+    }
+    let at = now + SILENCE_TIMEOUT * 3;
+    expect_that!(targets.apply_report(report("a", 100, 2), at), eq(ReportEffect::Changed));
+    expect_that!(targets.list()[0].is_open(), eq(true));
+    expect_that!(names(&targets), eq(&vec![(0, "a".to_owned())]));
+}
+
+/// Guards against another writer that takes out a target which goes on reporting: with its name or its address, a start
+/// before or after its own, a drain, once or again and again.
+#[gtest]
+fn a_target_that_goes_on_reporting_is_not_displaced() {
+    for name in ["a", "b"] {
+        for started in [0, 99, 100, 101, u64::MAX] {
+            for draining in [false, true] {
+                let now = Instant::now();
+                let mut targets = ReportedTargets::new(SILENCE_TIMEOUT);
+                targets.apply_report(report("a", 100, 1), now);
+                let port = if name == "a" { 8001 } else { 8000 };
+                for turn in 1..10 {
+                    let other = TargetReport {
+                        address: ([127, 0, 0, 1], port).into(),
+                        draining,
+                        ..report(name, started, turn)
+                    };
+                    let at = now + PERIOD * u32::try_from(turn).expect("small");
+                    let effect = targets.apply_report(other, at - PERIOD / 2);
+                    expect_that!(effect, eq(ReportEffect::Held), "{name} {started} {draining}");
+                    let effect = targets.apply_report(report("a", 100, turn + 1), at);
+                    expect_that!(effect, eq(ReportEffect::Same), "{name} {started} {draining}");
+                    targets.expire(at);
+                    expect_that!(targets.list()[0].is_open(), eq(true));
+                }
+                expect_that!(names(&targets), eq(&vec![(0, "a".to_owned())]));
+                expect_that!(targets.take_unsaved(), is_empty());
+            }
+        }
+    }
+}
+
+/// Guards against a target that stays out after another writer took its address while its reports were held up.
+#[gtest]
+fn a_displaced_target_that_goes_on_reporting_comes_back() {
+    let now = Instant::now();
+    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT);
+    targets.apply_report(report("a", 100, 1), now);
+    let mut at = now + OVERDUE;
+    expect_that!(targets.apply_report(report("b", 900, 1), at), eq(ReportEffect::Changed));
+    for sequence in 2..6 {
+        at += PERIOD;
+        targets.expire(at);
+        targets.apply_report(report("a", 100, sequence), at);
+    }
+    expect_that!(names(&targets), eq(&vec![(2, "a".to_owned())]));
+    expect_that!(targets.list()[0].is_open(), eq(true));
+    // The other writer's next reports are those of an incarnation that was replaced.
+    expect_that!(targets.apply_report(report("b", 900, 2), at), eq(ReportEffect::Held));
+    expect_that!(targets.apply_report(report("a", 100, 6), at), eq(ReportEffect::Same));
+}
+
+/// Guards against late reports of an incarnation that crashed which, one after the other or together, take the place of the
+/// next one, and against those that arrive after the next one has left.
+#[gtest]
+fn late_reports_of_a_crashed_target_do_not_bring_it_back() {
+    let now = Instant::now();
+    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT);
+    targets.apply_report(report("a", 100, 1), now);
+    let mut at = now + OVERDUE;
+    expect_that!(targets.apply_report(report("b", 200, 1), at), eq(ReportEffect::Changed));
+    for sequence in 2..6 {
+        at += PERIOD;
+        expect_that!(targets.apply_report(report("a", 100, sequence), at), eq(ReportEffect::Held));
+        targets.apply_report(report("b", 200, sequence), at);
+    }
+    targets.leave("b", 500, at);
+    let at = at + SILENCE_TIMEOUT;
+    for sequence in 6..9 {
+        expect_that!(targets.apply_report(report("a", 100, sequence), at), eq(ReportEffect::Held));
+    }
+    expect_that!(targets.list(), is_empty());
 }
 
 /// Guards against a target that left and is restored by a report still in transit.
