Leave the capacity that a deployment asks for out of the tables

Cause: where the deployment asks for learned capacity, the adapter wrote the field into every pool of the operator's configuration.

Change: the rows say what the operator wrote. The capacity that the settings ask for is a convention of the process (Dialect), applied where pools and gates are set up.

--- a/crates/bench/src/memory/testbed.rs
+++ b/crates/bench/src/memory/testbed.rs
@@ -130,7 +130,8 @@
             connections: 24,
             version: None,
         });
-        let daemon = Daemon::new(settings).with_preset(boot.preset).with_dialect(dialect(&own));
+        let dialect = dialect(&own, boot.capacity);
+        let daemon = Daemon::new(settings).with_preset(boot.preset).with_dialect(dialect);
         Ok(daemon.start_on(Some(OperatorView::new(Store::new(self.standin.addr())))).await?)
     }
 
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -1,4 +1,5 @@
 use dw_request::PathMatch;
+use dw_tables::Capacity;
 use http::{HeaderName, HeaderValue};
 
 /// The default header of a request's id.
@@ -38,6 +39,9 @@
     pub close_delimited: bool,
     /// Which paths of requests the path of a route takes.
     pub path_match: PathMatch,
+    /// The capacity of pools whose rows leave it fixed. It is no part of the tables, whose hash is the same on daemons
+    /// that take it otherwise.
+    pub capacity: Capacity,
 }
 
 impl Dialect {
@@ -71,6 +75,7 @@
             fractional_seconds: false,
             close_delimited: false,
             path_match: PathMatch::default(),
+            capacity: Capacity::default(),
         }
     }
 }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -131,7 +131,8 @@
             reroutes: settings.limits.reroutes,
             retry_after: settings.retry_after,
         })
-        .with_path_match(dialect.path_match);
+        .with_path_match(dialect.path_match)
+        .with_capacity(dialect.capacity);
         let keeper =
             Keeper::new(KeeperConfig { host: host.clone(), domain, ..KeeperConfig::default() });
         let targets = settings.targets.iter().zip(0..);
@@ -185,7 +186,16 @@
         let slowest = version.tables.routes.iter().map(|route| route.objective).max();
         self.daemons.set_expected_time(Duration::from(slowest.unwrap_or_default()) / 2);
         for target in self.targets() {
-            set_queue(&target, version);
+            self.set_queue(&target, version);
+        }
+    }
+
+    /// Configures the queue of a target from its service's pool.
+    fn set_queue(&self, target: &LocalTarget, version: &Version) {
+        let pool = version.tables.pools.iter().find(|pool| pool.service == target.service);
+        if let Some(pool) = pool {
+            target.set_queue(pool.limits.queue, pool.limits.queue_wait.into());
+            target.set_capacity(pool.capacity.or(self.dialect.capacity));
         }
     }
 
@@ -337,7 +347,7 @@
                 };
                 let (name, tasks) = (report.name.clone(), self.tasks.clone());
                 let target = Arc::new(LocalTarget::new(reported.index, name, &settings, tasks));
-                set_queue(&target, version);
+                self.set_queue(&target, version);
                 self.tasks.spawn(target.clone().expire());
                 targets.push(target.clone());
                 target
@@ -527,15 +537,6 @@
         .with(Field::State, state)
 }
 
-/// Configures the queue of a target from its service's pool.
-fn set_queue(target: &LocalTarget, version: &Version) {
-    let pool = version.tables.pools.iter().find(|pool| pool.service == target.service);
-    if let Some(pool) = pool {
-        target.set_queue(pool.limits.queue, pool.limits.queue_wait.into());
-        target.set_capacity(pool.capacity);
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use dw_tables::{Name, Repeat, Version};
+use dw_tables::{Capacity, Name, Pool, Repeat, Version};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
@@ -55,6 +55,7 @@
     reroutes: u32,
     retry_after: RetryAfterPolicy,
     path_match: PathMatch,
+    capacity: Capacity,
     timeouts: HashMap<Name, CallerTimeouts>,
     version: Arc<Version>,
     router: Arc<Router>,
@@ -83,6 +84,7 @@
             reroutes: config.reroutes,
             retry_after: config.retry_after,
             path_match: PathMatch::default(),
+            capacity: Capacity::default(),
             timeouts: HashMap::new(),
             version: Arc::default(),
             router: Arc::default(),
@@ -108,6 +110,13 @@
         self
     }
 
+    /// Sets the capacity of pools whose rows leave it fixed, for versions set from now on.
+    #[must_use]
+    pub const fn with_capacity(mut self, capacity: Capacity) -> Self {
+        self.capacity = capacity;
+        self
+    }
+
     /// The number of the configuration version in use; 0 if there is none.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -129,6 +138,7 @@
             self.upstreams.iter().map(|(key, u)| (u.pool.name.clone(), *key)).collect();
         self.pools.clear();
         for pool in &self.version.tables.pools {
+            let pool = &Pool { capacity: pool.capacity.or(self.capacity), ..pool.clone() };
             let kept =
                 old.get(&pool.name).copied().filter(|key| self.upstreams[key].is_same_pool(pool));
             let key = kept.unwrap_or_else(|| {
--- a/crates/tables/src/pool.rs
+++ b/crates/tables/src/pool.rs
@@ -48,6 +48,15 @@
 impl Capacity {
     #[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
     const fn is_fixed(&self) -> bool {
+    /// Learned if this or `other` is.
+    #[must_use]
+    pub const fn or(self, other: Self) -> Self {
+        match self {
+            Self::Fixed => other,
+            Self::Learned => Self::Learned,
+        }
+    }
+
         matches!(self, Self::Fixed)
     }
 }
