Keep the fields of later releases in rows instead of refusing the version

Cause: rows, tables, deltas and heads were read with deny_unknown_fields, so that one more field in a row kept every older daemon at its version.

Change: rows and the objects in them, and the tables, collect what they do not know in their order and write it behind the known fields, so that the canonical text and its hash are those of the writer. Deltas and heads ignore it. A delta between versions that differ in unknown tables leads to another hash, and the receiver asks for all rows, as it did for any such delta. Files of operators are still checked field by field.

--- a/crates/bench/src/model/fleet.rs
+++ b/crates/bench/src/model/fleet.rs
@@ -4,7 +4,9 @@
     AttemptId, Dispatcher, DispatcherConfig, Endpoint, EndpointState, Gate, GateConfig, Goal, Rate,
     Ticket,
 };
-use dw_tables::{Capacity, Ejection, Limits, Match, Millis, Name, Pool, Route, Tables, Version};
+use dw_tables::{
+    Capacity, Ejection, Limits, Match, Millis, Name, Pool, Route, Tables, UnknownFields, Version,
+};
 use tokio::time::Instant;
 
 use super::{scenario::RouteLoad, simulation::Simulation};
@@ -116,6 +118,7 @@
             drain: Millis::new(30_000),
             ejection: Ejection::default(),
             capacity: self.capacity(),
+            unknown: UnknownFields::default(),
         };
         let route = |load: &RouteLoad| Route {
             name: load.name.clone(),
@@ -123,6 +126,7 @@
                 host: REQUEST_HOST.into(),
                 path: Name::from(format!("/{}", load.name)),
                 methods: Vec::new(),
+                unknown: UnknownFields::default(),
             },
             pool: load.service.clone(),
             split: Vec::new(),
@@ -132,6 +136,7 @@
             priority: load.priority,
             objective: load.objective,
             public: false,
+            unknown: UnknownFields::default(),
         };
         let routes = self.scenario.routes.iter().map(route).collect();
         let pools = services.iter().map(pool).collect();
--- a/crates/cli/src/demo/deployment.rs
+++ b/crates/cli/src/demo/deployment.rs
@@ -2,7 +2,9 @@
 
 use derive_more::Display;
 use dw_daemon::PresetName;
-use dw_tables::{Findings, Match, Millis, Name, Pool, Repeat, Route, Source, Tables, parse_tables};
+use dw_tables::{
+    Findings, Match, Millis, Name, Pool, Repeat, Route, Source, Tables, UnknownFields, parse_tables,
+};
 use serde::Serialize;
 
 /// The deployment whose mesh the demo shows.
@@ -152,6 +154,7 @@
             drain: Millis::new(30_000),
             ejection: Default::default(),
             capacity: Default::default(),
+            unknown: UnknownFields::default(),
         });
         tables.routes.push(Route {
             name: name.clone(),
@@ -168,6 +171,7 @@
             priority: 0,
             objective: deadline,
             public: false,
+            unknown: UnknownFields::default(),
         });
         tables
     }
--- a/crates/daemon/src/proxy/access.rs
+++ b/crates/daemon/src/proxy/access.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use dw_request::{Access, Credentials, Dispatcher, KeyIndex, Reason, Refusal, Router};
-use dw_tables::{Name, RequestRate, Route, Workspace};
+use dw_tables::{Name, RequestRate, Route, UnknownFields, Workspace};
 use http::{HeaderMap, HeaderName, header};
 
 use super::{Proxy, call::Call, headers};
@@ -93,6 +93,7 @@
                 priority: None,
                 rate: RequestRate::default(),
                 burst: 0,
+                unknown: UnknownFields::default(),
             })
         })
     }
--- a/crates/request/tests/workspaces.rs
+++ b/crates/request/tests/workspaces.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use dw_request::{Access, Credentials, KeyIndex, Reason, RequestInfo};
-use dw_tables::{KeyHash, RequestRate, Tables, Version, Workspace};
+use dw_tables::{KeyHash, RequestRate, Tables, UnknownFields, Version, Workspace};
 use googletest::prelude::*;
 use support::{dispatcher, forwarded, get, targets, two_routes};
 use tokio::time::Instant;
@@ -20,6 +20,7 @@
         priority: Some(7),
         rate: RequestRate::new(5),
         burst: 9,
+        unknown: UnknownFields::default(),
     }
 }
 
--- a/crates/tables/src/check.rs
+++ b/crates/tables/src/check.rs
@@ -154,7 +154,7 @@
         if !fields.iter().all(|path| routes.is_valid(idx, path)) {
             continue;
         }
-        let Match { host, path, methods } = &route.matches;
+        let Match { host, path, methods, .. } = &route.matches;
         let any = methods.is_empty().then_some("");
         let mut clashes = Vec::new();
         for method in any.into_iter().chain(methods.iter().map(Name::as_str)) {
--- a/crates/tables/src/delta.rs
+++ b/crates/tables/src/delta.rs
@@ -8,9 +8,10 @@
     field::{Row, by_name},
 };
 
-/// The rows in which one version differs from an earlier one.
+/// The rows in which one version differs from an earlier one. Where they differ in tables of a later release, the delta
+/// leads to another hash, and all rows are needed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default)]
 pub struct Delta {
     /// The version to which the delta applies.
     pub base: VersionId,
@@ -110,6 +111,7 @@
             routes: apply_rows(&old.routes, &self.routes, &self.gone_routes),
             pools: apply_rows(&old.pools, &self.pools, &self.gone_pools),
             workspaces: apply_rows(&old.workspaces, &self.workspaces, &self.gone_workspaces),
+            unknown: old.unknown.clone(),
         }
     }
 }
--- a/crates/tables/src/head.rs
+++ b/crates/tables/src/head.rs
@@ -4,7 +4,6 @@
 
 /// The record of the newest accepted version, as stored in the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Head {
     /// The version number.
     pub number: u64,
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -23,6 +23,7 @@
 mod source;
 mod tables;
 mod tombstone;
+mod unknown;
 mod version;
 mod workspace;
 
@@ -48,5 +49,6 @@
     validate,
 };
 pub use tombstone::Tombstone;
+pub use unknown::UnknownFields;
 pub use version::{Hash, Version, VersionId};
 pub use workspace::Workspace;
--- a/crates/tables/src/matches.rs
+++ b/crates/tables/src/matches.rs
@@ -2,11 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Name;
+use crate::{Name, UnknownFields};
 
 /// Conditions on a request; all of them must hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default)]
 pub struct Match {
     /// The host of the request in lower case; empty matches any host.
     pub host: Name,
@@ -14,6 +14,9 @@
     pub path: Name,
     /// Methods in upper case; empty matches any method.
     pub methods: Vec<Name>,
+    /// Fields of a later release.
+    #[serde(flatten)]
+    pub unknown: UnknownFields,
 }
 
 impl Match {
--- a/crates/tables/src/pool.rs
+++ b/crates/tables/src/pool.rs
@@ -1,13 +1,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Millis, Name,
+    Millis, Name, UnknownFields,
     field::{Field, POOL_FIELDS, Row, Value},
 };
 
 /// The targets of one service and how requests are balanced over them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Pool {
     /// The name of the row, unique among pools.
     pub name: Name,
@@ -32,6 +31,9 @@
     /// the hash of tables without this field is unchanged.
     #[serde(default, skip_serializing_if = "Capacity::is_fixed")]
     pub capacity: Capacity,
+    /// Fields of a later release.
+    #[serde(flatten)]
+    pub unknown: UnknownFields,
 }
 
 /// What the capacity of a target is taken to be.
@@ -46,8 +48,6 @@
 }
 
 impl Capacity {
-    #[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
-    const fn is_fixed(&self) -> bool {
     /// Learned if this or `other` is.
     #[must_use]
     pub const fn or(self, other: Self) -> Self {
@@ -57,6 +57,8 @@
         }
     }
 
+    #[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
+    const fn is_fixed(&self) -> bool {
         matches!(self, Self::Fixed)
     }
 }
@@ -87,7 +89,7 @@
 
 /// Limits of a pool at one daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default)]
 pub struct Limits {
     /// Requests in flight from one caller's daemon to the pool.
     pub in_flight: u32,
@@ -95,17 +97,25 @@
     pub queue: u32,
     /// The longest wait for a slot.
     pub queue_wait: Millis,
+    /// Fields of a later release.
+    #[serde(flatten)]
+    pub unknown: UnknownFields,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { in_flight: 1024, queue: 32, queue_wait: Millis::new(100) }
+        Self {
+            in_flight: 1024,
+            queue: 32,
+            queue_wait: Millis::new(100),
+            unknown: UnknownFields::default(),
+        }
     }
 }
 
 /// When a target that fails is ejected, so that it gets no requests for some time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default)]
 pub struct Ejection {
     /// Consecutive failures after which a target is ejected.
     pub failures: u32,
@@ -113,11 +123,19 @@
     pub share: u32,
     /// Time until an ejected target is on probation.
     pub time: Millis,
+    /// Fields of a later release.
+    #[serde(flatten)]
+    pub unknown: UnknownFields,
 }
 
 impl Default for Ejection {
     fn default() -> Self {
-        Self { failures: 5, share: 33, time: Millis::new(10_000) }
+        Self {
+            failures: 5,
+            share: 33,
+            time: Millis::new(10_000),
+            unknown: UnknownFields::default(),
+        }
     }
 }
 
--- a/crates/tables/src/route.rs
+++ b/crates/tables/src/route.rs
@@ -2,13 +2,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Match, Millis, Name, Share,
+    Match, Millis, Name, Share, UnknownFields,
     field::{Field, ROUTE_FIELDS, Row, Value},
 };
 
 /// Sends the requests that match to a pool.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Route {
     /// The name of the row, unique among routes.
     pub name: Name,
@@ -39,6 +38,9 @@
     /// tables without workspaces is the same as before the field existed.
     #[serde(default, skip_serializing_if = "is_false")]
     pub public: bool,
+    /// Fields of a later release.
+    #[serde(flatten)]
+    pub unknown: UnknownFields,
 }
 
 /// Whether a request may run more than once.
--- a/crates/tables/src/tables.rs
+++ b/crates/tables/src/tables.rs
@@ -3,14 +3,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Finding, Findings, Place, Pool, Route, Source, Workspace,
+    Finding, Findings, Place, Pool, Route, Source, UnknownFields, Workspace,
     check::{LocatedRows, check_keys, check_references, check_shadowed, check_size},
     read::read_rows,
 };
 
 /// The tables that operators edit.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default)]
 pub struct Tables {
     /// The table of routes.
     pub routes: Vec<Route>,
@@ -19,6 +19,9 @@
     /// The table of workspaces; without any, requests need no key.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub workspaces: Vec<Workspace>,
+    /// Tables of a later release.
+    #[serde(flatten)]
+    pub unknown: UnknownFields,
 }
 
 impl Tables {
@@ -106,7 +109,8 @@
         &LocatedRows::from_file(pools.file, &read_pools),
         &mut findings,
     );
-    let tables = Tables { routes: read_routes.list, pools: read_pools.list, workspaces };
+    let (routes, pools) = (read_routes.list, read_pools.list);
+    let tables = Tables { routes, pools, workspaces, unknown: UnknownFields::default() };
     check_size(&tables, &mut findings);
     findings.into_result(tables)
 }
--- a/crates/tables/src/workspace.rs
+++ b/crates/tables/src/workspace.rs
@@ -1,14 +1,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    KeyHash, Name, RequestRate,
+    KeyHash, Name, RequestRate, UnknownFields,
     field::{Field, Row, Value, WORKSPACE_FIELDS},
 };
 
 /// A tenant of the mesh: the keys that its callers present, the priority of its requests, and its
 /// quota over all daemons together.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Workspace {
     /// The name of the row, unique among workspaces. Targets receive it with each request.
     pub name: Name,
@@ -25,6 +24,9 @@
     /// Requests that may exceed the rate at once; 0 means one.
     #[serde(default)]
     pub burst: u32,
+    /// Fields of a later release.
+    #[serde(flatten)]
+    pub unknown: UnknownFields,
 }
 
 impl Row for Workspace {
--- a/crates/tables/tests/delta.rs
+++ b/crates/tables/tests/delta.rs
@@ -95,3 +95,38 @@
     expect_that!(delta.apply(&old), ok(eq(&new)));
     expect_that!(conflicts(&old.tables, &new.tables, &version(2, 3).tables), len(eq(10_000)));
 }
+
+/// Canonical text with fields that a later release has in rows, in the objects of rows and in the tables.
+const LATER_TEXT: &str = concat!(
+    r#"{"routes":[{"name":"lookup","match":{"host":"","path":"/","methods":[],"zeta":{"b":1,"c":[null]}},"#,
+    r#""pool":"tally","split":[],"repeat":"once","deadline":"1s","retries":1,"priority":0,"objective":"1s","#,
+    r#""public":true,"mirror":"tally","cache":30}],"#,
+    r#""pools":[{"name":"tally","service":"tally","balance":"two-choices","limits":{"in_flight":1024,"#,
+    r#""queue":32,"queue_wait":"100ms","bytes":18446744073709551615},"prefer":"domain","drain":"30s","#,
+    r#""ejection":{"failures":5,"share":33,"time":"10s","rate":0.25},"capacity":"learned","zones":[],"hedge":-1}],"#,
+    r#""workspaces":[{"name":"w","keys":[],"priority":null,"rate":2.5,"burst":0,"tags":{"a":"b"}}],"#,
+    r#""certificates":[{"name":"c"}],"alerts":[]}"#,
+);
+
+/// Guards against a daemon that refuses a version because of fields that a later release added, or that computes another
+/// hash for it or passes it on without them.
+#[gtest]
+fn fields_of_a_later_release_are_kept() {
+    let tables = Tables::from_canonical(LATER_TEXT).expect("tables");
+    expect_that!(tables.canonical(), eq(LATER_TEXT));
+    expect_that!(tables.pools[0].limits.queue, eq(32));
+    let old = Version::new(1, tables);
+    let next = LATER_TEXT.replace("\"cache\":30", "\"cache\":60");
+    let next = Version::new(2, Tables::from_canonical(&next).expect("tables"));
+    let delta = Delta::between(&old, &next);
+    expect_that!(delta.len(), eq(1));
+    let text = serde_json::to_string(&delta).expect("text");
+    let text = text.replacen('{', "{\"later\":1,", 1);
+    let delta: Delta = serde_json::from_str(&text).expect("delta");
+    expect_that!(delta.apply(&old), ok(eq(&next)));
+    // A delta has no rows of the tables that are not known; the receiver asks for all rows.
+    let alerts = LATER_TEXT.replace("\"alerts\":[]", "\"alerts\":[1]");
+    let alerts = Version::new(2, Tables::from_canonical(&alerts).expect("tables"));
+    let error = DeltaError::HashMismatch { number: 2 };
+    expect_that!(Delta::between(&old, &alerts).apply(&old), err(eq(&error)));
+}
