Count a retry's delay in the time that its request has left

Cause: Dispatcher::retry handed the new attempt the time that was left before its delay, and Proxy::attempt counted that time from after the delay.

--- a/crates/daemon/src/proxy/events.rs
+++ b/crates/daemon/src/proxy/events.rs
@@ -9,7 +9,7 @@
 use crate::counters::Counters;
 
 /// A target was chosen for the request.
-pub(super) fn placed(attempt: &Attempt) -> Event {
+pub(super) fn placed(attempt: &Attempt, sent: Instant) -> Event {
     let endpoint = &attempt.endpoint;
     Event::new(Kind::Placed)
         .with(Field::Route, &attempt.route.name)
@@ -23,7 +23,7 @@
         .with(Field::Slots, endpoint.slots)
         .with_some(Field::AgeMs, attempt.basis.load_age)
         .with_some(Field::Limit, attempt.basis.limit.map(|rate| rate.to_string()))
-        .with(Field::LeftMs, attempt.timeout)
+        .with(Field::LeftMs, attempt.deadline.saturating_duration_since(sent))
 }
 
 /// An attempt ended without a response.
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -178,7 +178,7 @@
                 return Err(last.map_or(Refusal::new(Reason::Draining), refuse));
             }
             call.deadline = call.deadline.map(|at| limit.limit(at));
-            call.trace.record(|| events::placed(&attempt));
+            call.trace.record(|| events::placed(&attempt, sent));
             if let Some(age) = attempt.basis.load_age {
                 self.counters.observe_load_age(age);
             }
@@ -223,7 +223,7 @@
         call: &mut Call,
         sent: Instant,
     ) -> AttemptResult {
-        let deadline = self.stop_limit().limit(sent + attempt.timeout);
+        let deadline = self.stop_limit().limit(attempt.deadline);
         let request = call.target_request(attempt, deadline);
         let endpoint = &attempt.endpoint;
         let response = if endpoint.host == self.host {
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -392,7 +392,7 @@
         let attempt = Attempt {
             id: AttemptId(self.next_id),
             endpoint: Arc::clone(&request.endpoint),
-            timeout: request.timeout,
+            deadline: request.deadline,
             route: Arc::clone(&request.route),
             repeat: request.route.repeat,
             goal: request.goal,
@@ -534,7 +534,7 @@
             return Err(denied);
         }
         (request.uid, request.endpoint, request.basis) = (uid, endpoint, basis);
-        request.timeout = left;
+        request.timeout = left.saturating_sub(after);
         request.unknown |= unknown;
         let attempt = self.start_attempt(request.clone(), Some(cause));
         Ok(Next::Retry { after, attempt })
--- a/crates/request/src/retry/attempt.rs
+++ b/crates/request/src/retry/attempt.rs
@@ -54,8 +54,8 @@
     pub id: AttemptId,
     /// Where to send it.
     pub endpoint: Arc<Endpoint>,
-    /// Time left from the decision (not from the end of a retry's delay) to the whole response.
-    pub timeout: Duration,
+    /// When the whole response is due, the same for all attempts of a request.
+    pub deadline: Instant,
     /// The route, as in the configuration version that the request began with.
     pub route: Arc<Route>,
     /// Whether the request may run more than once.
