Let a later target take over from one that may have left before a restart

Cause: a daemon that has just started lists a target closed until it is known not to have left. Since such a target held its address against the next incarnation, although its one report may have been late.

Change: a target that is not confirmed holds neither its name nor its address against a later incarnation.

--- a/crates/request/src/gate/reported_targets.rs
+++ b/crates/request/src/gate/reported_targets.rs
@@ -253,8 +253,9 @@
         now: Instant,
     ) -> Result<Option<Instant>, ReportEffect> {
         let holders = || self.list.iter().filter(|r| conflict(&r.report, report));
+        // A target that is not confirmed may have left before this process started.
         let overdue = |r: &ReportedTarget| {
-            now.saturating_duration_since(r.reported_at) >= self.silence_timeout / 2
+            !r.confirmed || now.saturating_duration_since(r.reported_at) >= self.silence_timeout / 2
         };
         if !holders().all(overdue) {
             return Err(ReportEffect::Held);
--- a/crates/request/tests/reported_targets.rs
+++ b/crates/request/tests/reported_targets.rs
@@ -304,3 +304,16 @@
     expect_that!(targets.apply_report(report("a", 100, 4), later), eq(ReportEffect::Changed));
     expect_that!(targets.list()[0].is_open(), eq(true));
 }
+
+/// Guards against a target that is not used because a late report of one that left arrived before it, at a process that has
+/// just started.
+#[gtest]
+fn a_late_report_after_a_restart_holds_no_address() {
+    let now = Instant::now();
+    let mut targets = ReportedTargets::new(SILENCE_TIMEOUT).with_unknown_former(INTERVAL);
+    targets.apply_report(report("a", 100, 2), now);
+    expect_that!(targets.apply_report(report("b", 200, 1), now), eq(ReportEffect::Changed));
+    targets.learn_former(&[Tombstone::of_departed("a".into(), 100)], true, now);
+    expect_that!(names(&targets), eq(&vec![(1, "b".to_owned())]));
+    expect_that!(targets.list()[0].is_open(), eq(true));
+}
