Write one tombstone a target while the store was down

Cause: while the store is down, the tombstones of a target's drain and of its end wait together. Both have the same key, and a transaction with one key twice is refused, so that neither was ever written.

Change: a later tombstone of a target replaces the one that waits; it covers all that the earlier one does.

--- a/crates/daemon/src/tombstones.rs
+++ b/crates/daemon/src/tombstones.rs
@@ -135,7 +135,7 @@
             match message {
                 Some(Message::Read) => self.tasks.spawn(self.clone().read()),
                 Some(Message::Save(Save { tombstones, done })) => {
-                    writer.pending.extend(tombstones);
+                    tombstones.into_iter().for_each(|tombstone| writer.add(tombstone));
                     if writer.write_pending().await {
                         // The requester may have stopped waiting.
                         let _ = done.send(());
@@ -192,6 +192,12 @@
         Self { task, pending: Vec::new(), lease: None, backoff, retry_at: Instant::now() }
     }
 
+    /// Adds a tombstone. All of one target have the same key, which a transaction may write only once; the last covers most.
+    fn add(&mut self, tombstone: Tombstone) {
+        self.pending.retain(|pending| pending.name != tombstone.name);
+        self.pending.push(tombstone);
+    }
+
     /// Writes what is pending; returns whether all of it was written.
     async fn write_pending(&mut self) -> bool {
         let Some(client) = self.task.client.clone() else {
