Wait for the store before a peer's word counts as all that is known

Cause: a daemon that has just started took the word of the store or of a peer as all there is to know of targets that left before, whichever came first. A peer may not have been told before the process was killed.

Change: the new type Departures keeps who has told what. A peer's word suffices only once a call to the store has failed.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -20,6 +20,7 @@
     Dialect, Running, Settings, TargetSettings,
     admin::Admin,
     counters::Counters,
+    departures::Departures,
     link::{Datagrams, Links},
     node::{NodeTask, View},
     platform::PlatformTask,
@@ -29,7 +30,7 @@
     running::Addrs,
     scheduling::{DelayProbe, Plane},
     tasks::Tasks,
-    tombstones::{FormerTargets, TombstoneTask},
+    tombstones::TombstoneTask,
 };
 
 /// Capacity of the channel to each task, in messages. Senders wait while it is full; datagrams are
@@ -210,11 +211,11 @@
         };
         control.spawn(rollouts.run(rx));
     }
-    let (former, _) = watch::channel(FormerTargets::default());
+    let (departures, _) = watch::channel(Departures::default());
     let tombstones = TombstoneTask {
         client: options.platform.clone(),
         host: settings.host.clone(),
-        former: former.clone(),
+        departures: departures.clone(),
         counters: counters.clone(),
         log: log.clone(),
         tasks: control.clone(),
@@ -237,7 +238,7 @@
         datagrams: datagrams_tx,
         platform: platform_tx,
         view: view_tx,
-        former,
+        departures,
         counters: counters.clone(),
         log: log.clone(),
     };
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,10 +10,10 @@
 
 use crate::{
     counters::Counters,
+    departures::Departures,
     link::{LinkMessage, OutgoingDatagram},
     log_events::control_event,
     proxy::Proxy,
-    tombstones::{FormerTargets, TombstoneHandle},
 };
 
 /// Delay before the status is read, in which the totals of a relay can arrive.
@@ -57,7 +57,7 @@
     /// Where versions and members are published.
     pub(crate) view: watch::Sender<View>,
     /// Where the targets that peers know to have left are published.
-    pub(crate) former: watch::Sender<FormerTargets>,
+    pub(crate) departures: watch::Sender<Departures>,
     /// Counts events.
     pub(crate) counters: Counters,
     /// The log.
@@ -119,7 +119,9 @@
             Action::Poison(fingerprint) => self.proxy.refuse_fingerprint(fingerprint),
             // The node reports it in its status and logs it.
             Action::Refused(_) => {}
-            Action::FormerTargets(tombstones) => TombstoneHandle::learn(&self.former, tombstones),
+            Action::FormerTargets(tombstones) => {
+                self.departures.send_modify(|d| d.add_from_peer(tombstones));
+            }
             Action::Count(counter) => self.count(counter),
             Action::Log(event) => self.log.write(&control_event(event)),
         }
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -21,10 +21,11 @@
     CounterValues, IgnoreReason,
     clock::unix_ms,
     counters::Counters,
+    departures::Departures,
     node::{NodeMessage, View, ask_status},
     proxy::{Proxy, Server},
     tasks::Tasks,
-    tombstones::{FormerTargets, TombstoneHandle},
+    tombstones::TombstoneHandle,
 };
 
 /// Delay between the announcement that a daemon drains and the end of its idle connections, so that
@@ -145,8 +146,8 @@
 
     /// Asks the store which targets on this host left, or were draining, when an earlier process ended. What it and
     /// peers tell is published.
-    pub async fn read_former_targets(&self) -> watch::Receiver<FormerTargets> {
-        self.tombstones.read_former().await
+    pub async fn read_departures(&self) -> watch::Receiver<Departures> {
+        self.tombstones.read_departures().await
     }
 
     /// Stores tombstones for the next process on this host. Returns at the latest after 400 ms; what the store has not
--- a/crates/daemon/src/tombstones.rs
+++ b/crates/daemon/src/tombstones.rs
@@ -11,7 +11,7 @@
     time::{Instant, sleep, sleep_until, timeout},
 };
 
-use crate::{counters::Counters, tasks::Tasks};
+use crate::{counters::Counters, departures::Departures, tasks::Tasks};
 
 /// Prefix of the keys of tombstones; the names of the host and of the target follow.
 const TOMBSTONE_PREFIX: &str = "damaskwick/tombstone/";
@@ -37,58 +37,40 @@
 /// Maximum number of tombstones that are written together, which is what the store accepts in one transaction.
 const MAX_WRITES: usize = 32;
 
-/// What others know of the targets on this host that left, or were draining, when an earlier process here ended.
-#[derive(Clone, Debug, Default)]
-pub struct FormerTargets {
-    /// The targets.
-    pub tombstones: Vec<Tombstone>,
-    /// Whether the store, or a peer that knew the earlier process, has told all that it knows.
-    pub complete: bool,
-}
-
-/// Tombstones to be written to the store.
-struct Save {
-    tombstones: Vec<Tombstone>,
-    /// Notified when they are written, and dropped if the store does not take them at once.
-    done: oneshot::Sender<()>,
-}
-
 enum Message {
+    /// Read the tombstones of this host.
     Read,
-    Save(Save),
+    /// Write tombstones to the store.
+    Save {
+        tombstones: Vec<Tombstone>,
+        /// Notified when they are written, and dropped if the store does not take them at once.
+        done: oneshot::Sender<()>,
+    },
 }
 
 /// How the daemon reaches the task.
 #[derive(Debug)]
 pub(crate) struct TombstoneHandle {
     tx: mpsc::Sender<Message>,
-    former: watch::Sender<FormerTargets>,
+    departures: watch::Sender<Departures>,
 }
 
 impl TombstoneHandle {
     /// Reads the store once; the result is published with what peers tell.
-    pub(crate) async fn read_former(&self) -> watch::Receiver<FormerTargets> {
+    pub(crate) async fn read_departures(&self) -> watch::Receiver<Departures> {
         // The task has ended only if the daemon is closing.
         let _ = self.tx.send(Message::Read).await;
-        let mut former = self.former.subscribe();
+        let mut departures = self.departures.subscribe();
         // A peer may have told before.
-        former.mark_changed();
-        former
-    }
-
-    /// Publishes what a peer or the store told.
-    pub(crate) fn learn(former: &watch::Sender<FormerTargets>, tombstones: Vec<Tombstone>) {
-        former.send_modify(|former| {
-            former.tombstones.extend(tombstones);
-            former.complete = true;
-        });
+        departures.mark_changed();
+        departures
     }
 
     /// Writes tombstones to the store and waits for it, but not for long. Those that the store does not take at once are
     /// written later.
     pub(crate) async fn save(&self, tombstones: Vec<Tombstone>) {
         let (done, written) = oneshot::channel();
-        if self.tx.send(Message::Save(Save { tombstones, done })).await.is_ok() {
+        if self.tx.send(Message::Save { tombstones, done }).await.is_ok() {
             // The end of a target is acknowledged whether or not the store answers: its peers are told too.
             let _ = timeout(SAVE_TIMEOUT, written).await;
         }
@@ -102,8 +84,8 @@
     pub(crate) client: Option<P>,
     /// This host.
     pub(crate) host: Name,
-    /// Where they are published.
-    pub(crate) former: watch::Sender<FormerTargets>,
+    /// What is known of the departures before this process started.
+    pub(crate) departures: watch::Sender<Departures>,
     /// Counts calls.
     pub(crate) counters: Counters,
     /// The log.
@@ -116,9 +98,9 @@
     /// Starts the task.
     pub(crate) fn start(self, capacity: usize) -> TombstoneHandle {
         let (tx, rx) = mpsc::channel(capacity);
-        let former = self.former.clone();
+        let departures = self.departures.clone();
         self.tasks.clone().spawn(self.run(rx));
-        TombstoneHandle { tx, former }
+        TombstoneHandle { tx, departures }
     }
 
     /// Runs until the daemon is closed.
@@ -134,7 +116,7 @@
             };
             match message {
                 Some(Message::Read) => self.tasks.spawn(self.clone().read()),
-                Some(Message::Save(Save { tombstones, done })) => {
+                Some(Message::Save { tombstones, done }) => {
                     tombstones.into_iter().for_each(|tombstone| writer.add(tombstone));
                     if writer.write_pending().await {
                         // The requester may have stopped waiting.
@@ -148,7 +130,9 @@
 
     /// Reads the tombstones of this host until the store has answered.
     async fn read(self) {
-        let Some(client) = &self.client else { return };
+        let Some(client) = &self.client else {
+            return self.departures.send_modify(Departures::set_store_failed);
+        };
         let prefix = self.key_prefix();
         let mut backoff = Backoff::new(RETRY_DELAY, MAX_RETRY_DELAY);
         sleep(READ_SPREAD.mul_f64(rand::random())).await;
@@ -161,9 +145,10 @@
                     let tombstones: Vec<Tombstone> = entries.iter().filter_map(read).collect();
                     let event = Event::new(Kind::TombstonesRead);
                     self.log.write(&event.with(Field::Count, tombstones.len()));
-                    return TombstoneHandle::learn(&self.former, tombstones);
+                    return self.departures.send_modify(|d| d.add_from_store(tombstones));
                 }
                 Err(_) => {
+                    self.departures.send_modify(Departures::set_store_failed);
                     let delay = backoff.delay(&mut rand::rng());
                     sleep(delay).await;
                 }
