Do not relay a status that promises what its target did not state

Cause: the daemons relay the 503, 429 or 408 of a target that may have run the request; to callers these statuses promise that it has not.

Change: on routes whose requests may run once, such a response becomes a 502 of the daemon's own, without the target's headers and body.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -1,6 +1,6 @@
 use dw_request::PathMatch;
 use dw_tables::Capacity;
-use http::{HeaderName, HeaderValue};
+use http::{HeaderName, HeaderValue, StatusCode};
 
 /// The default header of a request's id.
 static REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -55,6 +55,17 @@
         }
     }
 
+    /// Whether a response with this status, if it does not state that the request was refused, would tell callers that it has
+    /// not run although it may have.
+    pub(crate) fn is_false_promise(&self, status: StatusCode) -> bool {
+        let promises = [
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        self.refused.is_some() && promises.contains(&status)
+    }
+
     /// The header of the request id.
     pub(crate) fn id_header(&self) -> &HeaderName {
         self.request_id.as_ref().unwrap_or(&REQUEST_ID)
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -10,7 +10,12 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::{
-    Proxy, access, answer, body::Payload, call::Call, error::SendError, events, events::Completion,
+    Proxy, access, answer,
+    body::{Payload, discard},
+    call::Call,
+    error::SendError,
+    events,
+    events::Completion,
     headers,
 };
 use crate::{counters::Step, log_events::avoidance_event};
@@ -217,6 +222,13 @@
         }
     }
 
+    /// Replaces the response of a target that may have run the request by one that promises nothing, as its caller would repeat
+    /// the request otherwise.
+    fn withhold(&self, response: Response<Payload>) -> Response<Payload> {
+        self.tasks.spawn(discard(response.into_body()));
+        answer::refuse_for_caller(&Refusal::new(Reason::ProtocolError), &self.dialect)
+    }
+
     async fn attempt(
         self: &Arc<Self>,
         attempt: &Attempt,
@@ -273,6 +285,11 @@
             Outcome::Run => {
                 let status = answer::status_of(&response);
                 let outcome = AttemptOutcome::Answered { status, load, latency: sent.elapsed() };
+                let once = attempt.repeat == Repeat::Once;
+                let response = match once && self.dialect.is_false_promise(response.status()) {
+                    true => self.withhold(response),
+                    false => response,
+                };
                 AttemptResult { response: Some(response), ..outcome.into() }
             }
             Outcome::NotRun => {
