Tell poison requests to daemons that join and to those that were cut off

Cause: a request that crashes targets was known only to the daemons that ran, and could be reached, when it was found.

The new tests fail on the code before.

Change: a node keeps the fingerprints that were broadcast, at most 64, and tells them with the time that is left in JoinReply, SyncReply and Summary. What a node learns from the last two it broadcasts to those who cannot hear it otherwise. Fields are new; older daemons ignore them.

A verdict on a request that is sound still lasts ten minutes.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -116,7 +116,9 @@
                 self.counters.set_members(&members);
                 self.view.send_modify(|view| view.members = members);
             }
-            Action::Poison(fingerprint) => self.proxy.refuse_fingerprint(fingerprint),
+            Action::Poison { fingerprint, left } => {
+                self.proxy.refuse_fingerprint(fingerprint, left)
+            }
             // The node reports it in its status and logs it.
             Action::Refused(_) => {}
             Action::FormerTargets(tombstones) => {
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -227,13 +227,13 @@
         self.members.send_replace(table);
     }
 
-    /// Refuses requests with a fingerprint that has been broadcast as poisoned.
-    pub(crate) fn refuse_fingerprint(&self, fingerprint: dw_mesh::Fingerprint) {
+    /// Refuses requests with a fingerprint that another daemon found to be poisoned.
+    pub(crate) fn refuse_fingerprint(&self, fingerprint: dw_mesh::Fingerprint, left: Duration) {
         let now = Instant::now();
         let mut poisoned = lock(&self.poisoned);
         poisoned.retain(|_, until| now < *until);
         if poisoned.len() < MAX_POISONED {
-            poisoned.insert(fingerprint.0, now + POISON_DURATION);
+            poisoned.insert(fingerprint.0, now + left);
         }
     }
 
@@ -476,7 +476,7 @@
         let poisoned =
             Event::new(Kind::Poisoned).with(Field::Fingerprint, format!("{:016x}", fingerprint.0));
         self.log.write(&poisoned);
-        self.refuse_fingerprint(fingerprint);
+        self.refuse_fingerprint(fingerprint, POISON_DURATION);
         if let Some(node) = self.node.get() {
             // The broadcast is lost if the queue is full; this daemon still refuses the request.
             let _ =
--- a/crates/mesh/src/broadcast.rs
+++ b/crates/mesh/src/broadcast.rs
@@ -4,13 +4,11 @@
 };
 
 use dw_tables::Name;
-use dw_wire::{Broadcast, FrameBody};
+use dw_wire::{Broadcast, FrameBody, PoisonLeft};
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::{
-    Action, Fingerprint, Member, MemberState, Node, bucket::TokenBucket, hash, timer::Timer,
-};
+use crate::{Fingerprint, Member, MemberState, Node, bucket::TokenBucket, hash, timer::Timer};
 
 /// Rate at which a node may start broadcasts. Events beyond that rate spread by gossip.
 const BROADCASTS_PER_SECOND: f64 = 2.0;
@@ -34,6 +32,8 @@
     hosts: BTreeSet<Name>,
     /// Fingerprints to be broadcast.
     poison: Vec<u64>,
+    /// Fingerprints that another part of the fleet found while it was cut off.
+    pub(crate) earlier_poison: Vec<PoisonLeft>,
     bucket: TokenBucket,
     /// Ids of broadcasts whose events were processed.
     seen: VecDeque<u64>,
@@ -47,6 +47,7 @@
         Self {
             hosts: BTreeSet::new(),
             poison: Vec::new(),
+            earlier_poison: Vec::new(),
             bucket: TokenBucket::new(BROADCASTS_PER_SECOND, BROADCAST_BURST, now),
             seen: VecDeque::new(),
             forwarded: VecDeque::new(),
@@ -88,6 +89,7 @@
 
     /// Queues a fingerprint for the next broadcast.
     pub(crate) fn broadcast_poison(&mut self, fingerprint: Fingerprint) {
+        self.keep_poison(fingerprint);
         if self.broadcasts.poison.len() < POISON_LIMIT {
             self.broadcasts.poison.push(fingerprint.0);
             self.timers.set_no_later(Timer::Broadcast, self.now + self.cfg.preset.batch_delay);
@@ -96,7 +98,8 @@
 
     /// Starts a broadcast of all queued events.
     pub(crate) fn run_broadcasts(&mut self) {
-        if self.broadcasts.hosts.is_empty() && self.broadcasts.poison.is_empty() {
+        let BroadcastQueue { hosts, poison, earlier_poison, .. } = &self.broadcasts;
+        if hosts.is_empty() && poison.is_empty() && earlier_poison.is_empty() {
             return;
         }
         let leaving = self.me.state == MemberState::Left;
@@ -118,6 +121,7 @@
             hi: u64::MAX,
             members,
             poison: std::mem::take(&mut self.broadcasts.poison),
+            earlier_poison: std::mem::take(&mut self.broadcasts.earlier_poison),
         };
         remember(&mut self.broadcasts.seen, broadcast.id);
         self.forward_broadcast(&broadcast);
@@ -141,8 +145,9 @@
             self.merge_wire_record(wire);
         }
         for fingerprint in broadcast.poison.iter().take(POISON_LIMIT) {
-            self.out.push(Action::Poison(Fingerprint(*fingerprint)));
+            self.learn_broadcast_poison(Fingerprint(*fingerprint));
         }
+        self.learn_poison(&broadcast.earlier_poison);
         if self.acts_as_relay() && *broadcast.domain == **self.me.domain {
             self.forward_to_domains(broadcast);
         }
--- a/crates/mesh/src/fleet.rs
+++ b/crates/mesh/src/fleet.rs
@@ -181,6 +181,7 @@
             totals: Some(self.own_domain_state()),
             digest: self.roster.domain_digest(&self.me.domain),
             members,
+            poison: self.poison.to_wire(now),
         }
     }
 
@@ -190,6 +191,7 @@
         if domain == self.me.domain {
             return;
         }
+        self.spread_poison(&summary.poison);
         for wire in &summary.members {
             if self.merge_wire_record(wire) {
                 self.queue_broadcast(&wire.host.as_str().into());
--- a/crates/mesh/src/io.rs
+++ b/crates/mesh/src/io.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use derive_more::{Display, From};
 use dw_tables::{Head, Name, Tombstone, Version};
@@ -275,8 +275,13 @@
     Publish(Arc<Version>),
     /// Replace the member table.
     Members(Arc<MemberTable>),
-    /// Refuse requests with this fingerprint.
-    Poison(Fingerprint),
+    /// Refuse requests with a fingerprint.
+    Poison {
+        /// The fingerprint.
+        fingerprint: Fingerprint,
+        /// How long to refuse them.
+        left: Duration,
+    },
     /// Report a refused version.
     Refused(RefusedVersion),
     /// Ignore reports of these targets on this host. A peer knows them from the earlier process here, and from no
--- a/crates/mesh/src/join.rs
+++ b/crates/mesh/src/join.rs
@@ -223,6 +223,7 @@
             has_version: version_id.number > 0,
             knows_former: known.is_some(),
             tombstones: known.map_or_else(Vec::new, |m| tombstones_to_wire(&m.tombstones)),
+            poison: self.poison.to_wire(self.now),
             ..JoinReply::default()
         };
         let room = &mut RECORDS_BYTES.to_owned();
@@ -272,6 +273,7 @@
             let tombstones = tombstones_from_wire(&reply.tombstones);
             self.out.push(Action::FormerTargets(tombstones));
         }
+        self.learn_poison(&reply.poison);
         for wire in &reply.members {
             // The domain already has these records. Gossiping them would fill the probes of a
             // joining node for minutes.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -17,6 +17,7 @@
 mod log_event;
 mod member;
 mod node;
+mod poison;
 mod preset;
 mod probe;
 mod pull;
--- a/crates/mesh/src/records.rs
+++ b/crates/mesh/src/records.rs
@@ -146,8 +146,10 @@
                 self.roster.collect(&mut members, &mut room, records, self.now);
             }
         }
-        if !members.is_empty() {
-            self.send(from, FrameBody::SyncReply(SyncReply { members }));
+        // A sender that was cut off may have missed broadcasts.
+        let poison = self.poison.to_wire(self.now);
+        if !members.is_empty() || !poison.is_empty() {
+            self.send(from, FrameBody::SyncReply(SyncReply { members, poison }));
         }
         if any_differs && !sync.answer {
             // The sender may have records that this node lacks.
@@ -158,6 +160,7 @@
     }
 
     pub(crate) fn on_sync_reply(&mut self, reply: &SyncReply) {
+        self.spread_poison(&reply.poison);
         for wire in &reply.members {
             self.merge_wire_record(wire);
         }
--- a/crates/mesh/tests/faults.rs
+++ b/crates/mesh/tests/faults.rs
@@ -399,6 +399,49 @@
     }
 }
 
+/// Guards against a daemon that serves poison requests because it started after they were found.
+#[test]
+fn poison_is_told_to_a_daemon_that_joins() {
+    let mut world = world(24);
+    world.local(6, LocalEvent::Poison(Fingerprint(42)));
+    world.run(secs(1));
+    for id in [3, 6] {
+        world.crash(id);
+        world.run(secs(2));
+        world.start(id);
+        world.run(secs(5));
+        assert!(world.hosts[id].poison.contains(&42), "{id} was not told");
+    }
+    // It is refused no longer than by those who found it.
+    world.run(secs(600));
+    world.crash(3);
+    world.start(3);
+    world.run(secs(5));
+    assert!(world.hosts[3].poison.is_empty());
+}
+
+/// Guards against daemons that serve poison requests because they were cut off when these were found.
+#[test]
+fn poison_is_told_to_daemons_that_were_cut_off() {
+    let mut world = world(25);
+    let (cut, rest) =
+        (world.domain("domain-2"), [world.domain("domain-0"), world.domain("domain-1")].concat());
+    world.cut(&cut, &rest);
+    world.cut(&rest, &cut);
+    world.run(secs(10));
+    world.local(rest[0], LocalEvent::Poison(Fingerprint(42)));
+    world.local(cut[0], LocalEvent::Poison(Fingerprint(43)));
+    world.run(secs(10));
+    assert!(cut.iter().all(|id| !world.hosts[*id].poison.contains(&42)));
+    world.cuts.clear();
+    world.run(secs(30));
+    for host in &world.hosts {
+        let own = [rest[0], cut[0]].map(|id| world.hosts[id].cfg.host == host.cfg.host);
+        assert!(own[0] || host.poison.contains(&42), "{} was not told of 42", host.cfg.host);
+        assert!(own[1] || host.poison.contains(&43), "{} was not told of 43", host.cfg.host);
+    }
+}
+
 /// Guards against a status that only relays can report.
 #[test]
 fn any_daemon_reports_the_status() {
--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -231,6 +231,7 @@
         host.paused = None;
         host.served = VersionId::default();
         host.former = None;
+        host.poison.clear();
         host.node = Some(Node::new(host.cfg.clone(), self.now));
     }
 
@@ -443,7 +444,7 @@
             }
             Action::Publish(version) => self.check_published(id, &version),
             Action::Count(counter) => *self.hosts[id].counts.entry(counter).or_default() += 1,
-            Action::Poison(fingerprint) => self.hosts[id].poison.push(fingerprint.0),
+            Action::Poison { fingerprint, .. } => self.hosts[id].poison.push(fingerprint.0),
             Action::Log(event) => {
                 if std::env::var_os("MESH_LOG").is_some() {
                     let at = self.now.duration_since(self.status_checked).as_millis();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -118,6 +118,9 @@
     /// Targets of the new member's host that take no more requests.
     #[prost(message, repeated, tag = "10")]
     pub tombstones: Vec<Tombstone>,
+    /// Poison requests that the sender knows of.
+    #[prost(message, repeated, tag = "11")]
+    pub poison: Vec<PoisonLeft>,
 }
 
 /// Announces a version along the distribution tree, to the members whose rank lies in `lo..=hi`.
@@ -260,9 +263,12 @@
     /// Member records.
     #[prost(message, repeated, tag = "6")]
     pub members: Vec<Member>,
-    /// Fingerprints of poison requests.
+    /// Fingerprints of poison requests that were found now.
     #[prost(fixed64, repeated, tag = "7")]
     pub poison: Vec<u64>,
+    /// Poison requests that were found where the sender was cut off from.
+    #[prost(message, repeated, tag = "8")]
+    pub earlier_poison: Vec<PoisonLeft>,
 }
 
 /// A version that was refused.
@@ -332,6 +338,9 @@
     /// Records of the domain that changed in the last seconds.
     #[prost(message, repeated, tag = "4")]
     pub members: Vec<Member>,
+    /// Poison requests that the sender knows of.
+    #[prost(message, repeated, tag = "5")]
+    pub poison: Vec<PoisonLeft>,
 }
 
 /// Bucket digests of one domain's members.
@@ -359,12 +368,26 @@
     pub answer: bool,
 }
 
+/// A poison request, and how long it is still refused.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct PoisonLeft {
+    /// The fingerprint of the request.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Milliseconds for which it is still refused.
+    #[prost(uint32, tag = "2")]
+    pub left_ms: u32,
+}
+
 /// The records of the buckets in which two member tables differ.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct SyncReply {
     /// The records.
     #[prost(message, repeated, tag = "1")]
     pub members: Vec<Member>,
+    /// Poison requests that the sender knows of.
+    #[prost(message, repeated, tag = "2")]
+    pub poison: Vec<PoisonLeft>,
 }
 
 /// Defers a request: the sender is busy, and the receiver is to try again later.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,8 +14,8 @@
 pub use compress::{compress, decompress};
 pub use frame::{
     Applied, Broadcast, Busy, Delta, DomainDigest, DomainState, Frame, FrameBody, Hello, Join,
-    JoinReply, Offer, Origin, Pull, Refusal, Snapshot, StatusPull, StatusReply, Summary,
-    SyncMembers, SyncReply,
+    JoinReply, Offer, Origin, PoisonLeft, Pull, Refusal, Snapshot, StatusPull, StatusReply,
+    Summary, SyncMembers, SyncReply,
 };
 pub use member::{Member, State, Target, Tombstone, VersionId};
 pub use packet::{Ack, Packet, PacketBody, Ping, PingReq};
