Use the nearest accepted number in place of refusing a configuration

A timeout_ms above 29,000, more than 6 attempts or a priority above 100 made the whole version invalid, with its other changes; a configuration that could not be read was a failed call to the store in the debug log.

Change: each number out of range becomes the nearest one in it. All of them are upper bounds or ranks to the operator. Each is a finding with its route or tenant, logged as config-finding with the version and counted as adjusted; a configuration that cannot be read is logged without a version, counted as refused, and so told apart from one that is late.

--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -142,6 +142,7 @@
     delays: Histograms<Label>,
     members: Family<Label, Gauge>,
     ignored: ByLabel,
+    config_findings: ByLabel,
     target_requests: Family<NameLabel, Counter>,
     target_limits: Family<NameLabel, RateGauge>,
     unreadable_limits: Counter,
@@ -209,6 +210,11 @@
             delays: Family::new_with_constructor(seconds_histogram),
             members: register(&mut registry, "members", "Members of the fleet, by state"),
             ignored: by_label(&mut registry, "reports_ignored", "Reports of targets not used"),
+            config_findings: by_label(
+                &mut registry,
+                "config_findings",
+                "Findings about configurations of the operator",
+            ),
             target_requests: register(
                 &mut registry,
                 "target_requests",
@@ -300,6 +306,9 @@
         for reason in IgnoreReason::ALL {
             drop(self.ignored.get_or_create(&[("reason", reason.as_str())]));
         }
+        for effect in ["adjusted", "refused"] {
+            drop(self.config_findings.get_or_create(&[("effect", effect)]));
+        }
         for outcome in [Outcome::Run, Outcome::NotRun, Outcome::Unknown] {
             drop(self.requests.get_or_create(&[("outcome", outcome.as_str())]));
         }
@@ -407,6 +416,12 @@
         self.0.ignored.get_or_create(&[("reason", reason.as_str())]).inc();
     }
 
+    /// Counts a finding about a configuration of the operator, which is `used` otherwise or not at all.
+    pub(crate) fn config_found(&self, used: bool) {
+        let effect = if used { "adjusted" } else { "refused" };
+        self.0.config_findings.get_or_create(&[("effect", effect)]).inc();
+    }
+
     /// Counts a request that is sent to the target with this index.
     pub(crate) fn sent_to_target(&self, index: u16) {
         self.0.target_requests.get_or_create(&target_label(index)).inc();
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -107,6 +107,8 @@
     TombstonesRead = "tombstones-read", Info;
     /// The store did not take the record that `count` targets left or are draining; it is written again.
     TombstonesUnsaved = "tombstones-unsaved", Warn;
+    /// The operator's configuration cannot be read, or, with a `version`, a value of it is out of range and another one is used.
+    ConfigFinding = "config-finding", Error;
     /// A report of a target was ignored: `stale`, `unreadable`, `foreign` or `held`. The last three are not acknowledged.
     ReportIgnored = "report-ignored", Warn;
     /// Requests avoid a target: `failing`, `leaving` or `unreachable`.
