--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -117,7 +117,7 @@
                 self.view.send_modify(|view| view.members = members);
             }
             Action::Poison { fingerprint, left } => {
-                self.proxy.refuse_fingerprint(fingerprint, left)
+                self.proxy.refuse_fingerprint(fingerprint, left);
             }
             // The node reports it in its status and logs it.
             Action::Refused(_) => {}
