Draw reports of other writers, late reports after a restart and kills of all daemons in the soak

Change: three kinds of faults, drawn by a generator of their own, so that the other faults of a seed stay as they were. Two checks: no requests for a target whose end was acknowledged, and requests for each target that reports itself.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -22,6 +22,9 @@
 /// new requests; from the users' rules.
 const LEAVING_GRACE: Duration = Duration::from_secs(2);
 
+/// Time after the acknowledgement of a target's end in which it may still get requests; from the users' rules.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Share of the requests in the last seconds of a run, after all faults, that must be served.
 const MIN_SERVED_SHARE: f64 = 0.9;
 
@@ -34,6 +37,12 @@
     /// A target that announces its departure gets no new requests.
     #[display("leaving")]
     Leaving,
+    /// A target whose end was acknowledged gets no new requests.
+    #[display("departed")]
+    Departed,
+    /// A target that reports itself gets requests.
+    #[display("used")]
+    Used,
     /// A request that must not be repeated runs at most once.
     #[display("once")]
     Once,
@@ -67,6 +76,8 @@
     let mut findings = Vec::new();
     findings.extend(history.named.iter().filter_map(|named| check_limit(history, named)));
     findings.extend(check_leaving(history));
+    findings.extend(check_departed(history));
+    findings.extend(check_used(history, faults_over));
     findings.extend(check_runs(history));
     findings.extend(check_answers(history));
     let overdue = |host: &usize| Finding {
@@ -132,6 +143,36 @@
     broken.collect()
 }
 
+/// Finds requests that reached a target after its end was acknowledged, from hosts whose daemons could know of it.
+fn check_departed(history: &History) -> Vec<Finding> {
+    let found = history.departed.iter().filter_map(|(target, at)| {
+        let late = |visit: &&crate::Visit| {
+            let excused = history.sent.get(&visit.id).is_none_or(|sent| {
+                let mut of_sender = history.troubles.iter().filter(|t| t.host == sent.host);
+                of_sender.any(|t| t.until >= *at && t.from <= visit.at)
+            });
+            visit.target == *target && visit.at > *at + DRAIN_TIME && !excused
+        };
+        let count = history.visits.iter().filter(late).count();
+        let detail =
+            format!("{target}, whose end was acknowledged at {at:?}, got {count} requests");
+        (count > 0).then_some(Finding { promise: Promise::Departed, detail })
+    });
+    found.collect()
+}
+
+/// Finds targets that run nothing after all faults although they report themselves.
+fn check_used(history: &History, faults_over: Duration) -> Vec<Finding> {
+    let unused = history.reporting.iter().filter(|name| {
+        !history.visits.iter().any(|v| v.target == **name && v.at >= faults_over && v.ran)
+    });
+    let finding = |name| Finding {
+        promise: Promise::Used,
+        detail: format!("{name} reports itself and got no request after all faults"),
+    };
+    unused.map(finding).collect()
+}
+
 /// Finds requests that ran more than once although they must not, and requests that ran although
 /// their caller was told that they did not.
 fn check_runs(history: &History) -> Vec<Finding> {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -76,6 +76,10 @@
     pub named: Vec<Named>,
     /// Faults of daemons, in the order in which they ended.
     pub troubles: Vec<Trouble>,
+    /// Targets whose end their daemon acknowledged, with the time of that.
+    pub departed: Vec<(String, Duration)>,
+    /// The targets that report at the end of the run.
+    pub reporting: Vec<String>,
     /// Hosts whose daemon had to be killed because it did not end in time after SIGTERM.
     pub overdue: Vec<usize>,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -42,6 +42,9 @@
 /// reports announce it as well.
 const LEAVING_NOTICE: Duration = REPORT_INTERVAL;
 
+/// How late a report arrives during [`Fault::LateReport`], after the daemon has started again.
+const REPORT_DELAY: Duration = Duration::from_millis(1500);
+
 /// Time until the operator writes again after the store was restored from an older copy.
 const REWRITE_DELAY: Duration = Duration::from_millis(300);
 
@@ -192,6 +195,8 @@
         for result in faults.join_all().await {
             result?;
         }
+        let reporting = fleet.targets.iter().map(|(target, _)| target.name()).collect();
+        fleet.recorder.history().reporting = reporting;
         fleet.close().await;
         let history = fleet.recorder.history().clone();
         let findings = check(&history, begin + self.time.saturating_sub(RECOVERY_TIME));
@@ -278,10 +283,24 @@
                 let (target, _) = &self.targets[host];
                 target.leave();
                 sleep(LEAVING_NOTICE + time).await;
-                target.deregister().await;
+                let _ = target.deregister().await;
                 self.replace(host, Duration::from_secs(1)).await?;
             }
             Fault::Crash { host } => self.replace(host, time).await?,
+            Fault::ForeignReport { host } => self.targets[host].0.report_foreign().await,
+            Fault::LateReport { host } => self.report_late(host, time).await?,
+            Fault::KillAll => {
+                let kill = |host| {
+                    self.disrupt_host(host, async |host: &mut Host| {
+                        host.kill().await;
+                        sleep(time).await;
+                        host.start()
+                    })
+                };
+                for result in join_all((0..self.hosts.len()).map(kill)).await {
+                    result?;
+                }
+            }
             Fault::Delay { host } => {
                 let (target, _) = &self.targets[host];
                 target.update_link(|link| link.delay = LINK_DELAY);
@@ -339,6 +358,27 @@
         self.recorder.history().named.push(Named { target: name, rate, from, until });
     }
 
+    /// Lets a target leave, its daemon forget what it knew, and an earlier report arrive; the target accepts requests for
+    /// `time` after that.
+    async fn report_late(&self, idx: usize, time: Duration) -> Result<(), Error> {
+        let (target, _) = &self.targets[idx];
+        target.leave();
+        sleep(LEAVING_NOTICE).await;
+        if target.deregister().await {
+            let departed = (target.name(), self.recorder.now());
+            self.recorder.history().departed.push(departed);
+        }
+        self.disrupt_host(idx, async |host: &mut Host| {
+            host.kill().await;
+            host.start()
+        })
+        .await?;
+        sleep(REPORT_DELAY).await;
+        target.report_late().await;
+        sleep(time).await;
+        self.replace(idx, Duration::from_secs(1)).await
+    }
+
     /// Ends a target's incarnation, and starts another one at its address some time later.
     async fn replace(&self, host: usize, down: Duration) -> Result<(), Error> {
         let (target, incarnation) = &self.targets[host];
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -10,6 +10,9 @@
 /// of the last part of a run, in which these requests are sent.
 pub(crate) const RECOVERY_TIME: Duration = Duration::from_secs(5);
 
+/// Average time between two combined faults.
+const COMBINED_INTERVAL: Duration = Duration::from_secs(6);
+
 /// Least time between the end of a fault and the next fault of the same component: a stop takes as
 /// long as the grace period, and a start takes some time.
 const FAULT_SPACING: Duration = Duration::from_secs(5);
@@ -76,6 +79,22 @@
     /// The open connections to the store stop answering for good; new ones work.
     #[display("store-silence")]
     StoreSilence,
+    /// Another writer reports a target at the address of the one on the host.
+    #[display("foreign-report")]
+    ForeignReport {
+        /// The host of the target.
+        host: usize,
+    },
+    /// A target leaves, its daemon is killed after it was told, and starts again, and an earlier report of the target arrives
+    /// late. The target still accepts requests.
+    #[display("late-report")]
+    LateReport {
+        /// The host of the target.
+        host: usize,
+    },
+    /// All daemons are killed at once, and start again some time later.
+    #[display("kill-all")]
+    KillAll,
     /// The operator writes another version of the configuration.
     #[display("version")]
     Version,
@@ -131,10 +150,42 @@
             }
             at += gap.mul_f64(rng.random_range(0.2..1.8));
         }
+        plans.extend(combined_faults(seed, hosts, last, &mut busy));
+        plans.sort_by_key(|plan| plan.at);
         Self { plans }
     }
 }
 
+/// Draws faults in which several things happen at one host, or one thing at all hosts. They have a generator of their own, so
+/// that the other faults of a seed stay as they are.
+fn combined_faults(
+    seed: u64,
+    hosts: usize,
+    last: Duration,
+    busy: &mut HashMap<Component, Duration>,
+) -> Vec<Plan> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x60);
+    let mut plans = Vec::new();
+    let mut at = COMBINED_INTERVAL.mul_f64(rng.random_range(0.2..1.0));
+    while at < last {
+        let host = rng.random_range(0..hosts);
+        let fault = match rng.random_range(0..5) {
+            0 | 1 => Fault::ForeignReport { host },
+            2 | 3 => Fault::LateReport { host },
+            _ => Fault::KillAll,
+        };
+        let time =
+            max_duration(fault).min(last.saturating_sub(at)).mul_f64(rng.random_range(0.3..1.0));
+        let until = busy.entry(component(fault)).or_default();
+        if *until <= at {
+            *until = at + time + FAULT_SPACING;
+            plans.push(Plan { at, fault, time });
+        }
+        at += COMBINED_INTERVAL.mul_f64(rng.random_range(0.4..1.6));
+    }
+    plans
+}
+
 /// The component that a fault affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Component {
@@ -142,6 +193,7 @@
     Target(usize),
     Link(usize),
     Store,
+    Fleet,
 }
 
 const fn component(fault: Fault) -> Component {
@@ -149,9 +201,12 @@
         Fault::Kill { host } | Fault::Stop { host } | Fault::Pause { host } => {
             Component::Daemon(host)
         }
-        Fault::Limit { host, .. } | Fault::Leave { host } | Fault::Crash { host } => {
-            Component::Target(host)
-        }
+        Fault::Limit { host, .. }
+        | Fault::Leave { host }
+        | Fault::Crash { host }
+        | Fault::ForeignReport { host }
+        | Fault::LateReport { host } => Component::Target(host),
+        Fault::KillAll => Component::Fleet,
         Fault::Delay { host } | Fault::Reset { host } | Fault::Silence { host } => {
             Component::Link(host)
         }
@@ -195,8 +250,12 @@
             Duration::from_secs(4)
         }
         Fault::Pause { .. } | Fault::StoreOlder => Duration::from_secs(3),
-        Fault::Version | Fault::Reset { .. } | Fault::Silence { .. } | Fault::StoreSilence => {
-            Duration::ZERO
-        }
+        Fault::LateReport { .. } => Duration::from_secs(4),
+        Fault::KillAll => Duration::from_secs(1),
+        Fault::Version
+        | Fault::ForeignReport { .. }
+        | Fault::Reset { .. }
+        | Fault::Silence { .. }
+        | Fault::StoreSilence => Duration::ZERO,
     }
 }
--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -58,6 +58,8 @@
     reports: u64,
     limit: Option<f64>,
     leaving: bool,
+    /// Whether it has told its daemon that it ends.
+    departed: bool,
     busy_slots: u32,
 }
 
@@ -123,12 +125,39 @@
         self.lock().leaving = true;
     }
 
-    /// Tells the daemon on the same host that the incarnation ends.
-    pub(crate) async fn deregister(&self) {
+    /// Tells the daemon on the same host that the incarnation ends; returns whether it acknowledged that. There are no
+    /// further reports.
+    pub(crate) async fn deregister(&self) -> bool {
+        self.lock().departed = true;
         let path = format!("/-/instances/{}", self.name());
         let request = Request::builder().method(Method::DELETE).uri(path);
-        // A failure is ignored: a daemon that is down learns of the end from the missing reports.
-        let _ = net::send(self.0.addrs.control_addr(), request, String::new()).await;
+        // A daemon that is down learns of the end from the missing reports.
+        let reply = net::send(self.0.addrs.control_addr(), request, String::new()).await;
+        reply.is_ok_and(|reply| reply.status().is_success())
+    }
+
+    /// Sends the daemon a report that the incarnation made before it began to leave.
+    pub(crate) async fn report_late(&self) {
+        let State { name, born, .. } = self.lock().clone();
+        self.send_report(&name, self.0.service, born, "ready", 1).await;
+    }
+
+    /// Sends the daemon a report of another writer, which names the address of this target, a later start and a service that
+    /// nobody runs.
+    pub(crate) async fn report_foreign(&self) {
+        let State { name, born, .. } = self.lock().clone();
+        self.send_report(&format!("{name}-other"), "another", born + 1, "ready", 1).await;
+    }
+
+    async fn send_report(&self, name: &str, service: &str, born: u128, state: &str, sequence: u64) {
+        let addr = self.0.addrs.link_addr();
+        let body = format!(
+            r#"{{"address":"{addr}","born":{born},"info":{{"service":"{service}","slots":{SLOTS}}},
+                "status":{{"state":"{state}","seq":{sequence},"cold_left_ms":0}}}}"#
+        );
+        let request = Request::builder().method(Method::PUT).uri(format!("/-/instances/{name}"));
+        // A failure is ignored: if the daemon is down, a later report reaches it.
+        let _ = net::send(self.0.addrs.control_addr(), request, body).await;
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -140,21 +169,16 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tick.tick().await;
-            let State { name, born, reports, leaving, .. } = {
+            let State { name, born, reports, leaving, departed, .. } = {
                 let mut state = self.lock();
                 state.reports += 1;
                 state.clone()
             };
+            if departed {
+                return;
+            }
             let state = if leaving { "draining" } else { "ready" };
-            let (addr, service) = (self.0.addrs.link_addr(), self.0.service);
-            let body = format!(
-                r#"{{"address":"{addr}","born":{born},"info":{{"service":"{service}","slots":{SLOTS}}},
-                    "status":{{"state":"{state}","seq":{reports},"cold_left_ms":0}}}}"#
-            );
-            let request =
-                Request::builder().method(Method::PUT).uri(format!("/-/instances/{name}"));
-            // A failure is ignored: if the daemon is down, a later report reaches it.
-            let _ = net::send(self.0.addrs.control_addr(), request, body).await;
+            self.send_report(&name, self.0.service, born, state, reports).await;
         }
     }
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -107,3 +107,23 @@
     history.overdue = vec![3];
     expect_that!(broken(&history), elements_are![eq(&Promise::Stopped), eq(&Promise::Recovered)]);
 }
+
+/// Guards against a check that misses requests to a target whose end was acknowledged.
+#[gtest]
+fn requests_for_a_target_that_has_left_are_found() {
+    let mut history = served_history();
+    history.departed = vec![("i-1".to_owned(), ms(23_500))];
+    expect_that!(broken(&history), is_empty());
+    history.departed = vec![("i-1".to_owned(), ms(20_000))];
+    expect_that!(broken(&history), elements_are![eq(&Promise::Departed)]);
+}
+
+/// Guards against a check that misses a target that is not used although it reports itself.
+#[gtest]
+fn targets_that_are_not_used_are_found() {
+    let mut history = served_history();
+    history.reporting = vec!["i-1".to_owned()];
+    expect_that!(broken(&history), is_empty());
+    history.reporting.push("i-2".to_owned());
+    expect_that!(broken(&history), elements_are![eq(&Promise::Used)]);
+}
