--- a/crates/daemon/src/departures.rs
+++ b/crates/daemon/src/departures.rs
@@ -2,8 +2,8 @@
 
 /// What others know of the targets on this host that left, or were draining, when an earlier process here ended.
 ///
-/// Neither the store nor peers know all of it: a peer may not have been told before the process was killed, and the store
-/// may have been down when a target left.
+/// Neither the store nor peers know all of it: a peer may not have been told before the process was
+/// killed, and the store may have been down when a target left.
 #[derive(Clone, Debug, Default)]
 pub struct Departures {
     tombstones: Vec<Tombstone>,
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -55,8 +55,8 @@
         }
     }
 
-    /// Whether a response with this status, if it does not state that the request was refused, would tell callers that it has
-    /// not run although it may have.
+    /// Whether a response with this status, if it does not state that the request was refused, would
+    /// tell callers that it has not run although it may have.
     pub(crate) fn is_false_promise(&self, status: StatusCode) -> bool {
         let promises = [
             StatusCode::REQUEST_TIMEOUT,
--- a/crates/daemon/src/proxy/access.rs
+++ b/crates/daemon/src/proxy/access.rs
@@ -143,8 +143,8 @@
     }
 }
 
-/// The refusal of a request that may not be retried, because its key was removed or the daemon stops. An earlier attempt
-/// may have run the request, so the reason does not say that it was not run.
+/// The refusal of a request that may not be retried, because its key was removed or the daemon stops.
+/// An earlier attempt may have run the request, so the reason does not say that it was not run.
 pub(super) fn refuse_retry(last: Refusal, no_retry: Reason, unknown: bool) -> Refusal {
     let refusal = Refusal { no_retry: Some(no_retry), ..last };
     if unknown { refusal.with_unknown_outcome() } else { refusal }
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -117,8 +117,8 @@
         result
     }
 
-    /// Refuses a request if the daemon is draining. A target on this host may need nested calls to complete a request in
-    /// flight there.
+    /// Refuses a request if the daemon is draining. A target on this host may need nested calls to
+    /// complete a request in flight there.
     fn check_draining(&self, call: &Call) -> Result<(), Refusal> {
         if self.is_draining() && call.depth() == 0 {
             return Err(Refusal::new(Reason::Draining));
@@ -222,8 +222,8 @@
         }
     }
 
-    /// Replaces the response of a target that may have run the request by one that promises nothing, as its caller would repeat
-    /// the request otherwise.
+    /// Replaces the response of a target that may have run the request by one that promises nothing, as
+    /// its caller would repeat the request otherwise.
     fn withhold(&self, response: Response<Payload>) -> Response<Payload> {
         self.tasks.spawn(discard(response.into_body()));
         answer::refuse_for_caller(&Refusal::new(Reason::ProtocolError), &self.dialect)
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -253,8 +253,8 @@
         self.log.write(&event);
     }
 
-    /// Counts and logs a finding about the operator's configuration. The `version` is used apart from the value that the finding
-    /// is about; without one, the configuration is not used at all.
+    /// Counts and logs a finding about the operator's configuration. The `version` is used apart from
+    /// the value that the finding is about; without one, the configuration is not used at all.
     pub fn report_config(&self, version: Option<u64>, detail: String) {
         self.counters.config_found(version.is_some());
         let event = Event::new(Kind::ConfigFinding).with_some(Field::Version, version);
--- a/crates/daemon/src/tombstones.rs
+++ b/crates/daemon/src/tombstones.rs
@@ -26,8 +26,8 @@
 /// acknowledged within a second.
 const SAVE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The longest random delay before the store is read, so that the processes of a fleet that starts do not all read it at
-/// the same moment.
+/// The longest random delay before the store is read, so that the processes of a fleet that starts do
+/// not all read it at the same moment.
 const READ_SPREAD: Duration = Duration::from_millis(100);
 
 /// Bounds of the delay before a failed call is repeated.
@@ -66,8 +66,8 @@
         departures
     }
 
-    /// Writes tombstones to the store and waits for it, but not for long. Those that the store does not take at once are
-    /// written later.
+    /// Writes tombstones to the store and waits for it, but not for long. Those that the store does not
+    /// take at once are written later.
     pub(crate) async fn save(&self, tombstones: Vec<Tombstone>) {
         let (done, written) = oneshot::channel();
         if self.tx.send(Message::Save { tombstones, done }).await.is_ok() {
@@ -177,7 +177,8 @@
         Self { task, pending: Vec::new(), lease: None, backoff, retry_at: Instant::now() }
     }
 
-    /// Adds a tombstone. All of one target have the same key, which a transaction may write only once; the last covers most.
+    /// Adds a tombstone. All of one target have the same key, which a transaction may write only once;
+    /// the last covers most.
     fn add(&mut self, tombstone: Tombstone) {
         self.pending.retain(|pending| pending.name != tombstone.name);
         self.pending.push(tombstone);
--- a/crates/daemon/tests/departures.rs
+++ b/crates/daemon/tests/departures.rs
@@ -8,8 +8,8 @@
     vec![Tombstone::of_departed(name.into(), 100)]
 }
 
-/// Guards against a target that is opened on the word of a peer that was not told of its end, while the store, which was,
-/// has not answered yet.
+/// Guards against a target that is opened on the word of a peer that was not told of its end, while the
+/// store, which was, has not answered yet.
 #[gtest]
 fn the_word_of_a_peer_does_not_replace_the_stores() {
     let mut departures = Departures::default();
--- a/crates/request/src/gate/reported_targets.rs
+++ b/crates/request/src/gate/reported_targets.rs
@@ -166,8 +166,8 @@
         self
     }
 
-    /// Keeps targets closed until [`Self::learn_former`] has told which ones left before this process started, or until they
-    /// have sent two reports at least `interval` apart.
+    /// Keeps targets closed until [`Self::learn_former`] has told which ones left before this process
+    /// started, or until they have sent two reports at least `interval` apart.
     #[must_use]
     pub const fn with_unknown_former(mut self, interval: Duration) -> Self {
         self.former = FormerTargets::Unknown { interval };
@@ -180,9 +180,10 @@
         &self.list
     }
 
-    /// Applies a report. A later incarnation with the same name or address replaces an earlier one once that one's reports
-    /// are overdue. An earlier one, whose reports may only have been held up on their way, replaces a later one only once
-    /// that one is silent and the earlier one goes on reporting.
+    /// Applies a report. A later incarnation with the same name or address replaces an earlier one once
+    /// that one's reports are overdue. An earlier one, whose reports may only have been held up on
+    /// their way, replaces a later one only once that one is silent and the earlier one goes on
+    /// reporting.
     pub fn apply_report(&mut self, report: TargetReport, now: Instant) -> ReportEffect {
         if self.service.as_ref().is_some_and(|service| *service != report.service) {
             return ReportEffect::Foreign;
@@ -245,8 +246,8 @@
         }
     }
 
-    /// Whether an incarnation that is not listed may take the place of those that hold its name or its address. Returns when
-    /// it first claimed it.
+    /// Whether an incarnation that is not listed may take the place of those that hold its name or its
+    /// address. Returns when it first claimed it.
     fn check_claim(
         &self,
         report: &TargetReport,
@@ -299,7 +300,8 @@
         self.claims.push(Claim { report, first_at: now, newest_at: now });
     }
 
-    /// Whether a target is known not to have left before this process started; `first_at` is the time of an earlier report.
+    /// Whether a target is known not to have left before this process started; `first_at` is the time
+    /// of an earlier report.
     fn is_confirmed(&self, first_at: Option<Instant>, now: Instant) -> bool {
         match self.former {
             FormerTargets::Known => true,
--- a/crates/request/src/workspace/electorate.rs
+++ b/crates/request/src/workspace/electorate.rs
@@ -10,8 +10,9 @@
 /// a partition may run requests for as long.
 const KNOWN_FOR: Duration = Duration::from_secs(60);
 
-/// Time after a view with half as many daemons again in which further ones are expected, as a whole fleet that starts finds
-/// itself part by part. Until then each part would admit what is meant for the whole.
+/// Time after a view with half as many daemons again in which further ones are expected, as a whole
+/// fleet that starts finds itself part by part. Until then each part would admit what is meant for the
+/// whole.
 const JOIN_TIME: Duration = Duration::from_millis(1000);
 
 /// Time after the first view in which a daemon that knows no other is expected to find some.
@@ -64,7 +65,8 @@
         self
     }
 
-    /// Sets that other daemons are found otherwise than through the settings, so that their number is not known at the start.
+    /// Sets that other daemons are found otherwise than through the settings, so that their number is
+    /// not known at the start.
     #[must_use]
     pub const fn with_discovery(mut self) -> Self {
         self.discovering = true;
--- a/crates/request/tests/quota.rs
+++ b/crates/request/tests/quota.rs
@@ -442,8 +442,9 @@
     expect_that!(electorate.leases_from("w", &owner), some(eq(joined + ms(1500))));
 }
 
-/// Guards against daemons that each admit what is meant for all of them, from their first request on, because they have just
-/// started and have not found each other yet: all at once or one after the other, in parts that grow.
+/// Guards against daemons that each admit what is meant for all of them, from their first request on,
+/// because they have just started and have not found each other yet: all at once or one after the
+/// other, in parts that grow.
 #[gtest]
 fn daemons_that_find_each_other_admit_no_more_than_the_bound() {
     let allotment = Allotment { rate: RequestRate::new(20), burst: 20 };
--- a/crates/request/tests/quota_model.rs
+++ b/crates/request/tests/quota_model.rs
@@ -764,8 +764,8 @@
     expect_that!(loss, lt(0.02));
 }
 
-/// Guards against the same where daemons find each other, and may not admit requests without the owner's answer until they
-/// know how many they are.
+/// Guards against the same where daemons find each other, and may not admit requests without the
+/// owner's answer until they know how many they are.
 #[gtest]
 fn little_is_lost_where_daemons_find_each_other() {
     let (mut arrived, mut lost) = (0, 0);
--- a/crates/request/tests/reported_targets.rs
+++ b/crates/request/tests/reported_targets.rs
@@ -137,8 +137,8 @@
     expect_that!(targets.apply_report(report("a", 100, 6), at), eq(ReportEffect::Same));
 }
 
-/// Guards against late reports of an incarnation that crashed which, one after the other or together, take the place of the
-/// next one, and against those that arrive after the next one has left.
+/// Guards against late reports of an incarnation that crashed which, one after the other or together,
+/// take the place of the next one, and against those that arrive after the next one has left.
 #[gtest]
 fn late_reports_of_a_crashed_target_do_not_bring_it_back() {
     let now = Instant::now();
@@ -290,8 +290,8 @@
     expect_that!(targets.list()[0].is_open(), eq(true));
 }
 
-/// Guards against a target that gets no request for as long as nobody can tell whether it left, and against late reports
-/// that arrive together and open one.
+/// Guards against a target that gets no request for as long as nobody can tell whether it left, and
+/// against late reports that arrive together and open one.
 #[gtest]
 fn a_target_that_keeps_reporting_is_opened_without_knowing_the_past() {
     let now = Instant::now();
@@ -305,8 +305,8 @@
     expect_that!(targets.list()[0].is_open(), eq(true));
 }
 
-/// Guards against a target that is not used because a late report of one that left arrived before it, at a process that has
-/// just started.
+/// Guards against a target that is not used because a late report of one that left arrived before it,
+/// at a process that has just started.
 #[gtest]
 fn a_late_report_after_a_restart_holds_no_address() {
     let now = Instant::now();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -358,8 +358,8 @@
         self.recorder.history().named.push(Named { target: name, rate, from, until });
     }
 
-    /// Lets a target leave, its daemon forget what it knew, and an earlier report arrive; the target accepts requests for
-    /// `time` after that.
+    /// Lets a target leave, its daemon forget what it knew, and an earlier report arrive; the target
+    /// accepts requests for `time` after that.
     async fn report_late(&self, idx: usize, time: Duration) -> Result<(), Error> {
         let (target, _) = &self.targets[idx];
         target.leave();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -85,8 +85,8 @@
         /// The host of the target.
         host: usize,
     },
-    /// A target leaves, its daemon is killed after it was told, and starts again, and an earlier report of the target arrives
-    /// late. The target still accepts requests.
+    /// A target leaves, its daemon is killed after it was told, and starts again, and an earlier report
+    /// of the target arrives late. The target still accepts requests.
     #[display("late-report")]
     LateReport {
         /// The host of the target.
@@ -156,8 +156,8 @@
     }
 }
 
-/// Draws faults in which several things happen at one host, or one thing at all hosts. They have a generator of their own, so
-/// that the other faults of a seed stay as they are.
+/// Draws faults in which several things happen at one host, or one thing at all hosts. They have a
+/// generator of their own, so that the other faults of a seed stay as they are.
 fn combined_faults(
     seed: u64,
     hosts: usize,
--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -142,8 +142,8 @@
         self.send_report(&name, self.0.service, born, "ready", 1).await;
     }
 
-    /// Sends the daemon a report of another writer, which names the address of this target, a later start and a service that
-    /// nobody runs.
+    /// Sends the daemon a report of another writer, which names the address of this target, a later
+    /// start and a service that nobody runs.
     pub(crate) async fn report_foreign(&self) {
         let State { name, born, .. } = self.lock().clone();
         self.send_report(&format!("{name}-other"), "another", born + 1, "ready", 1).await;
--- a/crates/tables/src/unknown.rs
+++ b/crates/tables/src/unknown.rs
@@ -6,8 +6,8 @@
 };
 use serde_json::Value;
 
-/// The fields of a row that a later release added. They have no effect, but are kept in their order, so that the row has
-/// the hash that it had where it was written, and reaches other daemons whole.
+/// The fields of a row that a later release added. They have no effect, but are kept in their order, so
+/// that the row has the hash that it had where it was written, and reaches other daemons whole.
 ///
 /// They stand behind the known fields in the canonical text, as a release adds fields at the end.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/tables/tests/delta.rs
+++ b/crates/tables/tests/delta.rs
@@ -108,8 +108,8 @@
     r#""certificates":[{"name":"c"}],"alerts":[]}"#,
 );
 
-/// Guards against a daemon that refuses a version because of fields that a later release added, or that computes another
-/// hash for it or passes it on without them.
+/// Guards against a daemon that refuses a version because of fields that a later release added, or that
+/// computes another hash for it or passes it on without them.
 #[gtest]
 fn fields_of_a_later_release_are_kept() {
     let tables = Tables::from_canonical(LATER_TEXT).expect("tables");
