Revert "Admit nothing on one's own until the number of daemons is known"

The change keeps the bound after a restart of all daemons (the review's test held in four of four runs), but a fleet that has just started then refuses all requests of workspaces with a limit for a second or two.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,7 +8,6 @@
 use dw_log::{Event, Field, Kind, Log, LogError};
 use dw_mesh::{Member, Node, NodeConfig, Preset, Target};
 use dw_platform::{HttpPlatform, Platform};
-use dw_request::Electorate;
 use thiserror::Error;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -155,17 +154,6 @@
     platform: Option<P>,
 }
 
-/// The view of the other daemons in which quotas are decided.
-fn electorate(settings: &Settings, has_platform: bool) -> Electorate {
-    let others = settings.join.iter().filter(|addr| **addr != settings.peers).count();
-    let electorate = Electorate::default().with_configured(others + 1);
-    // Daemons are also found through those of the settings, and through the store.
-    match others > 0 || has_platform {
-        true => electorate.with_discovery(),
-        false => electorate,
-    }
-}
-
 fn launch<P: Platform>(
     settings: &Settings,
     options: LaunchOptions<P>,
@@ -184,16 +172,7 @@
 
     let config = node_config(settings, options.preset);
     let own = Member::new(&config);
-    let electorate = electorate(settings, options.platform.is_some());
-    let proxy = Proxy::new(
-        settings,
-        options.dialect,
-        own,
-        electorate,
-        counters.clone(),
-        log.clone(),
-        &tasks,
-    );
+    let proxy = Proxy::new(settings, options.dialect, own, counters.clone(), log.clone(), &tasks);
     proxy.set_node(node_tx.clone());
 
     let links = Links {
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -11,8 +11,8 @@
 use dw_log::{Event, Field, Kind, Log};
 use dw_mesh::{Input, LocalEvent, Member, MemberTable};
 use dw_request::{
-    Dispatcher, DispatcherConfig, Electorate, Fingerprint, Keeper, KeeperConfig, POISON_DURATION,
-    Reason, Refusal, ReportedTarget, StopLimit,
+    Dispatcher, DispatcherConfig, Fingerprint, Keeper, KeeperConfig, POISON_DURATION, Reason,
+    Refusal, ReportedTarget, StopLimit,
 };
 use dw_tables::{Name, Version};
 use http::{Request, Response};
@@ -118,7 +118,6 @@
         settings: &Settings,
         dialect: Dialect,
         own: Member,
-        electorate: Electorate,
         counters: Counters,
         log: Log,
         tasks: &Tasks,
@@ -141,6 +140,7 @@
             .map(|(t, idx)| Arc::new(LocalTarget::new(idx, Name::default(), t, tasks.clone())));
         let targets: Vec<_> = targets.collect();
         let incarnation = own.started;
+        let configured = settings.join.iter().filter(|addr| **addr != settings.peers).count() + 1;
         let proxy = Arc::new(Self {
             host,
             started: Instant::now(),
@@ -160,7 +160,7 @@
             permits: Arc::new(Semaphore::new(settings.limits.requests as usize)),
             draining: AtomicBool::new(false),
             stop_limit: Mutex::default(),
-            quota: QuotaHandle::new(settings.host.clone(), electorate, counters.clone()),
+            quota: QuotaHandle::new(settings.host.clone(), configured, counters.clone()),
             in_flight: TaskTracker::new(),
             counters,
             log,
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dw_mesh::MemberTable;
-use dw_request::{Allotment, Electorate, Member, Reason, Refusal, Take};
+use dw_request::{Allotment, Member, Reason, Refusal, Take};
 use dw_tables::{Name, Version};
 use tokio::{
     sync::Notify,
@@ -44,9 +44,10 @@
 }
 
 impl QuotaHandle {
-    /// Creates the handle of a daemon that knows no workspaces yet.
-    pub(crate) fn new(host: Name, electorate: Electorate, counters: Counters) -> Self {
-        let state = Mutex::new(State::new(host, electorate));
+    /// Creates the handle of a daemon that knows no workspaces yet. The settings name `configured` daemons,
+    /// including this one.
+    pub(crate) fn new(host: Name, configured: usize, counters: Counters) -> Self {
+        let state = Mutex::new(State::new(host, configured));
         Self(Arc::new(Shared { state, wake: Notify::new(), counters }))
     }
 
--- a/crates/daemon/src/quota/state.rs
+++ b/crates/daemon/src/quota/state.rs
@@ -47,11 +47,11 @@
 }
 
 impl State {
-    pub(super) fn new(host: Name, electorate: Electorate) -> Self {
+    pub(super) fn new(host: Name, configured: usize) -> Self {
         Self {
             host,
             quotas: HashMap::new(),
-            electorate,
+            electorate: Electorate::default().with_configured(configured),
             addrs: HashMap::new(),
             entries: HashMap::new(),
             owners: HashMap::new(),
@@ -97,13 +97,13 @@
     }
 
     pub(super) fn entry(&mut self, name: &Name, quota: Allotment, now: Instant) -> &mut Entry {
-        let (members, settled) = (self.electorate.known(now), self.electorate.is_settled(now));
+        let members = self.electorate.known(now);
         let new = || Entry {
             holder: CreditHolder::new(quota, unix_ms() << ID_BITS, rand::random(), now),
             answered: Arc::default(),
         };
         let entry = self.entries.entry(name.clone()).or_insert_with(new);
-        entry.holder.set_members(members, settled);
+        entry.holder.set_members(members);
         entry
     }
 
--- a/crates/request/src/workspace/electorate.rs
+++ b/crates/request/src/workspace/electorate.rs
@@ -10,14 +10,6 @@
 /// a partition may run requests for as long.
 const KNOWN_FOR: Duration = Duration::from_secs(60);
 
-/// Time after a view with half as many daemons again in which further ones are expected, as a whole
-/// fleet that starts finds itself part by part. Until then each part would admit what is meant for the
-/// whole.
-const JOIN_TIME: Duration = Duration::from_millis(1000);
-
-/// Time after the first view in which a daemon that knows no other is expected to find some.
-const SEARCH_TIME: Duration = Duration::from_millis(2000);
-
 /// The candidates for the ownership of workspaces in one view.
 #[derive(Debug)]
 struct Candidates {
@@ -50,10 +42,6 @@
     joined: bool,
     /// Number of daemons that the settings name.
     configured: usize,
-    /// Whether other daemons are found otherwise than through the settings.
-    discovering: bool,
-    /// The first view, or the last one with half as many daemons again as the one before: its time and their number.
-    grown: Option<(Instant, usize)>,
 }
 
 impl Electorate {
@@ -65,14 +53,6 @@
         self
     }
 
-    /// Sets that other daemons are found otherwise than through the settings, so that their number is
-    /// not known at the start.
-    #[must_use]
-    pub const fn with_discovery(mut self) -> Self {
-        self.discovering = true;
-        self
-    }
-
     /// Applies a view of the members, which includes this daemon.
     ///
     /// A suspect can still be an owner, because most suspicions are refuted, but does not count as
@@ -87,9 +67,6 @@
             }
         }
         self.started.get_or_insert(now);
-        if self.grown.is_none_or(|(_, count)| members.len() >= count + count.div_ceil(2)) {
-            self.grown = Some((now, members.len()));
-        }
         let ranking = |states: &[MemberState]| {
             let fit = members.iter().filter(|m| states.contains(&m.state));
             Ranking::new(fit.map(|m| m.host.clone()))
@@ -168,13 +145,6 @@
         self.seen.len().max(configured).max(1)
     }
 
-    /// Whether the number of daemons is known, so that this one may admit its part of a rate without asking.
-    #[must_use]
-    pub fn is_settled(&self, now: Instant) -> bool {
-        let time = if self.joined { JOIN_TIME } else { SEARCH_TIME };
-        !self.discovering || self.grown.is_some_and(|(at, _)| at + time <= now)
-    }
-
     /// The part of the rate that an owner on this daemon may lease out.
     pub fn fraction(&mut self, now: Instant) -> f64 {
         let known = self.known(now);
--- a/crates/request/src/workspace/holder.rs
+++ b/crates/request/src/workspace/holder.rs
@@ -79,8 +79,6 @@
 pub struct CreditHolder {
     allotment: Allotment,
     members: usize,
-    /// Whether `members` is known to be all.
-    settled: bool,
     batches: VecDeque<(u32, Instant)>,
     denied: Option<Denial>,
     open: Option<Open>,
@@ -97,8 +95,6 @@
     /// Whether requests wait for the owner although it did not answer before.
     retrying: bool,
     local: LocalBucket,
-    /// Whether the local bucket was started since the owner stopped answering.
-    local_started: bool,
 }
 
 impl CreditHolder {
@@ -109,7 +105,6 @@
         Self {
             allotment,
             members: 1,
-            settled: true,
             batches: VecDeque::new(),
             denied: None,
             open: None,
@@ -123,7 +118,6 @@
             asked: now,
             retrying: false,
             local: LocalBucket::new(phase),
-            local_started: false,
         }
     }
 
@@ -135,11 +129,9 @@
         }
     }
 
-    /// Sets the number of daemons that share the rate, see [`super::Electorate::known`], and whether these are all, see
-    /// [`super::Electorate::is_settled`]. Until they are, nothing is admitted without the owner's answer.
-    pub const fn set_members(&mut self, members: usize, settled: bool) {
+    /// Sets the number of daemons that share the rate; see [`super::Electorate::known`].
+    pub const fn set_members(&mut self, members: usize) {
         self.members = members;
-        self.settled = settled;
     }
 
     /// Takes a token for a request. After [`Take::Ask`] the request waits until the credit request that
@@ -178,9 +170,6 @@
             self.retrying = true;
             return Take::Ask;
         }
-        if !self.local_started {
-            self.start_local(now);
-        }
         match self.local.take(self.local_rate(since, now), now) {
             Ok(()) => {
                 self.spent += 1;
@@ -262,14 +251,6 @@
         self.asked = self.asked.max(now - PROBE_INTERVAL);
         if self.alone.is_none() {
             self.alone = Some(now);
-            self.start_local(now);
-        }
-    }
-
-    /// Starts the local bucket, once the number of daemons is known.
-    fn start_local(&mut self, now: Instant) {
-        self.local_started = self.settled;
-        if self.settled {
             self.local.start(self.local_rate(now, now), self.members, now);
         }
     }
@@ -309,9 +290,6 @@
 
     /// The rate of the local bucket.
     fn local_rate(&self, since: Instant, now: Instant) -> f64 {
-        if !self.settled {
-            return 0.0;
-        }
         let equal = self.allotment.per_second() / as_f64(self.members.max(1));
         if now.saturating_duration_since(since) >= SHARE_PERIOD {
             return equal;
