--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -16,7 +16,7 @@
     let mut kinds: Vec<_> = all.map(|plan| plan.fault.to_string()).collect();
     kinds.sort_unstable();
     kinds.dedup();
-    expect_that!(kinds, len(eq(14)));
+    expect_that!(kinds, len(eq(17)));
 }
 
 /// Guards against daemons that break a promise to callers or targets while faults overlap.
