Review case 8: unread answers keep those of other consumers from arriving

Seen: a quarter of the consumers on one machine don't read answers of 16 MB. Of the requests of the others, which may run once and were answered by their upstreams within 20 ms, about 150 in 20 s end at their time limit with a closed connection and no whole answer. Cause: all answers between two daemons share one HTTP/2 connection of 5 MB of window, of which an answer that isn't read holds 2 MB until its deadline. It takes the place of the case on crashing requests, whose check stays in common-2. The case on a host with a capital letter is number 10 now. The stand-ins wait two seconds longer at the start, and are formatted.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,4 +5,4 @@
     echo "build with the command of deploy/system.toml and review/build-2.sh first" >&2
     exit 2
 fi
-exec target/review-2/review-2 crasher review/10/record.txt
+exec target/review-2/review-2 spelling review/10/record.txt
--- a/review/common-2/cases.rs
+++ b/review/common-2/cases.rs
@@ -7,21 +7,22 @@
 mod quota;
 mod second_answer;
 mod spelling;
+mod unread;
 
 use std::{
     io,
     sync::{
-        Arc,
         atomic::{AtomicU64, Ordering},
+        Arc,
     },
     time::Duration,
 };
 
 use crate::{
-    Outcome,
-    fleet::{HOST, Result},
-    http::{Answer, Client, request},
+    fleet::{Result, HOST},
+    http::{request, Answer, Client},
     record::Record,
+    Outcome,
 };
 
 /// `config_apply_ms` of the settings.
@@ -41,6 +42,7 @@
         "spelling" => spelling::run(trouble, record),
         "idempotency" => idempotency::run(trouble, record),
         "crasher" => crasher::run(trouble, record),
+        "unread" => unread::run(trouble, record),
         "popular" => popular::run(trouble, record),
         "quota" => quota::run(trouble, record),
         _ => Err(format!("unknown case {name}").into()),
@@ -63,8 +65,11 @@
     more: &[(&str, &str)],
     body: &[u8],
 ) -> Vec<u8> {
-    let mut headers =
-        vec![("Host", HOST), ("X-Damaskwick-Request-Id", id), ("X-Damaskwick-Deadline-Ms", limit_ms)];
+    let mut headers = vec![
+        ("Host", HOST),
+        ("X-Damaskwick-Request-Id", id),
+        ("X-Damaskwick-Deadline-Ms", limit_ms),
+    ];
     headers.extend_from_slice(more);
     request(method, path, &headers, body)
 }
--- a/review/common-2/cases/crasher.rs
+++ b/review/common-2/cases/crasher.rs
@@ -3,20 +3,20 @@
 use std::{
     io,
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant},
 };
 
-use super::{STABLE_WINDOW, message, new_id, send};
+use super::{message, new_id, send, STABLE_WINDOW};
 use crate::{
-    Outcome,
-    fleet::{Fleet, Result, Route, SMALL, config},
-    http::{Client, read_body},
+    fleet::{config, Fleet, Result, Route, SMALL},
+    http::{read_body, Client},
     record::Record,
     upstream::{AnyBehaviour, Flow},
+    Outcome,
 };
 
 /// Time after a crash until the upstream is back.
--- a/review/common-2/cases/idempotency.rs
+++ b/review/common-2/cases/idempotency.rs
@@ -4,11 +4,11 @@
 
 use super::{message, new_id, send, stamp_of};
 use crate::{
-    Outcome,
-    fleet::{Fleet, Result, Route, SMALL, config},
+    fleet::{config, Fleet, Result, Route, SMALL},
     http::Client,
     record::Record,
     upstream::sound,
+    Outcome,
 };
 
 /// The deployment has run for this long when the requests are sent. Before, all requests with the header
--- a/review/common-2/cases/keys.rs
+++ b/review/common-2/cases/keys.rs
@@ -2,13 +2,13 @@
 
 use std::{collections::HashMap, sync::Arc, thread, time::Duration};
 
-use super::{CONFIG_APPLY, message, new_id, send};
+use super::{message, new_id, send, CONFIG_APPLY};
 use crate::{
-    Outcome,
-    fleet::{Fleet, Result, Route, config},
+    fleet::{config, Fleet, Result, Route},
     http::Client,
     record::Record,
     upstream::sound,
+    Outcome,
 };
 
 const CONTRACTS: &str =
@@ -71,7 +71,8 @@
         runs.iter().filter(|run| labels.get(&run.id).is_some_and(|own| *own == label)).count()
     };
     let passed_on = runs.iter().filter(|run| run.head.get("authorization").is_some()).count();
-    let (first_key, never_held, no_key) = (count("first-key"), count("never-held"), count("no-key"));
+    let (first_key, never_held, no_key) =
+        (count("first-key"), count("never-held"), count("no-key"));
     record.say(&format!(
         "sent later than config_apply_ms after the ack, of 15 each: {first_key} ran with the key of the first version, {never_held} with a key that no version held, {no_key} without a key; {passed_on} keys were passed on to upstreams"
     ));
--- a/review/common-2/cases/popular.rs
+++ b/review/common-2/cases/popular.rs
@@ -7,13 +7,13 @@
     time::{Duration, Instant},
 };
 
-use super::{CLIENT_WAIT, message, new_id};
+use super::{message, new_id, CLIENT_WAIT};
 use crate::{
-    Outcome,
-    fleet::{Fleet, Result, Route, SMALL, config},
+    fleet::{config, Fleet, Result, Route, SMALL},
     http::Client,
     record::Record,
     upstream::sound,
+    Outcome,
 };
 
 const LENGTH: Duration = Duration::from_secs(30);
@@ -85,9 +85,9 @@
         record.line(&format!("second {second}: {counts:?}"));
     }
     let share = |kind: Option<&str>| {
-        let late = results.iter().filter(|(at, own, _)| {
-            *at >= JUDGED_FROM && kind.is_none_or(|kind| kind == *own)
-        });
+        let late = results
+            .iter()
+            .filter(|(at, own, _)| *at >= JUDGED_FROM && kind.is_none_or(|kind| kind == *own));
         let (all, served) = late.fold((0.0, 0.0), |(all, served), (_, _, status)| {
             (all + 1.0, served + f64::from(u8::from(*status == 200)))
         });
--- a/review/common-2/cases/second_answer.rs
+++ b/review/common-2/cases/second_answer.rs
@@ -5,8 +5,8 @@
     io::{self, Write},
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant},
@@ -14,11 +14,11 @@
 
 use super::{message, new_id, send, stamp_of};
 use crate::{
-    Outcome,
-    fleet::{Fleet, Result, Route, SMALL, config},
-    http::{Client, read_body},
+    fleet::{config, Fleet, Result, Route, SMALL},
+    http::{read_body, Client},
     record::Record,
-    upstream::{AnyBehaviour, Flow, sound},
+    upstream::{sound, AnyBehaviour, Flow},
+    Outcome,
 };
 
 /// How long the upstreams are faulty.
--- a/review/common-2/cases/spelling.rs
+++ b/review/common-2/cases/spelling.rs
@@ -2,13 +2,13 @@
 
 use std::{sync::Arc, thread, time::Duration};
 
-use super::{CONFIG_APPLY, message, new_id, send};
+use super::{message, new_id, send, CONFIG_APPLY};
 use crate::{
-    Outcome,
-    fleet::{Fleet, Result, Route, SMALL, config},
+    fleet::{config, Fleet, Result, Route, SMALL},
     http::Client,
     record::Record,
     upstream::sound,
+    Outcome,
 };
 
 pub fn run(trouble: bool, record: Arc<Record>) -> Result<Outcome> {
@@ -24,8 +24,12 @@
         }]
     };
     let services = ["ledger", "clearing"];
-    let places =
-        [("zone-a", "ledger"), ("zone-b", "ledger"), ("zone-a", "clearing"), ("zone-b", "clearing")];
+    let places = [
+        ("zone-a", "ledger"),
+        ("zone-b", "ledger"),
+        ("zone-a", "clearing"),
+        ("zone-b", "clearing"),
+    ];
     let first = config(7, &services, &routes("ledger"), None);
     let work = Duration::from_millis(5);
     let fleet = Fleet::start(&places, SMALL, &first, record.clone(), |_, _| sound(work))?;
--- a/review/common-2/fleet.rs
+++ b/review/common-2/fleet.rs
@@ -41,6 +41,9 @@
     });
 }
 
+/// Time from the moment at which all daemons are ready until the first request.
+const SETTLE_TIME: Duration = Duration::from_secs(6);
+
 pub const HEARTBEAT: Duration = Duration::from_millis(870);
 
 pub struct Machine {
@@ -157,8 +160,7 @@
         let store_addr = SocketAddr::from(([127, a, b, 1], 8627));
         let store = Store::start(store_addr)?;
         store.put("op/config", config);
-        let mut fleet =
-            Self { machines: Vec::new(), upstreams: Vec::new(), store, record, folder };
+        let mut fleet = Self { machines: Vec::new(), upstreams: Vec::new(), store, record, folder };
         for (idx, (zone, service)) in places.iter().enumerate() {
             let name = format!("m{}", idx + 1);
             let mut machine = Machine {
@@ -183,13 +185,12 @@
                 control: machine.control(),
             };
             let behaviour = behaviour(idx, &machine.service);
-            let upstream =
-                Upstream::start(place, 12, HEARTBEAT, fleet.record.clone(), behaviour)?;
+            let upstream = Upstream::start(place, 12, HEARTBEAT, fleet.record.clone(), behaviour)?;
             fleet.upstreams.push(upstream);
         }
         fleet.wait_ready(Duration::from_secs(15))?;
         // The upstreams report, and the daemons tell each other.
-        thread::sleep(Duration::from_secs(4));
+        thread::sleep(SETTLE_TIME);
         fleet.record.line("the deployment is up");
         Ok(fleet)
     }
@@ -293,8 +294,7 @@
 }
 
 /// The contracts of the small deployments.
-pub const SMALL: &str =
-    r#""base","drain","config","cost","retry","recover","platform""#;
+pub const SMALL: &str = r#""base","drain","config","cost","retry","recover","platform""#;
 
 /// One route of a configuration.
 pub struct Route {
--- a/review/common-2/http.rs
+++ b/review/common-2/http.rs
@@ -4,8 +4,8 @@
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::Duration,
--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -35,7 +35,8 @@
         }
     };
     fleet::limit_time();
-    record.line(&format!("case {name}, {} the disruption", if trouble { "with" } else { "without" }));
+    record
+        .line(&format!("case {name}, {} the disruption", if trouble { "with" } else { "without" }));
     let kept = record.clone();
     let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
         cases::run(&name, trouble, record)
--- a/review/common-2/store.rs
+++ b/review/common-2/store.rs
@@ -10,8 +10,8 @@
 };
 
 use crate::{
-    http::{Head, Server, read_body, read_head},
-    json::{Json, base64},
+    http::{read_body, read_head, Head, Server},
+    json::{base64, Json},
 };
 
 #[derive(Clone)]
@@ -201,8 +201,7 @@
                 let lease_of =
                     |row: &Json| row.get("lease_id").and_then(Json::num).unwrap_or(0.0) as i64;
                 let sets = list("set_keys");
-                let gone =
-                    |id: &i64| *id != 0 && !state.leases.contains_key(id);
+                let gone = |id: &i64| *id != 0 && !state.leases.contains_key(id);
                 if sets.iter().map(lease_of).any(|id| gone(&id)) {
                     return (404, "{}".into());
                 }
--- a/review/common-2/upstream.rs
+++ b/review/common-2/upstream.rs
@@ -4,15 +4,15 @@
     io::{self, BufReader, Write},
     net::{SocketAddr, TcpStream},
     sync::{
-        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
-    http::{Head, Server, ask, read_body, read_head, request},
+    http::{ask, read_body, read_head, request, Head, Server},
     record::Record,
 };
 
@@ -112,17 +112,15 @@
         });
         upstream.open()?;
         let reporter = upstream.clone();
-        thread::spawn(move || {
-            loop {
-                let reports = {
-                    let life = reporter.life.lock().unwrap();
-                    life.up && life.reporting
-                };
-                if reports {
-                    reporter.report("ready");
-                }
-                thread::sleep(reporter.heartbeat);
+        thread::spawn(move || loop {
+            let reports = {
+                let life = reporter.life.lock().unwrap();
+                life.up && life.reporting
+            };
+            if reports {
+                reporter.report("ready");
             }
+            thread::sleep(reporter.heartbeat);
         });
         Ok(upstream)
     }
