--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Two upstreams of a service crash at once: is its most asked path served again afterwards?"""
+"""The operator takes a rollout back by ordering the version that runs; later all daemons are killed and start again."""
 
 import asyncio
 import os
@@ -9,84 +9,97 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib-3"))
 from standins import TROUBLE, Fleet, Upstream, config, main, request, route  # noqa: E402
 
-SERVICE, FIRST = "web", "desk"
-UPSTREAMS = 14
-CRASHED = 2  # 0.143 of the service's upstreams, where the site file has up to 0.14 and `kinds` 0.15
-DOWN_S = 4.5  # for_s of srv_crash in the site file
-STABLE_S = 3.0  # stable_window_ms
+SERVICE = "web"
+DURATION_S = 12
+RECOVERY_S = 15.0  # recovery_s
+BOUNDS = {"canary_share": 0.1, "canary_slack": 50, "rollback_ms": 5000}
 
 
 async def play():
-    fleet = Fleet(HERE, ["base", "drain", "config", "cost", "retry", "recover", "platform"], ["zone-a", "zone-b"])
+    fleet = Fleet(HERE, ["base", "drain", "config", "cost", "retry", "recover", "health", "pool", "rollout", "platform"],
+                  ["zone-a", "zone-b"], BOUNDS)
     record = fleet.record
-    web = [fleet.add("web-%d" % n, fleet.zones[n % 2], SERVICE) for n in range(UPSTREAMS)]
-    desk = [fleet.add("desk-%d" % n, fleet.zones[n % 2], FIRST) for n in range(4)]
+    old = [fleet.add("old-%d" % n, fleet.zones[n % 2], SERVICE) for n in range(3)]
+    new = [fleet.add("new-%d" % n, fleet.zones[n % 2], SERVICE) for n in range(3)]
     await fleet.open()
-    upstreams = [Upstream(m, SERVICE, "v1", record, work_s=0.35) for m in web]
-    others = [Upstream(m, FIRST, "v1", record) for m in desk]
+    upstreams = [Upstream(m, SERVICE, "v1", record, slots=40) for m in old]
+    upstreams += [Upstream(m, SERVICE, "v2", record, slots=40) for m in new]
     tasks, results = [], []
     try:
-        first = [route("r-desk", "/desk/", "safe", FIRST)]
-        await fleet.store.operator_put("op/config", config("r3", [FIRST, SERVICE], first))
-        for machine in web + desk:
+        await fleet.store.operator_put("op/config", config("r3", [SERVICE], [route("r-web", "/web/", "safe", SERVICE)]))
+        for machine in old + new:
             machine.start()
-        for upstream in upstreams + others:
+        for upstream in upstreams:
             await upstream.start()
-        await fleet.wait_ready(web + desk)
-        await asyncio.sleep(2)
-        added = first + [route("r-web", "/web/", "safe", SERVICE)]
-        await fleet.store.operator_put("op/config", config("r5", [FIRST, SERVICE], added))
-        record.say("operator adds the route /web/")
+        await fleet.wait_ready(old + new)
         await asyncio.sleep(3)
 
-        async def one(machine, path):
+        async def one(machine):
+            ident = "%016x" % random.getrandbits(64)
             at = record.now()
-            _, status, fields, _ = await request(machine, "GET", path, record=record)
-            results.append((at, path, status, fields.get("damaskwick-reason", "")))
+            _, status, fields, _ = await request(machine, "GET", "/web/" + ident, ident=ident, record=record)
+            results.append((at, status, fields.get("damaskwick-reason", "")))
 
-        async def consume(machine, path, per_s):
+        async def consume(machine):
             while True:
-                await asyncio.sleep(random.expovariate(per_s))
-                tasks.append(asyncio.ensure_future(one(machine, path)))
+                await asyncio.sleep(random.expovariate(20))
+                tasks.append(asyncio.ensure_future(one(machine)))
 
-        # Consumers read the same list, as browsers do.
-        for machine in web + desk:
-            tasks.append(asyncio.ensure_future(consume(machine, "/web/list", 14)))
-            tasks.append(asyncio.ensure_future(consume(machine, "/desk/list", 2)))
-        await asyncio.sleep(4)
-        crashed = record.now()
-        if TROUBLE:
-            # Both in one zone.
-            hit = random.sample([up for up in upstreams if up.machine.zone == "zone-a"], CRASHED)
-            for upstream in hit:
-                upstream.stop()
-            record.say("upstreams crash:", *[up.machine.name for up in hit])
-            await asyncio.sleep(DOWN_S)
-            for upstream in hit:
-                await upstream.start()
-            record.say("they are back after %.1f s" % (record.now() - crashed))
-        calm = record.now() + STABLE_S
-        await asyncio.sleep(STABLE_S + 12)
+        for machine in old + new:
+            tasks.append(asyncio.ensure_future(consume(machine)))
+        await asyncio.sleep(1)
 
-        def served(path, since, until):
-            found = [s for at, p, s, _ in results if p == path and since <= at < until]
-            return sum(1 for s in found if 200 <= s < 300), len(found)
+        async def order(version):
+            await fleet.store.operator_put(
+                "op/rollout/" + SERVICE, {"service": SERVICE, "target_version": version, "duration_s": DURATION_S}
+            )
+            record.say("operator orders", version)
+
+        async def follow():
+            seen = None
+            while True:
+                status = fleet.store.operator_get("status/rollout/" + SERVICE)
+                if status != seen:
+                    seen = status
+                    record.say("status", status)
+                    if status and status["state"] == "complete" and status["target_version"] == "v2":
+                        for upstream in upstreams[:3]:
+                            upstream.stop()
+                        record.say("the old upstreams are stopped")
+                await asyncio.sleep(0.02)
 
-        end = record.now() - 3
-        before = served("/web/list", 0, crashed - 0.5)
-        later, early = served("/web/list", calm, end), served("/desk/list", calm, end)
-        reasons = {}
-        for at, path, status, reason in results:
-            if path == "/web/list" and calm <= at < end:
-                reasons[(status, reason)] = reasons.get((status, reason), 0) + 1
-        record.say("route added later, before the crash: served %d of %d" % before)
-        record.say("route added later, in steady state: served %d of %d" % later, reasons)
-        record.say("first route, in steady state: served %d of %d" % early)
-        return later[1] >= 20 and later[0] / later[1] < 0.25 * early[0] / early[1]
+        tasks.append(asyncio.ensure_future(follow()))
+        await order("v2")
+        await asyncio.sleep(3)
+        if TROUBLE:
+            # The operator takes the order back: the traffic shall go to the version that runs.
+            await order("v1")
+        await asyncio.sleep(2)
+        killed = record.now()
+        for machine in old + new:
+            machine.kill()
+        record.say("final fault: all daemons are killed")
+        await asyncio.sleep(1)
+        for machine in old + new:
+            machine.start()
+        await fleet.wait_ready(old + new)
+        back = record.now()
+        record.say("all daemons are back")
+        await asyncio.sleep(RECOVERY_S + 10)
+        before = [s for at, s, _ in results if at < killed]
+        after = [(s, r) for at, s, r in results if at > back + RECOVERY_S]
+        served = sum(1 for s, _ in after if 200 <= s < 300)
+        record.say("served before the final fault: %d of %d" % (sum(1 for s in before if 200 <= s < 300), len(before)))
+        record.say("served later than recovery_s after it: %d of %d" % (served, len(after)))
+        counts = {}
+        for s, r in after:
+            counts[(s, r)] = counts.get((s, r), 0) + 1
+        record.say("answers:", counts)
+        return served * 4 < len(after)
     finally:
         for task in tasks:
             task.cancel()
-        await fleet.close(upstreams + others)
+        await fleet.close(upstreams)
 
 
 if __name__ == "__main__":
--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -112,7 +112,11 @@
         self.waiting = set()
         self.turned_away = set()
         self.servers = []
-        self.calls = []
+        # For drills: how often the store came back from a copy, and whether it is away.
+        self.era = 1
+        self.away = False
+        # Called with the machine and the keys of each transaction that took effect.
+        self.on_write = lambda machine, keys: None
 
     async def listen(self, machine, ip, port):
         async def serve(reader, writer):
@@ -134,17 +138,19 @@
                 body = await read_body(reader, headers)
                 method, target, _ = start.split(" ", 2)
                 await asyncio.sleep(self.ANSWER_S)
+                if self.away:
+                    break
                 if machine in self.turned_away:
                     status, reply = 503, {}
                 else:
                     status, reply = await self.call(machine, method, target, body)
-                    if machine in self.turned_away:
+                    if machine in self.turned_away or self.away:
                         # A watch that was waiting is cut.
                         break
                 data = json.dumps(reply).encode()
                 writer.write(
-                    b"HTTP/1.1 %d x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
-                    % (status, len(data), data)
+                    b"HTTP/1.1 %d x\r\nContent-Type: application/json\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n%s"
+                    % (status, self.era, len(data), data)
                 )
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
@@ -152,6 +158,19 @@
         finally:
             writer.close()
 
+    def copy(self):
+        """A copy of what the store holds, for a drill."""
+        return self.revision, dict(self.items), list(self.log), {k: list(v) for k, v in self.leases.items()}
+
+    async def drill(self, copy, away_s):
+        """The store is away for a moment and comes back from a copy. Leases run on by the clock."""
+        self.away = True
+        self.notify()
+        await asyncio.sleep(away_s)
+        self.revision, self.items, self.log, self.leases = copy
+        self.era += 1
+        self.away = False
+
     async def call(self, machine, method, target, body):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
@@ -166,7 +185,7 @@
             return await self.watch(machine, query)
         data = json.loads(body) if body else {}
         if path == "/-/kv-txn":
-            return await self.txn(data)
+            return await self.txn(machine, data)
         if path == "/-/kv-lease":
             self.next_lease += 1
             ttl = max(1000, min(int(data["ttl_ms"]), 600000))
@@ -232,10 +251,13 @@
     async def watch(self, machine, query):
         prefix, after = query["path_prefix"], int(query["after"])
         until = time.monotonic() + min(int(query["wait_ms"]), 30000) / 1000
+        era = self.era
         while True:
+            if after > self.revision or era != self.era:
+                return 410, {}
             events = [e for e in self.log if e["revision"] > after and e["key"].startswith(prefix)]
             left = until - time.monotonic()
-            if events or left <= 0 or machine in self.turned_away:
+            if events or left <= 0 or machine in self.turned_away or self.away:
                 return 200, {"events": events, "at": self.revision}
             event = asyncio.Event()
             self.waiting.add(event)
@@ -243,7 +265,7 @@
             event.set()
             self.waiting.discard(event)
 
-    async def txn(self, data):
+    async def txn(self, machine, data):
         for row in data.get("expect") or []:
             item = self.items.get(row["key"])
             if (item["revision"] if item else 0) != row["revision"]:
@@ -259,6 +281,7 @@
         for key in data.get("remove") or []:
             if key in self.items:
                 self.remove(key)
+        self.on_write(machine, [row["key"] for row in data.get("set_keys") or []])
         self.notify()
         return 200, {"revision": self.revision}
 
