Make the case of a rollout on its own fail more often

One more machine that knows no peer races with the leader: 5 of 15 machines are turned away, a third as before.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -19,11 +19,18 @@
     fleet = Fleet(HERE, ["base", "drain", "config", "cost", "retry", "recover", "health", "pool", "rollout", "platform"],
                   ["zone-a", "zone-b"], BOUNDS)
     record = fleet.record
-    old = [fleet.add("old-%d" % n, fleet.zones[n % 2], SERVICE) for n in range(4)]
-    desk = [fleet.add("desk-%d" % n, fleet.zones[n % 2], OTHER) for n in range(4)]
+    old = [fleet.add("old-%d" % n, fleet.zones[n % 2], SERVICE) for n in range(5)]
+    desk = [fleet.add("desk-%d" % n, fleet.zones[n % 2], OTHER) for n in range(6)]
     new = [fleet.add("new-%d" % n, fleet.zones[n % 2], SERVICE) for n in range(4)]
     await fleet.open()
 
+    def written(machine, keys):
+        for key in keys:
+            if key.startswith("status/rollout/"):
+                record.say("machine", machine, "writes", key)
+
+    fleet.store.on_write = written
+
     async def bad(upstream, run):
         return 500 if random.random() < 0.5 else 200
 
@@ -59,8 +66,8 @@
         await asyncio.sleep(1)
 
         # The new upstreams are started beside the old ones, with their machines. Meanwhile the store turns
-        # a third of the machines away: the one that leads rollouts, and three of those that start.
-        away = {LEADER, "new-0", "new-1", "new-2"}
+        # a third of the machines away: the one that leads rollouts, and four of those that start.
+        away = {LEADER, "new-0", "new-1", "new-2", "new-3"}
         if TROUBLE:
             fleet.store.turned_away |= away
             record.say("store turns away", *sorted(away))
@@ -116,7 +123,7 @@
 
 
 # The machine that leads rollouts by its name; the log of a run with TROUBLE=0 shows it.
-LEADER = "desk-1"
+LEADER = "desk-4"
 
 if __name__ == "__main__":
     main(play)
