Complete no rollout on the view of a leader that knows a part of the fleet

Cause: a leader that saw only targets of the ordered version took it for the version in force and wrote the completion as the first state. A daemon that could not read the store at its start knows no peer, so that it leads and sees its own target only. By reading, one that is cut off from its peers does the same.

Change: only the stored state says at once that a version is in force. The rollout of a version beside which no other one runs begins like any other and completes when the whole fleet was asked: every daemon in view knows no other version, none was seen for 10 s, and all relays in the store follow the share.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -15,7 +15,8 @@
 
 use crate::{counters::Counters, node::NodeMessage, tasks::Tasks};
 
-const RELAY_PREFIX: &str = "damaskwick/relay/";
+/// Prefix of the keys of relay records; the failure domain and the slot follow.
+pub(crate) const RELAY_PREFIX: &str = "damaskwick/relay/";
 
 /// Timeout of a call; a platform that is up responds within milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
--- a/crates/daemon/src/rollout/orders.rs
+++ b/crates/daemon/src/rollout/orders.rs
@@ -1,5 +1,6 @@
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
+use dw_mesh::RelayRecord;
 use dw_platform::{Commit, Entry, Event, Guard, Platform, PlatformError, Put, Txn, Watch};
 use dw_request::RolloutState;
 use dw_tables::Name;
@@ -9,7 +10,7 @@
 };
 
 use super::{Input, ORDER_PREFIX, STATE_PREFIX};
-use crate::counters::Counters;
+use crate::{counters::Counters, platform::RELAY_PREFIX};
 
 /// Timeout of a call to the store; a healthy one responds within milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -29,6 +30,8 @@
 pub(crate) enum StoreOutcome {
     /// The state with its revision; `None` and 0 without one.
     Read(Option<RolloutState>, u64),
+    /// The hosts that hold a relay slot.
+    Relays(BTreeSet<Name>),
     /// The write took effect at this revision.
     Written(u64),
     /// The key had another revision.
@@ -75,6 +78,18 @@
         self.send(Input::Stored { service, outcome }).await;
     }
 
+    /// Reads which hosts hold a relay slot, for the leader of a service.
+    pub(super) async fn read_relays(self, service: Name) {
+        let outcome = match timeout(CALL_TIMEOUT, self.client.range(RELAY_PREFIX)).await {
+            Ok(read) => match self.counters.count_call("range", read) {
+                Ok(entries) => StoreOutcome::Relays(relay_hosts(&entries)),
+                Err(error) => StoreOutcome::Failed(error.to_string()),
+            },
+            Err(_) => no_answer(),
+        };
+        self.send(Input::Stored { service, outcome }).await;
+    }
+
     /// Writes the state of a service if its key still has this revision.
     pub(super) async fn write(self, service: Name, state: RolloutState, revision: u64) {
         let key = format!("{STATE_PREFIX}{service}");
@@ -112,3 +127,8 @@
         Err(error) => StoreOutcome::Failed(format!("the state cannot be read: {error}")),
     }
 }
+
+fn relay_hosts(entries: &[Entry]) -> BTreeSet<Name> {
+    let records = entries.iter().filter_map(|entry| serde_json::from_slice(&entry.value).ok());
+    records.map(|record: RelayRecord| record.host).collect()
+}
--- a/crates/daemon/src/rollout/task.rs
+++ b/crates/daemon/src/rollout/task.rs
@@ -10,7 +10,7 @@
 use dw_platform::{Entry, Platform};
 use dw_request::{
     RolloutAction, RolloutInput, RolloutLeader, RolloutOrder, RolloutPolicy, Succession,
-    VersionShare,
+    VersionHistory, VersionShare,
 };
 use dw_tables::Name;
 use tokio::{
@@ -101,6 +101,7 @@
     store: Option<RolloutStore<P>>,
     succession: Succession,
     members: Arc<MemberTable>,
+    history: VersionHistory,
     /// Ends the watch on the orders; `None` while there is none.
     watch: Option<CancellationToken>,
     orders: BTreeMap<Name, KnownOrder>,
@@ -127,6 +128,7 @@
             store,
             succession: Succession::new(self.host.clone()),
             members: Arc::default(),
+            history: VersionHistory::new(Instant::now()),
             watch: None,
             orders: BTreeMap::new(),
             led: BTreeMap::new(),
@@ -156,6 +158,10 @@
 impl<P: Platform> State<P> {
     fn set_members(&mut self, members: Arc<MemberTable>) {
         self.members = members;
+        let live = self.members.iter().filter(|member| member.state.is_live());
+        let targets = live.flat_map(|member| &member.targets);
+        let versions = targets.map(|target| (target.service.clone(), target.version.clone()));
+        self.history.set_live(versions, Instant::now());
         // A leaving daemon still forwards requests but is about to end.
         let lasting =
             |m: &&Arc<Member>| matches!(m.state, MemberState::Alive | MemberState::Suspect);
@@ -191,6 +197,7 @@
         RolloutInput::Members {
             hosts: live().map(|member| member.host.clone()).collect(),
             versions: own.map(|target| target.version.clone()).collect::<BTreeSet<_>>(),
+            recent: self.history.recent(service, Instant::now()),
         }
     }
 
@@ -231,6 +238,7 @@
         self.succession.record_store(!matches!(outcome, StoreOutcome::Failed(_)), now);
         let input = match outcome {
             StoreOutcome::Read(state, revision) => RolloutInput::State { state, revision },
+            StoreOutcome::Relays(hosts) => RolloutInput::Relays(hosts),
             StoreOutcome::Written(revision) => RolloutInput::Stored { revision },
             StoreOutcome::Conflict => RolloutInput::Conflict,
             StoreOutcome::Failed(detail) => {
@@ -288,6 +296,11 @@
                         self.task.tasks.spawn(store.read(service.clone()));
                     }
                 }
+                RolloutAction::ReadRelays => {
+                    if let Some(store) = self.store.clone() {
+                        self.task.tasks.spawn(store.read_relays(service.clone()));
+                    }
+                }
                 RolloutAction::Write { state, revision } => {
                     if let Some(store) = self.store.clone() {
                         self.task.tasks.spawn(store.write(service.clone(), state, revision));
@@ -305,7 +318,9 @@
         let ms = unix_ms();
         let ticks = self.led.iter().filter(|(_, led)| led.tick.is_some_and(|tick| tick <= ms));
         for service in ticks.map(|(service, _)| service.clone()).collect::<Vec<_>>() {
-            self.feed(&service, RolloutInput::Tick);
+            // What was live in the last seconds changes with time.
+            let members = self.members_of(&service);
+            self.feed(&service, members);
         }
         self.announce();
         if self.check_at <= now && self.task.proxy.follows_rollouts() {
--- a/crates/request/src/choice/balancer.rs
+++ b/crates/request/src/choice/balancer.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Whether targets are live that have another version than the one that is rolled out.
+    pub(crate) fn has_old_version(&self) -> bool {
+        self.split.as_ref().is_some_and(|split| split.has_live_old(&self.targets))
+    }
+
     /// The groups of targets to choose from, in order of preference.
     fn groups(
         &mut self,
--- a/crates/request/src/choice/versions.rs
+++ b/crates/request/src/choice/versions.rs
@@ -59,7 +59,7 @@
         use VersionGroup::{Canary, New, Old};
         // Only if no old target is left, as after a completion that this daemon has not heard of, the new
         // version serves requests beyond its share.
-        let old_live = || targets.iter().any(|t| self.is_old(&t.endpoint) && is_live(&t.endpoint));
+        let old_live = || self.has_live_old(targets);
         match self.share.step {
             RolloutStep::Complete => return [Some(New), Some(Old)],
             RolloutStep::RolledBack(_) => return [Some(Old), None],
@@ -75,6 +75,11 @@
         [Some(Canary), Some(Old)]
     }
 
+    /// Whether targets of another version are live.
+    pub(crate) fn has_live_old(&self, targets: &[Target]) -> bool {
+        targets.iter().any(|t| self.is_old(&t.endpoint) && is_live(&t.endpoint))
+    }
+
     /// Whether the target belongs to the group.
     pub(crate) fn admits(&self, group: VersionGroup, target: &Target) -> bool {
         match group {
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     Attempt, AttemptId, AttemptOutcome, Decision, Endpoint, EndpointState, EvidenceReport,
-    Fingerprint, Goal, KeyIndex, Next, PathMatch, PoisonList, Reason, Refusal, RequestInfo,
-    RolloutHolder, Router, TargetChange, VersionShare,
+    Fingerprint, Goal, KeyIndex, Next, OldTargets, PathMatch, PoisonList, Reason, Refusal,
+    RequestInfo, RolloutHolder, Router, TargetChange, VersionShare,
     choice::{
         balancer::Constraints, locality::Locality, target::Observation, upstream::Upstream,
         view::Choice,
@@ -209,15 +209,19 @@
 
     /// What to report to the leader about the rollouts that run.
     pub fn rollout_reports(&self, host: &Name, incarnation: u64) -> Vec<EvidenceReport> {
-        let old_open = |share: &VersionShare| {
+        let old_targets = |share: &VersionShare| {
             let open = self.pending.values().map(|request| &request.endpoint);
             let old = open.filter(|endpoint| {
                 endpoint.service == share.service
                     && endpoint.version.as_ref() != Some(&share.version)
             });
-            u32::try_from(old.count()).unwrap_or(u32::MAX)
+            let mut pools = self.upstreams.values().filter(|u| u.service() == &share.service);
+            OldTargets {
+                open: u32::try_from(old.count()).unwrap_or(u32::MAX),
+                live: pools.any(|upstream| upstream.balancer.has_old_version()),
+            }
         };
-        self.rollouts.reports(host, incarnation, old_open).collect()
+        self.rollouts.reports(host, incarnation, old_targets).collect()
     }
 
     /// Stops sending to versions that this daemon's own evidence shows to be bad, where the leader of the
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -43,9 +43,10 @@
     Attempt, AttemptId, AttemptOutcome, Decision, Next, RequestInfo, RetryAfterPolicy, RetryBudget,
 };
 pub use rollout::{
-    Comparison, Evidence, EvidenceReport, Judgement, MAX_AVOIDED_VERSIONS, RollbackReason,
-    RolloutAction, RolloutHolder, RolloutInput, RolloutLeader, RolloutOrder, RolloutPolicy,
-    RolloutState, RolloutStep, RouteEvidence, Succession, Tally, VersionShare,
+    Comparison, Evidence, EvidenceReport, Judgement, MAX_AVOIDED_VERSIONS, OldTargets,
+    RollbackReason, RolloutAction, RolloutHolder, RolloutInput, RolloutLeader, RolloutOrder,
+    RolloutPolicy, RolloutState, RolloutStep, RouteEvidence, Succession, Tally, VersionHistory,
+    VersionShare,
 };
 pub use stop::StopLimit;
 pub use workspace::{
--- a/crates/request/src/rollout.rs
+++ b/crates/request/src/rollout.rs
@@ -3,15 +3,18 @@
 
 mod comparison;
 mod evidence;
+mod history;
 mod holder;
 mod leader;
 mod plan;
+mod relays;
 mod sequential;
 mod succession;
 
 pub use comparison::{Comparison, Judgement};
 pub use evidence::{Evidence, EvidenceReport, RouteEvidence, Tally};
-pub use holder::RolloutHolder;
+pub use history::VersionHistory;
+pub use holder::{OldTargets, RolloutHolder};
 pub use leader::{RolloutAction, RolloutInput, RolloutLeader};
 pub use plan::{
     MAX_AVOIDED_VERSIONS, RollbackReason, RolloutOrder, RolloutPolicy, RolloutState, RolloutStep,
--- a/crates/request/src/rollout/evidence.rs
+++ b/crates/request/src/rollout/evidence.rs
@@ -217,6 +217,9 @@
     /// Requests of the daemon that are in flight at targets of other versions.
     #[serde(default)]
     pub old_open: u32,
+    /// Whether the daemon knows a target of another version that may receive requests.
+    #[serde(default)]
+    pub old_live: bool,
     /// The responses since the daemon learned of the rollout.
     pub evidence: Evidence,
 }
--- a/crates/request/src/rollout/holder.rs
+++ b/crates/request/src/rollout/holder.rs
@@ -24,6 +24,15 @@
     services: HashMap<Name, Followed>,
 }
 
+/// What a daemon knows of the targets of a service that have another version than the one that is rolled out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OldTargets {
+    /// Requests of this daemon in flight there.
+    pub open: u32,
+    /// Whether some may receive requests.
+    pub live: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Followed {
     share: VersionShare,
@@ -112,23 +121,27 @@
         }
     }
 
-    /// What to report about the rollouts that run. `old_open` counts the requests in flight at targets of the
-    /// share's service that have another version than the share.
+    /// What to report about the rollouts that run. `old_targets` tells what is known of the targets of a share's
+    /// service that have another version than the share.
     pub fn reports(
         &self,
         host: &Name,
         incarnation: u64,
-        old_open: impl Fn(&VersionShare) -> u32,
+        old_targets: impl Fn(&VersionShare) -> OldTargets,
     ) -> impl Iterator<Item = EvidenceReport> {
         let running = self.services.values().filter(|known| known.share.step.is_running());
-        running.map(move |known| EvidenceReport {
-            host: host.clone(),
-            incarnation,
-            service: known.share.service.clone(),
-            epoch: known.share.epoch,
-            stopped: known.stopped,
-            old_open: old_open(&known.share),
-            evidence: known.evidence.clone(),
+        running.map(move |known| {
+            let OldTargets { open, live } = old_targets(&known.share);
+            EvidenceReport {
+                host: host.clone(),
+                incarnation,
+                service: known.share.service.clone(),
+                epoch: known.share.epoch,
+                stopped: known.stopped,
+                old_open: open,
+                old_live: live,
+                evidence: known.evidence.clone(),
+            }
         })
     }
 
--- a/crates/request/src/rollout/leader.rs
+++ b/crates/request/src/rollout/leader.rs
@@ -4,7 +4,7 @@
 
 use crate::rollout::{
     Comparison, Evidence, EvidenceReport, Judgement, RollbackReason, RolloutOrder, RolloutPolicy,
-    RolloutState, RolloutStep, VersionShare,
+    RolloutState, RolloutStep, VersionShare, relays::RelayCheck,
 };
 
 /// Time that must be left before the limit to write the completion, in ms.
@@ -42,6 +42,8 @@
     StoreFailed,
     /// The write was refused, because the state changed in between.
     Conflict,
+    /// The hosts that hold a relay slot were read from the store.
+    Relays(BTreeSet<Name>),
     /// A daemon reported what it observed.
     Report(EvidenceReport),
     /// The live daemons, and the versions of the service's live targets.
@@ -50,6 +52,8 @@
         hosts: BTreeSet<Name>,
         /// The versions.
         versions: BTreeSet<Option<Name>>,
+        /// The versions that are live or were in the last seconds; `None` if that is not known.
+        recent: Option<BTreeSet<Option<Name>>>,
     },
     /// Time has passed.
     Tick,
@@ -62,6 +66,8 @@
     Announce(VersionShare),
     /// Read the state.
     Read,
+    /// Read which hosts hold a relay slot.
+    ReadRelays,
     /// Write the state if its key still has this revision.
     Write {
         /// The state.
@@ -78,6 +84,7 @@
     epoch: u64,
     stopped: bool,
     old_open: u32,
+    old_live: bool,
     evidence: Evidence,
 }
 
@@ -109,6 +116,8 @@
     reporters: HashMap<Name, Reporter>,
     hosts: BTreeSet<Name>,
     versions: BTreeSet<Option<Name>>,
+    recent: Option<BTreeSet<Option<Name>>>,
+    relays: RelayCheck,
     judged_at: u64,
     judgement: Judgement,
     announced_at: Option<u64>,
@@ -140,6 +149,8 @@
             reporters: HashMap::new(),
             hosts: BTreeSet::new(),
             versions: BTreeSet::new(),
+            recent: None,
+            relays: RelayCheck::default(),
             judged_at: 0,
             judgement: Judgement::Open,
             announced_at: None,
@@ -183,9 +194,10 @@
                 self.forget_store(now + millis(self.policy.store_retry));
             }
             RolloutInput::Conflict => self.forget_store(now),
+            RolloutInput::Relays(hosts) => self.relays.set_hosts(hosts, now),
             RolloutInput::Report(report) => self.receive(report, now),
-            RolloutInput::Members { hosts, versions } => {
-                (self.hosts, self.versions) = (hosts, versions);
+            RolloutInput::Members { hosts, versions, recent } => {
+                (self.hosts, self.versions, self.recent) = (hosts, versions, recent);
             }
             RolloutInput::Tick => {}
         }
@@ -276,10 +288,7 @@
             return None;
         }
         let version = Some(&order.version);
-        let completed = self.state.as_ref().is_some_and(|state| state.force.as_ref() == version);
-        let alone = self.versions.len() == 1
-            && self.versions.first().is_some_and(|live| live.as_ref() == version);
-        let in_force = completed || alone;
+        let in_force = self.state.as_ref().is_some_and(|state| state.force.as_ref() == version);
         Some(RolloutState::begin(self.state.as_ref(), order, in_force, self.order_seen))
     }
 
@@ -287,7 +296,9 @@
     fn receive(&mut self, report: EvidenceReport, now: u64) {
         let Some(state) = &self.state else { return };
         let share = state.share(&self.service, &self.policy);
-        let EvidenceReport { host, incarnation, epoch, stopped, old_open, evidence, .. } = report;
+        let EvidenceReport {
+            host, incarnation, epoch, stopped, old_open, old_live, evidence, ..
+        } = report;
         if (VersionShare { epoch, ..share.clone() }).number() != share.number() {
             return;
         }
@@ -309,7 +320,8 @@
         let same = known.filter(|known| known.incarnation == incarnation);
         let epoch = same.map_or(epoch, |known| known.epoch.max(epoch));
         self.comparison.add(&fresh, early);
-        self.reporters.insert(host, Reporter { incarnation, epoch, stopped, old_open, evidence });
+        let reporter = Reporter { incarnation, epoch, stopped, old_open, old_live, evidence };
+        self.reporters.insert(host, reporter);
     }
 
     /// Takes the next step of the running rollout if it is due.
@@ -335,6 +347,9 @@
         if !self.can_write() || self.is_replaced(&state) {
             return;
         }
+        if self.is_unopposed(&state) {
+            return self.finish_unopposed(&state, now, out);
+        }
         let next = match state.step {
             RolloutStep::Canary if self.may_switch(&state, now) => RolloutStep::Switch,
             RolloutStep::Switch if self.may_complete(&state, now) => RolloutStep::Complete,
@@ -343,6 +358,30 @@
         self.write(state.at_step(next), out);
     }
 
+    /// Whether no other version is known to compare with: neither to this leader nor to any daemon that it reaches
+    /// nor in the stored state.
+    fn is_unopposed(&self, state: &RolloutState) -> bool {
+        let sole = self.recent.as_ref().is_some_and(|recent| !has_old(recent, state));
+        let live = self.versions.contains(&Some(state.version.clone()));
+        let seen = self.reporters.values().any(|known| known.old_live);
+        let (new, all) = self.comparison.attempts();
+        state.force.is_none() && sole && live && !seen && new == all && self.all_confirmed(state)
+    }
+
+    /// Completes the rollout of a version beside which no other one runs, once it is certain that the whole fleet
+    /// was asked. A leader that does not reach all of it would otherwise complete a version that was never compared
+    /// with the one in force.
+    fn finish_unopposed(&mut self, state: &RolloutState, now: u64, out: &mut Vec<RolloutAction>) {
+        let paused = self.order.as_ref().is_some_and(|order| order.paused);
+        if self.relays.is_covered(now, |host| self.hosts.contains(host)) {
+            if !paused {
+                self.write(state.at_step(RolloutStep::Complete), out);
+            }
+        } else if self.relays.is_due(now, millis(self.policy.store_retry)) {
+            out.push(RolloutAction::ReadRelays);
+        }
+    }
+
     /// Whether another order waits to be written.
     fn is_replaced(&self, state: &RolloutState) -> bool {
         self.order.as_ref().is_some_and(|order| !state.is_of(order))
@@ -467,6 +506,14 @@
     }
 }
 
+/// Whether targets of another version than the one that is rolled out may receive requests.
+fn has_old(versions: &BTreeSet<Option<Name>>, state: &RolloutState) -> bool {
+    versions.iter().any(|version| {
+        let version = version.as_ref();
+        version != Some(&state.version) && !version.is_some_and(|v| state.avoid.contains(v))
+    })
+}
+
 fn millis(time: std::time::Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/request/tests/rollout.rs
+++ b/crates/request/tests/rollout.rs
@@ -359,6 +359,7 @@
         let members = RolloutInput::Members {
             hosts: [host.clone()].into(),
             versions: [Some("v1".into()), Some("v2".into())].into(),
+            recent: None,
         };
         let report = EvidenceReport {
             host,
@@ -367,6 +368,7 @@
             epoch: share.epoch,
             stopped: false,
             old_open,
+            old_live: false,
             evidence: Evidence::default(),
         };
         let state = RolloutInput::State { state: Some(state), revision: 7 };
--- a/crates/request/tests/rollout_model/mod.rs
+++ b/crates/request/tests/rollout_model/mod.rs
@@ -367,8 +367,9 @@
         let hosts = self.daemons.iter().filter(|d| d.domain != 0 || !declared);
         let hosts: BTreeSet<_> = hosts.map(|daemon| daemon.host.clone()).collect();
         let live = self.servers.iter().filter(|server| server.alive);
-        let versions = live.map(|server| Some(Name::from(server.version))).collect();
-        self.input(RolloutInput::Members { hosts, versions });
+        let versions: BTreeSet<_> = live.map(|server| Some(Name::from(server.version))).collect();
+        let recent = Some(versions.clone());
+        self.input(RolloutInput::Members { hosts, versions, recent });
     }
 
     fn input(&mut self, input: RolloutInput) {
@@ -407,6 +408,11 @@
                 };
                 self.push(8, Event::Leader(self.term, result));
             }
+            RolloutAction::ReadRelays => {
+                self.out.store_calls += 1;
+                let relays = self.daemons.iter().map(|daemon| daemon.host.clone()).collect();
+                self.push(8, Event::Leader(self.term, RolloutInput::Relays(relays)));
+            }
             RolloutAction::Write { state, revision } => {
                 self.out.store_calls += 1;
                 let down = self.within(self.scenario.store_down);
