Write a rollout's latest step again where the store has lost it

Cause: a leader believed the state that it read. It found a rollout past its time limit and rolled it back to targets that were gone. Nobody compared the store with what the leader had stored or with what daemons follow.

Change: a leader takes the latest step known from the store, its own writes and the shares that daemons follow, and writes it again where the store is behind (`rollout-restored`); it reads again when its watch on orders starts over. A successor lets daemons tell it of a later step for a second before the time limit counts. The time limit rolls nothing back that would leave no target; a rollout whose old targets stay away is completed once the whole fleet was asked.

--- a/crates/daemon/src/proxy/rollout.rs
+++ b/crates/daemon/src/proxy/rollout.rs
@@ -32,8 +32,10 @@
         let services: Vec<Name> = poll.shares.iter().map(|share| share.service.clone()).collect();
         let now = Instant::now();
         let mut dispatcher = self.dispatcher();
-        let mut changed = Vec::new();
+        let (mut changed, mut newer) = (Vec::new(), Vec::new());
         for share in poll.shares {
+            let followed = dispatcher.rollouts().followed(&share.service);
+            newer.extend(followed.filter(|followed| followed.epoch > share.epoch).cloned());
             if dispatcher.set_share(share.clone(), now) {
                 changed.push(share);
             }
@@ -48,7 +50,12 @@
             handle.hear(poll.from, services);
         }
         let reaches_store = handle.is_some_and(RolloutHandle::reaches_store);
-        RolloutReply { reaches_store, epochs, reports }
+        RolloutReply { reaches_store, epochs, newer, reports }
+    }
+
+    /// The share of a service that this daemon follows.
+    pub(crate) fn followed_share(&self, service: &Name) -> Option<VersionShare> {
+        self.dispatcher().rollouts().followed(service).cloned()
     }
 
     /// Whether this daemon knows of a rollout.
--- a/crates/daemon/src/rollout/message.rs
+++ b/crates/daemon/src/rollout/message.rs
@@ -22,6 +22,9 @@
     pub(crate) reaches_store: bool,
     /// The epoch that the daemon follows for each service.
     pub(crate) epochs: BTreeMap<Name, u64>,
+    /// The shares that it follows in place of announced ones with a lower epoch.
+    #[serde(default)]
+    pub(crate) newer: Vec<VersionShare>,
     /// What it observed of the rollouts that run.
     pub(crate) reports: Vec<EvidenceReport>,
 }
--- a/crates/daemon/src/rollout/orders.rs
+++ b/crates/daemon/src/rollout/orders.rs
@@ -60,7 +60,7 @@
         self.send(Input::Orders(entries)).await;
         loop {
             if let Event::Put(entry) = watch.next().await? {
-                self.send(Input::Orders(vec![entry])).await;
+                self.send(Input::Order(entry)).await;
             }
         }
     }
--- a/crates/daemon/src/rollout/task.rs
+++ b/crates/daemon/src/rollout/task.rs
@@ -34,8 +34,10 @@
         /// The services.
         services: Vec<Name>,
     },
-    /// Orders were read from the store.
+    /// All orders were read from the store, at the start of a watch.
     Orders(Vec<Entry>),
+    /// An order was written.
+    Order(Entry),
     /// A watch on the orders failed or could not be opened.
     StoreFailed,
     /// A call for the state of a service ended.
@@ -210,6 +212,14 @@
             Input::Orders(entries) => {
                 self.succession.record_store(true, now);
                 entries.iter().for_each(|entry| self.read_order(entry, now));
+                // The watch ends when the store is away, and it may come back from an older copy.
+                for service in self.led.keys().cloned().collect::<Vec<_>>() {
+                    self.feed(&service, RolloutInput::StoreReset);
+                }
+            }
+            Input::Order(entry) => {
+                self.succession.record_store(true, now);
+                self.read_order(&entry, now);
             }
             Input::StoreFailed => self.succession.record_store(false, now),
             Input::Stored { service, outcome } => self.stored(&service, outcome, now),
@@ -265,6 +275,10 @@
                 led.followers.insert(host.clone(), (started, epoch));
             }
         }
+        for share in reply.newer {
+            let service = share.service.clone();
+            self.feed(&service, RolloutInput::Followed(share));
+        }
         for report in reply.reports {
             let service = report.service.clone();
             self.feed(&service, RolloutInput::Report(report));
@@ -278,6 +292,11 @@
         let before = led.leader.state().cloned();
         let actions = led.leader.handle(input, now);
         led.tick = led.leader.deadline(now);
+        let writes = actions.iter().any(|action| matches!(action, RolloutAction::Write { .. }));
+        if writes && led.leader.is_restoring() {
+            let restored = Event::new(Kind::RolloutRestored).with(Field::Service, service);
+            self.task.log.write(&restored);
+        }
         if let Some(state) = led.leader.state().filter(|state| Some(*state) != before.as_ref()) {
             let stored = Event::new(Kind::RolloutStored)
                 .with(Field::Service, service)
@@ -358,6 +377,9 @@
             self.task.log.write(&leading);
             let members = self.members_of(&service);
             self.feed(&service, members);
+            if let Some(share) = self.task.proxy.followed_share(&service) {
+                self.feed(&service, RolloutInput::Followed(share));
+            }
             self.feed(&service, RolloutInput::Order(order));
         }
         if self.led.len() != count {
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -157,6 +157,8 @@
     RolloutLed = "rollout-led", Info;
     /// The rollout of `service` to the version `detail` is at the step `state` in the store.
     RolloutStored = "rollout-stored", Info;
+    /// The store has lost the latest state of the rollout of `service`, which is written again.
+    RolloutRestored = "rollout-restored", Warn;
     /// The state of a rollout could not be read or written; the leader tries again.
     RolloutStoreFailed = "rollout-store-failed", Warn;
     /// `count` per mille of this daemon's requests for `service` go to the version `detail`, at the step `state`.
--- a/crates/request/src/rollout.rs
+++ b/crates/request/src/rollout.rs
@@ -8,6 +8,7 @@
 mod leader;
 mod plan;
 mod relays;
+mod restore;
 mod sequential;
 mod succession;
 
--- a/crates/request/src/rollout/holder.rs
+++ b/crates/request/src/rollout/holder.rs
@@ -86,6 +86,12 @@
         Some(share)
     }
 
+    /// The share of a service as received.
+    #[must_use]
+    pub fn followed(&self, service: &Name) -> Option<&VersionShare> {
+        self.services.get(service).map(|known| &known.share)
+    }
+
     /// All shares as received, for daemons that join.
     pub fn shares(&self) -> impl Iterator<Item = &VersionShare> {
         self.services.values().map(|known| &known.share)
--- a/crates/request/src/rollout/leader.rs
+++ b/crates/request/src/rollout/leader.rs
@@ -4,7 +4,7 @@
 
 use crate::rollout::{
     Comparison, Evidence, EvidenceReport, Judgement, RollbackReason, RolloutOrder, RolloutPolicy,
-    RolloutState, RolloutStep, VersionShare, relays::RelayCheck,
+    RolloutState, RolloutStep, VersionShare, relays::RelayCheck, restore::latest_state,
 };
 
 /// Time that must be left before the limit to write the completion, in ms.
@@ -21,6 +21,10 @@
 /// Factor by which the request rate is assumed to grow after the switch.
 const RATE_MARGIN: f64 = 1.1;
 
+/// Time after a leader has read a state in which daemons tell it of a later one that the store has lost, in ms. It is
+/// longer than the timeout of an announcement.
+const HEARING_TIME: u64 = 1000;
+
 /// Something that the leader of a rollout learns.
 #[derive(Clone, Debug)]
 pub enum RolloutInput {
@@ -33,6 +37,10 @@
         /// The revision of its key.
         revision: u64,
     },
+    /// The store may have lost what it acknowledged, as when a watch has to start over.
+    StoreReset,
+    /// The share that a daemon follows.
+    Followed(VersionShare),
     /// The write took effect, at this revision.
     Stored {
         /// The revision of the key.
@@ -105,6 +113,10 @@
     /// Whether the state is known to be the stored one.
     fresh: bool,
     reading: bool,
+    /// Whether the state is later than the stored one, which the store has lost.
+    restoring: bool,
+    /// The latest share that a daemon follows.
+    followed: Option<VersionShare>,
     /// The write in flight.
     pending: Option<RolloutState>,
     /// Whether a write of the completion may have taken effect.
@@ -124,6 +136,8 @@
     ended_at: u64,
     /// When this leader received its first input.
     elected_at: u64,
+    /// When this leader first read or wrote the state of the current rollout.
+    adopted_at: u64,
     /// Number of attempts at the start of recent periods, to estimate the rate.
     counts: BTreeMap<u64, u64>,
 }
@@ -141,6 +155,8 @@
             revision: 0,
             fresh: false,
             reading: false,
+            restoring: false,
+            followed: None,
             pending: None,
             maybe_complete: false,
             retry_at: 0,
@@ -156,6 +172,7 @@
             announced_at: None,
             ended_at: 0,
             elected_at: 0,
+            adopted_at: 0,
             counts: BTreeMap::new(),
         }
     }
@@ -182,17 +199,16 @@
             }
             RolloutInput::State { state, revision } => {
                 self.reading = false;
-                self.adopt(state, revision, now);
+                self.adopt_stored(state, revision, now);
             }
+            RolloutInput::StoreReset => self.read_again(now),
+            RolloutInput::Followed(share) => self.follow(share, now),
             RolloutInput::Stored { revision } => {
                 if let Some(state) = self.pending.take() {
                     self.adopt(Some(state), revision, now);
                 }
             }
-            RolloutInput::StoreFailed => {
-                self.maybe_complete |= self.is_completing();
-                self.forget_store(now + millis(self.policy.store_retry));
-            }
+            RolloutInput::StoreFailed => self.read_again(now + millis(self.policy.store_retry)),
             RolloutInput::Conflict => self.forget_store(now),
             RolloutInput::Relays(hosts) => self.relays.set_hosts(hosts, now),
             RolloutInput::Report(report) => self.receive(report, now),
@@ -226,6 +242,36 @@
         }
     }
 
+    /// Whether the store is behind what is known of the rollout, which is written again.
+    #[must_use]
+    pub const fn is_restoring(&self) -> bool {
+        self.restoring
+    }
+
+    /// Takes in the share that a daemon follows. If it is later than the state, either another leader has stored it or
+    /// the store has lost it.
+    fn follow(&mut self, share: VersionShare, now: u64) {
+        let known = self.followed.as_ref().map_or(0, |known| known.epoch);
+        if share.is_hold() || share.epoch <= known {
+            return;
+        }
+        let behind = self.state.as_ref().is_none_or(|state| state.epoch() < share.epoch);
+        self.followed = Some(share);
+        if behind && self.fresh {
+            self.read_again(now);
+        }
+    }
+
+    /// Takes over the state that was read from the store, or a later one that the store has lost.
+    fn adopt_stored(&mut self, stored: Option<RolloutState>, revision: u64, now: u64) {
+        let epoch = stored.as_ref().map(RolloutState::epoch);
+        let (known, order) = (self.state.as_ref(), self.order.as_ref());
+        let latest = latest_state(stored, known, self.followed.as_ref(), order, now);
+        let restoring = latest.as_ref().map(RolloutState::epoch) > epoch;
+        self.adopt(latest, revision, now);
+        self.restoring = restoring;
+    }
+
     /// Takes over the stored state.
     fn adopt(&mut self, state: Option<RolloutState>, revision: u64, now: u64) {
         let old = self.state.as_ref().map(|state| state.number);
@@ -235,16 +281,24 @@
             self.counts.clear();
             self.judgement = Judgement::Open;
             self.rollback = None;
+            self.adopted_at = now;
         }
         if state.as_ref().is_some_and(|state| !state.step.is_running()) {
             self.ended_at = now;
         }
         (self.state, self.revision, self.fresh) = (state, revision, true);
         self.pending = None;
+        self.restoring = false;
         self.maybe_complete = false;
         self.announced_at = None;
     }
 
+    /// Reads the state again from a time on. A write in flight may still take effect.
+    fn read_again(&mut self, at: u64) {
+        self.maybe_complete |= self.is_completing();
+        self.forget_store(at);
+    }
+
     fn forget_store(&mut self, retry_at: u64) {
         self.pending = None;
         self.reading = false;
@@ -273,9 +327,10 @@
         self.fresh && self.pending.is_none()
     }
 
-    /// Begins a rollout if there is a new order.
+    /// Begins a rollout if there is a new order, or restores the state of the current one.
     fn start_order(&mut self, out: &mut Vec<RolloutAction>) {
-        if let Some(next) = self.next_state().filter(|_| self.can_write()) {
+        let restored = || self.state.clone().filter(|_| self.restoring);
+        if let Some(next) = self.next_state().or_else(restored).filter(|_| self.can_write()) {
             self.write(next, out);
         }
     }
@@ -347,7 +402,7 @@
         if !self.can_write() || self.is_replaced(&state) {
             return;
         }
-        if self.is_unopposed(&state) {
+        if self.is_unopposed(&state, now) {
             return self.finish_unopposed(&state, now, out);
         }
         let next = match state.step {
@@ -358,21 +413,29 @@
         self.write(state.at_step(next), out);
     }
 
-    /// Whether no other version is known to compare with: neither to this leader nor to any daemon that it reaches
-    /// nor in the stored state.
-    fn is_unopposed(&self, state: &RolloutState) -> bool {
+    /// Whether no other version is known to compare with or to return to, neither to this leader nor to any daemon
+    /// that it reaches: none has been in force since the order, or the old targets have stopped and the completion
+    /// was lost.
+    fn is_unopposed(&self, state: &RolloutState, now: u64) -> bool {
         let sole = self.recent.as_ref().is_some_and(|recent| !has_old(recent, state));
-        let live = self.versions.contains(&Some(state.version.clone()));
         let seen = self.reporters.values().any(|known| known.old_live);
+        if !sole || seen || !self.is_live(state) || !self.all_confirmed(state) {
+            return false;
+        }
         let (new, all) = self.comparison.attempts();
-        state.force.is_none() && sole && live && !seen && new == all && self.all_confirmed(state)
+        now >= state.limit() || (state.force.is_none() && new == all)
+    }
+
+    /// Whether targets of the version that is rolled out are live.
+    fn is_live(&self, state: &RolloutState) -> bool {
+        self.versions.contains(&Some(state.version.clone()))
     }
 
     /// Completes the rollout of a version beside which no other one runs, once it is certain that the whole fleet
     /// was asked. A leader that does not reach all of it would otherwise complete a version that was never compared
     /// with the one in force.
     fn finish_unopposed(&mut self, state: &RolloutState, now: u64, out: &mut Vec<RolloutAction>) {
-        let paused = self.order.as_ref().is_some_and(|order| order.paused);
+        let paused = self.order.as_ref().is_some_and(|order| order.paused) && now < state.limit();
         if self.relays.is_covered(now, |host| self.hosts.contains(host)) {
             if !paused {
                 self.write(state.at_step(RolloutStep::Complete), out);
@@ -404,8 +467,7 @@
     fn find_fault(&self, state: &RolloutState, now: u64) -> Option<RollbackReason> {
         // If the completion may have been written, the old targets may have stopped. As long as some run,
         // a rollback costs nothing: a completion that is found later has the higher epoch.
-        let version = Some(state.version.clone());
-        let old_live = self.versions.iter().any(|live| *live != version);
+        let old_live = has_old(&self.versions, state);
         if self.maybe_complete && !old_live {
             return None;
         }
@@ -416,8 +478,10 @@
         if order.is_some_and(|order| order.aborted) {
             return Some(RollbackReason::Aborted);
         }
-        let late = now >= state.limit() && !self.maybe_complete;
-        late.then_some(RollbackReason::TimeLimit)
+        // Without another version to return to, the old targets have stopped, as they do when a rollout is complete.
+        let stranded = !old_live && self.is_live(state);
+        let late = now >= state.limit().max(self.adopted_at + HEARING_TIME);
+        (late && !stranded && !self.maybe_complete).then_some(RollbackReason::TimeLimit)
     }
 
     /// Whether all traffic may be switched: late enough for the bound on a bad version's requests, and with
--- a/crates/request/src/rollout/plan.rs
+++ b/crates/request/src/rollout/plan.rs
@@ -208,6 +208,12 @@
         self.begun.saturating_add(self.duration)
     }
 
+    /// Orders the states of a service, as the epochs of their shares do.
+    #[must_use]
+    pub const fn epoch(&self) -> u64 {
+        self.number * EPOCHS_PER_ROLLOUT + self.step.rank()
+    }
+
     /// Whether this is the state of the rollout that the order asks for. An order that is written a second time,
     /// as after a lost response, does not restart a rollout that runs.
     #[must_use]
@@ -230,7 +236,7 @@
         VersionShare {
             service: service.clone(),
             version: self.version.clone(),
-            epoch: self.number * EPOCHS_PER_ROLLOUT + self.step.rank(),
+            epoch: self.epoch(),
             step: self.step,
             share: match self.step {
                 RolloutStep::Canary => policy.canary,
@@ -269,6 +275,12 @@
         self.epoch / EPOCHS_PER_ROLLOUT
     }
 
+    /// Whether this is the share before the first state of the rollout is stored.
+    #[must_use]
+    pub(crate) const fn is_hold(&self) -> bool {
+        self.epoch.is_multiple_of(EPOCHS_PER_ROLLOUT)
+    }
+
     /// Whether an epoch is that of the rollback of rollout `number`.
     #[must_use]
     pub(crate) const fn is_rollback(epoch: u64, number: u64) -> bool {
--- a/crates/request/tests/rollout_orders.rs
+++ b/crates/request/tests/rollout_orders.rs
@@ -1,12 +1,15 @@
-//! Rollouts whose leader knows only a part of the fleet.
+//! Rollouts whose leader knows only a part of the fleet, and rollouts that the store has lost.
 
 #![allow(clippy::expect_used)]
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
 use dw_request::{
-    Evidence, EvidenceReport, RolloutAction, RolloutInput, RolloutLeader, RolloutOrder,
-    RolloutPolicy, RolloutState, RolloutStep, VersionHistory, VersionShare,
+    Evidence, EvidenceReport, RollbackReason, RolloutAction, RolloutInput, RolloutLeader,
+    RolloutOrder, RolloutPolicy, RolloutState, RolloutStep, VersionHistory, VersionShare,
 };
 use dw_tables::Name;
 use googletest::prelude::*;
@@ -59,26 +62,36 @@
         input: RolloutInput,
         now: u64,
     ) -> Option<VersionShare> {
-        let mut inputs = vec![input];
+        self.feed_all(leader, [input], now)
+    }
+
+    /// The same with several inputs, which arrive before the store responds.
+    fn feed_all<const N: usize>(
+        &mut self,
+        leader: &mut RolloutLeader,
+        inputs: [RolloutInput; N],
+        now: u64,
+    ) -> Option<VersionShare> {
+        let mut inputs = VecDeque::from(inputs);
         let mut announced = None;
-        while let Some(input) = inputs.pop() {
+        while let Some(input) = inputs.pop_front() {
             for action in leader.handle(input, now) {
                 match action {
                     RolloutAction::Announce(share) => announced = Some(share),
-                    RolloutAction::Read => inputs.push(RolloutInput::State {
+                    RolloutAction::Read => inputs.push_back(RolloutInput::State {
                         state: self.state.clone(),
                         revision: self.revision,
                     }),
                     RolloutAction::ReadRelays => {
-                        inputs.push(RolloutInput::Relays(self.relays.clone()));
+                        inputs.push_back(RolloutInput::Relays(self.relays.clone()));
                     }
                     RolloutAction::Write { revision, .. } if revision != self.revision => {
-                        inputs.push(RolloutInput::Conflict);
+                        inputs.push_back(RolloutInput::Conflict);
                     }
                     RolloutAction::Write { state, .. } => {
                         self.state = Some(state);
                         self.revision += 1;
-                        inputs.push(RolloutInput::Stored { revision: self.revision });
+                        inputs.push_back(RolloutInput::Stored { revision: self.revision });
                     }
                 }
             }
@@ -187,3 +200,117 @@
         expect_that!(store.step(), some(eq(step)));
     }
 }
+
+/// A rollout of v2 at a step, whose time limit is `DURATION` after the start.
+fn rollout(step: RolloutStep) -> RolloutState {
+    RolloutState::begin(None, &order(1, "v2"), false, START).at_step(step)
+}
+
+fn share(state: &RolloutState) -> VersionShare {
+    state.share(&SERVICE.into(), &RolloutPolicy::default())
+}
+
+/// A store that has lost all that followed a step of the rollout of v2.
+fn store_at(step: RolloutStep) -> Store {
+    Store { state: Some(rollout(step)), revision: 7, ..Store::with_relays(&["a", "b"]) }
+}
+
+/// Guards against a completion that is taken back because the store came back from an older copy: by the leader that
+/// wrote it, and by one that takes over beside a daemon that follows it.
+#[gtest]
+fn a_completion_that_the_store_lost_is_written_again() {
+    let late = START + 2 * DURATION;
+    for step in [RolloutStep::Canary, RolloutStep::Switch] {
+        let mut writer = leader();
+        let mut store = store_at(RolloutStep::Complete);
+        store.feed(&mut writer, members(&["a", "b"], &["v2"]), START);
+        store.feed(&mut writer, RolloutInput::Order(order(1, "v2")), START);
+        store.state = Some(rollout(step));
+        store.revision -= 1;
+        store.feed(&mut writer, RolloutInput::StoreReset, late);
+        expect_that!(store.step(), some(eq(RolloutStep::Complete)), "{step:?}");
+
+        let mut successor = leader();
+        let mut store = store_at(step);
+        store.feed(&mut successor, members(&["a", "b"], &["v1", "v2"]), late);
+        let followed = share(&rollout(RolloutStep::Complete));
+        store.feed(&mut successor, RolloutInput::Followed(followed), late);
+        let announced = store.feed(&mut successor, RolloutInput::Order(order(1, "v2")), late);
+        expect_that!(store.step(), some(eq(RolloutStep::Complete)), "{step:?}");
+        expect_that!(announced.map(|share| share.step), some(eq(RolloutStep::Complete)));
+    }
+}
+
+/// Guards against a leader that has just started and rolls a rollout back at its time limit before the daemons have
+/// told it that they follow the completion.
+#[gtest]
+fn a_successor_hears_the_daemons_before_the_time_limit_counts() {
+    let late = START + 2 * DURATION;
+    let mut store = store_at(RolloutStep::Switch);
+    let mut successor = leader();
+    store.feed(&mut successor, members(&["a", "b"], &["v1", "v2"]), late);
+    store.feed(&mut successor, RolloutInput::Order(order(1, "v2")), late);
+    store.feed(&mut successor, RolloutInput::Tick, late + 500);
+    expect_that!(store.step(), some(eq(RolloutStep::Switch)));
+    let followed = share(&rollout(RolloutStep::Complete));
+    store.feed(&mut successor, RolloutInput::Followed(followed), late + 600);
+    expect_that!(store.step(), some(eq(RolloutStep::Complete)));
+
+    let mut store = store_at(RolloutStep::Switch);
+    let mut successor = leader();
+    store.feed(&mut successor, members(&["a", "b"], &["v1", "v2"]), late);
+    store.feed(&mut successor, RolloutInput::Order(order(1, "v2")), late);
+    store.feed(&mut successor, RolloutInput::Tick, late + 1000);
+    let rolled_back = RolloutStep::RolledBack(RollbackReason::TimeLimit);
+    expect_that!(store.step(), some(eq(rolled_back)));
+}
+
+/// Guards against a rollback to targets that have stopped, where no process remembers the completion: after a restart
+/// of all daemons, the version whose old targets stay away is completed, and one whose old targets come back is not.
+#[gtest]
+fn a_rollout_whose_old_targets_have_stopped_is_not_rolled_back() {
+    for (back, last) in
+        [(false, RolloutStep::Complete), (true, RolloutStep::RolledBack(RollbackReason::TimeLimit))]
+    {
+        let late = START + 2 * DURATION;
+        let mut store = store_at(RolloutStep::Canary);
+        let mut leader = leader();
+        let hosts: BTreeSet<_> = ["a", "b"].map(Name::from).into();
+        let (versions, recent) = (versions(&["v2"]), None);
+        let started = RolloutInput::Members { hosts, versions, recent };
+        store.feed(&mut leader, started, late);
+        store.feed(&mut leader, RolloutInput::Order(order(1, "v2")), late);
+        for host in ["a", "b"] {
+            let report = store.report(host, false);
+            store.feed(&mut leader, report, late + 1500);
+        }
+        expect_that!(store.step(), some(eq(RolloutStep::Canary)));
+        let live: &[&str] = if back { &["v1", "v2"] } else { &["v2"] };
+        store.feed(&mut leader, members(&["a", "b"], live), late + 10_000);
+        expect_that!(store.step(), some(eq(last)));
+    }
+}
+
+/// Guards against a rollout whose number daemons know from one that the store has lost, so that they do not follow it,
+/// and against a version that is rolled out again because the store lost its rollback.
+#[gtest]
+fn a_rollout_that_the_store_lost_whole_keeps_its_number_and_verdict() {
+    let lost = RolloutState {
+        number: 3,
+        ..rollout(RolloutStep::RolledBack(RollbackReason::BadResponses))
+    };
+    for (order, number, step) in
+        [(order(9, "v2"), 3, lost.step), (order(9, "v3"), 4, RolloutStep::Canary)]
+    {
+        let mut store = Store::with_relays(&["a"]);
+        let mut leader = leader();
+        let started = [
+            members(&["a"], &["v1", "v2", "v3"]),
+            RolloutInput::Followed(share(&lost)),
+            RolloutInput::Order(order.clone()),
+        ];
+        store.feed_all(&mut leader, started, START);
+        let state = store.state.expect("state");
+        expect_that!((state.number, state.step, state.order), eq((number, step, order.id)));
+    }
+}
