Take a rollout back where the version in force is ordered

Cause: before the first completion nothing said which version is in force. The order for v1 was a rollout like any other, with v2 avoided as replaced and nothing left to compare with. And after a rollback no target was admitted where only versions ran that had been rolled back or replaced.

Change: a rollout records the only version that runs beside the ordered one as the one in force; an order for it completes at once. A leader adds the entry to a rollout that was begun without it. Where nothing else is live, all versions serve but those that were rolled back for bad responses, which the state and the shares name (`bad`).

--- a/crates/request/src/choice/versions.rs
+++ b/crates/request/src/choice/versions.rs
@@ -21,6 +21,8 @@
     New,
     /// The few of them that receive the canary share.
     Canary,
+    /// All but those of versions that are known to be bad, where no other group has a live target.
+    Spare,
 }
 
 /// Chooses the version of the target of each request while a rollout of the pool's service is known.
@@ -56,19 +58,24 @@
         rng: &mut SmallRng,
         now: Instant,
     ) -> [Option<VersionGroup>; 2] {
-        use VersionGroup::{Canary, New, Old};
-        // Only if no old target is left, as after a completion that this daemon has not heard of, the new
-        // version serves requests beyond its share.
-        let old_live = || self.has_live_old(targets);
-        match self.share.step {
-            RolloutStep::Complete => return [Some(New), Some(Old)],
-            RolloutStep::RolledBack(_) => return [Some(Old), None],
-            RolloutStep::Canary | RolloutStep::Switch if !old_live() => return [Some(New), None],
-            RolloutStep::Switch if retry => return [Some(Old), None],
-            RolloutStep::Switch => return [Some(New), Some(Old)],
-            RolloutStep::Canary => {}
+        use VersionGroup::{Canary, New, Old, Spare};
+        let live = |group| targets.iter().any(|t| self.admits(group, t) && is_live(&t.endpoint));
+        let old_live = live(Old);
+        match (self.share.step, old_live) {
+            (RolloutStep::Complete, true) => return [Some(New), Some(Old)],
+            (RolloutStep::RolledBack(_), true) => return [Some(Old), None],
+            (RolloutStep::Canary | RolloutStep::Switch, true) if retry => return [Some(Old), None],
+            (RolloutStep::Switch, true) => return [Some(New), Some(Old)],
+            (RolloutStep::Canary, true) => {}
+            // As after a completion that this daemon has not heard of.
+            (RolloutStep::Complete | RolloutStep::Canary | RolloutStep::Switch, false)
+                if live(New) =>
+            {
+                return [Some(New), None];
+            }
+            (_, false) => return [Some(Spare), None],
         }
-        if retry || !self.draw(rng) {
+        if !self.draw(rng) {
             return [Some(Old), None];
         }
         self.set_canaries(targets, now);
@@ -77,7 +84,7 @@
 
     /// Whether targets of another version are live.
     pub(crate) fn has_live_old(&self, targets: &[Target]) -> bool {
-        targets.iter().any(|t| self.is_old(&t.endpoint) && is_live(&t.endpoint))
+        targets.iter().any(|t| self.admits(VersionGroup::Old, t) && is_live(&t.endpoint))
     }
 
     /// Whether the target belongs to the group.
@@ -87,6 +94,7 @@
             VersionGroup::Old => self.is_old(&target.endpoint),
             VersionGroup::New => self.is_new(&target.endpoint),
             VersionGroup::Canary => self.canaries.contains(&target.uid),
+            VersionGroup::Spare => !self.is_bad(&target.endpoint),
         }
     }
 
@@ -100,6 +108,13 @@
         !self.is_new(endpoint) && !endpoint.version.as_ref().is_some_and(avoided)
     }
 
+    /// Whether the target's version responded worse than the one in force.
+    fn is_bad(&self, endpoint: &Endpoint) -> bool {
+        let listed =
+            endpoint.version.as_ref().is_some_and(|version| self.share.bad.contains(version));
+        listed || (self.share.step.is_bad() && self.is_new(endpoint))
+    }
+
     /// Whether the next request goes to the new version. One request of each block does, at a random
     /// position: the share is exact over a block, and requests that arrive in a regular pattern of
     /// routes are sampled evenly.
--- a/crates/request/src/rollout/leader.rs
+++ b/crates/request/src/rollout/leader.rs
@@ -344,7 +344,17 @@
         }
         let version = Some(&order.version);
         let in_force = self.state.as_ref().is_some_and(|state| state.force.as_ref() == version);
-        Some(RolloutState::begin(self.state.as_ref(), order, in_force, self.order_seen))
+        let next = RolloutState::begin(self.state.as_ref(), order, in_force, self.order_seen);
+        let sole = self.sole_old(&next).filter(|_| !in_force);
+        Some(RolloutState { force: sole.or(next.force.clone()), ..next })
+    }
+
+    /// The version of all live targets that have another one than the rollout and may receive requests; `None` if
+    /// there are several or none.
+    fn sole_old(&self, state: &RolloutState) -> Option<Name> {
+        let mut old = self.versions.iter().filter(|version| is_old(version.as_ref(), state));
+        let first = old.next()?;
+        first.clone().filter(|_| old.next().is_none())
     }
 
     /// Takes in a report. Evidence is cumulative, so a lost or reordered report does no harm.
@@ -406,11 +416,20 @@
             return self.finish_unopposed(&state, now, out);
         }
         let next = match state.step {
-            RolloutStep::Canary if self.may_switch(&state, now) => RolloutStep::Switch,
-            RolloutStep::Switch if self.may_complete(&state, now) => RolloutStep::Complete,
+            RolloutStep::Canary if self.may_switch(&state, now) => {
+                state.at_step(RolloutStep::Switch)
+            }
+            RolloutStep::Switch if self.may_complete(&state, now) => {
+                state.at_step(RolloutStep::Complete)
+            }
+            // The rollout was begun by a leader that did not know the version in force.
+            RolloutStep::Canary if state.force.is_none() => match self.sole_old(&state) {
+                Some(force) => RolloutState { force: Some(force), ..state },
+                None => return,
+            },
             _ => return,
         };
-        self.write(state.at_step(next), out);
+        self.write(next, out);
     }
 
     /// Whether no other version is known to compare with or to return to, neither to this leader nor to any daemon
@@ -423,7 +442,7 @@
             return false;
         }
         let (new, all) = self.comparison.attempts();
-        now >= state.limit() || (state.force.is_none() && new == all)
+        now + LAST_COMPLETION >= state.limit() || (state.force.is_none() && new == all)
     }
 
     /// Whether targets of the version that is rolled out are live.
@@ -572,10 +591,12 @@
 
 /// Whether targets of another version than the one that is rolled out may receive requests.
 fn has_old(versions: &BTreeSet<Option<Name>>, state: &RolloutState) -> bool {
-    versions.iter().any(|version| {
-        let version = version.as_ref();
-        version != Some(&state.version) && !version.is_some_and(|v| state.avoid.contains(v))
-    })
+    versions.iter().any(|version| is_old(version.as_ref(), state))
+}
+
+/// Whether a version is another one than that of the rollout, and neither rolled back nor replaced.
+fn is_old(version: Option<&Name>, state: &RolloutState) -> bool {
+    version != Some(&state.version) && !version.is_some_and(|version| state.avoid.contains(version))
 }
 
 fn millis(time: std::time::Duration) -> u64 {
--- a/crates/request/src/rollout/plan.rs
+++ b/crates/request/src/rollout/plan.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Whether it is a rollback because of bad responses.
+    #[must_use]
+    pub const fn is_bad(self) -> bool {
+        matches!(self, Self::RolledBack(RollbackReason::BadResponses))
+    }
+
     /// Whether it is a rollback, for any reason.
     #[must_use]
     pub const fn is_rolled_back(self) -> bool {
@@ -158,12 +164,16 @@
     /// The step.
     #[serde(flatten)]
     pub step: RolloutStep,
-    /// The version that the last complete rollout put in force.
+    /// The version in force: the one that the last complete rollout was for, or the only one that ran beside
+    /// the ordered one.
     #[serde(default)]
     pub force: Option<Name>,
-    /// Versions that were rolled back or whose rollout was replaced. They receive no requests.
+    /// Versions that were rolled back or whose rollout was replaced. They receive no requests while others can.
     #[serde(default)]
     pub avoid: Vec<Name>,
+    /// Those of them that responded worse than the version in force. They receive no requests.
+    #[serde(default)]
+    pub bad: Vec<Name>,
 }
 
 impl RolloutState {
@@ -172,13 +182,16 @@
     #[must_use]
     pub fn begin(old: Option<&Self>, order: &RolloutOrder, in_force: bool, now: u64) -> Self {
         let mut avoid = old.map(|old| old.avoid.clone()).unwrap_or_default();
+        let mut bad = old.map(|old| old.bad.clone()).unwrap_or_default();
         if let Some(old) = old.filter(|old| old.step != RolloutStep::Complete) {
             avoid.retain(|version| *version != old.version);
             avoid.push(old.version.clone());
+            bad.extend(old.step.is_bad().then(|| old.version.clone()));
         }
         avoid.retain(|version| *version != order.version);
         let excess = avoid.len().saturating_sub(MAX_AVOIDED_VERSIONS);
         avoid.drain(..excess);
+        bad.retain(|version| avoid.contains(version));
         let force = old.and_then(|old| old.force.clone());
         Self {
             number: old.map_or(1, |old| old.number + 1),
@@ -189,6 +202,7 @@
             step: if in_force { RolloutStep::Complete } else { RolloutStep::Canary },
             force: if in_force { Some(order.version.clone()) } else { force },
             avoid,
+            bad,
         }
     }
 
@@ -244,6 +258,7 @@
                 RolloutStep::RolledBack(_) => 0,
             },
             avoid: self.avoid.clone(),
+            bad: self.bad.clone(),
         }
     }
 }
@@ -263,9 +278,12 @@
     pub step: RolloutStep,
     /// Per mille of the requests that go to `version`.
     pub share: u32,
-    /// Versions that receive no requests.
+    /// Versions that receive no requests while others can.
     #[serde(default)]
     pub avoid: Vec<Name>,
+    /// Those of them that receive no requests even then.
+    #[serde(default)]
+    pub bad: Vec<Name>,
 }
 
 impl VersionShare {
--- a/crates/request/src/rollout/restore.rs
+++ b/crates/request/src/rollout/restore.rs
@@ -22,7 +22,8 @@
     };
     match best {
         Some(best) if best.number == share.number() => {
-            Some(RolloutState { avoid: share.avoid.clone(), ..best.at_step(share.step) })
+            let (avoid, bad) = (share.avoid.clone(), share.bad.clone());
+            Some(RolloutState { avoid, bad, ..best.at_step(share.step) })
         }
         best => Some(from_share(share, best.as_ref(), order, now)),
     }
@@ -50,5 +51,6 @@
         step: share.step,
         force,
         avoid: share.avoid.clone(),
+        bad: share.bad.clone(),
     }
 }
--- a/crates/request/tests/rollout_orders.rs
+++ b/crates/request/tests/rollout_orders.rs
@@ -1,18 +1,22 @@
-//! Rollouts whose leader knows only a part of the fleet, and rollouts that the store has lost.
+//! Rollouts whose orders cross, whose leader knows only a part of the fleet, or that the store has lost.
 
 #![allow(clippy::expect_used)]
 
+mod support;
+
 use std::{
     collections::{BTreeSet, VecDeque},
     time::Duration,
 };
 
 use dw_request::{
-    Evidence, EvidenceReport, RollbackReason, RolloutAction, RolloutInput, RolloutLeader,
-    RolloutOrder, RolloutPolicy, RolloutState, RolloutStep, VersionHistory, VersionShare,
+    Decision, Endpoint, Evidence, EvidenceReport, RollbackReason, RolloutAction, RolloutInput,
+    RolloutLeader, RolloutOrder, RolloutPolicy, RolloutState, RolloutStep, VersionHistory,
+    VersionShare,
 };
 use dw_tables::Name;
 use googletest::prelude::*;
+use support::{dispatcher, endpoint, get, two_routes};
 use tokio::time::Instant;
 
 const SERVICE: &str = "tally";
@@ -314,3 +318,95 @@
         expect_that!((state.number, state.step, state.order), eq((number, step, order.id)));
     }
 }
+
+/// Guards against an order that takes another one back, by the version that ran before it, and that is tried like a new
+/// one: without a version to compare with, it was rolled back at its time limit, and no version received requests.
+#[gtest]
+fn an_order_for_the_version_in_force_takes_the_rollout_back() {
+    let mut store = Store::with_relays(&["a"]);
+    let mut leader = leader();
+    store.feed(&mut leader, members(&["a"], &["v1", "v2"]), START);
+    store.feed(&mut leader, RolloutInput::Order(order(1, "v2")), START);
+    expect_that!(
+        store.state.as_ref().and_then(|state| state.force.clone()),
+        some(eq(&Name::from("v1")))
+    );
+    store.feed(&mut leader, RolloutInput::Order(order(2, "v1")), START + 3000);
+    store.feed(&mut leader, RolloutInput::Tick, START + 3 * DURATION);
+    let state = store.state.expect("state");
+    expect_that!((state.version.as_str(), state.step), eq(("v1", RolloutStep::Complete)));
+    expect_that!(state.avoid, elements_are![eq(&Name::from("v2"))]);
+}
+
+/// Guards against the same where the rollout was begun by a leader that did not know the version in force, or by one of
+/// an earlier release, and against a version that nobody ordered and that is taken for the one in force.
+#[gtest]
+fn a_leader_that_knows_the_version_in_force_stores_it() {
+    for (live, force) in
+        [(vec!["v1", "v2"], Some("v1")), (vec!["v1", "v2", "v3"], None), (vec!["v2"], None)]
+    {
+        let mut store = store_at(RolloutStep::Canary);
+        let mut leader = leader();
+        store.feed(&mut leader, members(&["a", "b"], &live), START);
+        store.feed(&mut leader, RolloutInput::Order(order(1, "v2")), START + 100);
+        let state = store.state.expect("state");
+        expect_that!(state.force, eq(&force.map(Name::from)), "{live:?}");
+        expect_that!(state.step, eq(RolloutStep::Canary));
+    }
+}
+
+/// Guards against a service all of whose requests are refused while targets run that are not known to be bad, and
+/// against requests to a version that is.
+#[gtest]
+fn a_version_that_is_not_bad_serves_where_no_other_does() {
+    use RollbackReason::{Aborted, BadResponses, TimeLimit};
+    use RolloutStep::{Canary, Complete, RolledBack, Switch};
+    let now = Instant::now();
+    let target = |version: &&str| Endpoint {
+        version: Some((*version).into()),
+        ..endpoint(version, "portland", "new-england", now)
+    };
+    // The rollout is that of v2; v3 was replaced and v4 was bad.
+    for (live, step, serves) in [
+        (vec!["v1", "v2"], RolledBack(TimeLimit), Some("v1")),
+        (vec!["v2"], RolledBack(TimeLimit), Some("v2")),
+        (vec!["v2"], RolledBack(Aborted), Some("v2")),
+        (vec!["v2"], RolledBack(BadResponses), None),
+        (vec!["v2", "v3"], RolledBack(BadResponses), Some("v3")),
+        (vec!["v2", "v3", "v4"], RolledBack(BadResponses), Some("v3")),
+        (vec!["v4"], RolledBack(TimeLimit), None),
+        (vec!["v2", "v3"], Canary, Some("v2")),
+        (vec!["v3"], Canary, Some("v3")),
+        (vec!["v3", "v4"], Switch, Some("v3")),
+        (vec!["v3"], Complete, Some("v3")),
+        (vec!["v4"], Complete, None),
+        (vec!["v2", "v3", "v4"], Complete, Some("v2")),
+    ] {
+        let mut dispatcher = dispatcher(1, two_routes(), live.iter().map(target).collect());
+        let (avoid, bad) = (vec!["v3".into(), "v4".into()], vec!["v4".into()]);
+        let share = VersionShare { avoid, bad, ..share(&rollout(step)) };
+        dispatcher.set_share(share, now);
+        for _ in 0..50 {
+            let served = match dispatcher.begin(get("/lookup"), now) {
+                Decision::Forward(attempt) => Some(attempt.endpoint.host.to_string()),
+                Decision::Refuse(_) => None,
+            };
+            expect_that!(served.as_deref(), eq(serves), "{live:?} {step:?}");
+        }
+    }
+}
+
+/// Guards against a bad version that is forgotten once it was replaced, and then serves where no other version does.
+#[gtest]
+fn a_bad_version_stays_bad_until_it_is_ordered_again() {
+    let bad = rollout(RolloutStep::RolledBack(RollbackReason::BadResponses));
+    let late = rollout(RolloutStep::RolledBack(RollbackReason::TimeLimit));
+    let next = |state: &RolloutState, version: &str| {
+        let next = RolloutState::begin(Some(state), &order(2, version), false, START);
+        (next.avoid, next.bad)
+    };
+    let v2 = || vec![Name::from("v2")];
+    expect_that!(next(&bad, "v3"), eq(&(v2(), v2())));
+    expect_that!(next(&late, "v3"), eq(&(v2(), vec![])));
+    expect_that!(next(&bad, "v2"), eq(&(vec![], vec![])));
+}
