Accept a request again that a target answers

Cause: a request that was in flight at two deaths was taken for one that crashes targets. All reads of one path are one request, which is in flight at every target; answers counted only between the two reports, which came within milliseconds; and nothing took the verdict back.

Change: an answer proves that targets survive a request. Daemons remember the answers of the last 10 s, whose requests are no suspects, and an answer to a refused request withdraws the refusal on all daemons (a new field of the broadcast, which earlier releases ignore).

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -117,8 +117,9 @@
                 self.view.send_modify(|view| view.members = members);
             }
             Action::Poison { fingerprint, left } => {
-                self.proxy.refuse_fingerprint(fingerprint, left);
+                self.proxy.learn_poison(fingerprint, left);
             }
+            Action::WithdrawPoison(fingerprint) => self.proxy.accept_fingerprint(fingerprint),
             // The node reports it in its status and logs it.
             Action::Refused(_) => {}
             Action::FormerTargets(tombstones) => {
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -227,8 +227,43 @@
         self.members.send_replace(table);
     }
 
-    /// Refuses requests with a fingerprint that another daemon found to be poisoned.
-    pub(crate) fn refuse_fingerprint(&self, fingerprint: dw_mesh::Fingerprint, left: Duration) {
+    /// Refuses requests with a fingerprint that another daemon found to be poisoned, unless a target has just answered
+    /// such a request.
+    pub(crate) fn learn_poison(&self, fingerprint: dw_mesh::Fingerprint, left: Duration) {
+        if self.dispatcher().poison_mut().was_answered(fingerprint.0, Instant::now()) {
+            return self.withdraw_poison(fingerprint);
+        }
+        self.refuse_fingerprint(fingerprint, left);
+    }
+
+    /// Accepts requests with a fingerprint again, which a target has answered.
+    pub(crate) fn accept_fingerprint(&self, fingerprint: dw_mesh::Fingerprint) {
+        lock(&self.poisoned).remove(&fingerprint.0);
+        self.dispatcher().poison_mut().withdraw(fingerprint.0, Instant::now());
+    }
+
+    /// Records that a target answered a request, which is no poison then.
+    fn record_answer(&self, fingerprint: Fingerprint) {
+        let fingerprint = dw_mesh::Fingerprint(fingerprint.short());
+        let refused = lock(&self.poisoned).remove(&fingerprint.0).is_some();
+        if refused {
+            self.withdraw_poison(fingerprint);
+        }
+    }
+
+    /// Tells the fleet that a request that it refuses was answered.
+    fn withdraw_poison(&self, fingerprint: dw_mesh::Fingerprint) {
+        let withdrawn = Event::new(Kind::PoisonWithdrawn)
+            .with(Field::Fingerprint, format!("{:016x}", fingerprint.0));
+        self.log.write(&withdrawn);
+        if let Some(node) = self.node.get() {
+            let event = LocalEvent::PoisonAnswered(fingerprint);
+            // If the queue is full, the next answer to such a request is told.
+            let _ = node.try_send(NodeMessage::Input(Input::Local(event)));
+        }
+    }
+
+    fn refuse_fingerprint(&self, fingerprint: dw_mesh::Fingerprint, left: Duration) {
         let now = Instant::now();
         let mut poisoned = lock(&self.poisoned);
         poisoned.retain(|_, until| now < *until);
@@ -468,11 +503,11 @@
     fn is_poisoned(&self, fingerprint: Fingerprint) -> bool {
         let poisoned = lock(&self.poisoned);
         !poisoned.is_empty()
-            && poisoned.get(&broadcast_part(fingerprint)).is_some_and(|at| Instant::now() < *at)
+            && poisoned.get(&fingerprint.short()).is_some_and(|at| Instant::now() < *at)
     }
 
     fn broadcast_poison(&self, fingerprint: Fingerprint) {
-        let fingerprint = dw_mesh::Fingerprint(broadcast_part(fingerprint));
+        let fingerprint = dw_mesh::Fingerprint(fingerprint.short());
         let poisoned =
             Event::new(Kind::Poisoned).with(Field::Fingerprint, format!("{:016x}", fingerprint.0));
         self.log.write(&poisoned);
@@ -520,14 +555,6 @@
     response.map(|body| TrackedBody::new(body, move |_| drop(guard)).boxed_unsync())
 }
 
-/// The part of a fingerprint that is broadcast.
-fn broadcast_part(fingerprint: Fingerprint) -> u64 {
-    let bytes = fingerprint.to_bytes();
-    let mut part = [0; 8];
-    part.copy_from_slice(&bytes[..8]);
-    u64::from_be_bytes(part)
-}
-
 /// The log event for a change that a target reported about itself.
 fn report_event(target: &LocalTarget, state: &'static str) -> Event {
     Event::new(Kind::TargetReported)
--- a/crates/daemon/src/proxy/forward.rs
+++ b/crates/daemon/src/proxy/forward.rs
@@ -192,6 +192,11 @@
             if let Some((reason, ran)) = failure_of(&outcome) {
                 call.trace.record(|| events::failed(&attempt, reason, ran, sent, detail));
             }
+            if let (AttemptOutcome::Answered { .. }, Some(fingerprint)) =
+                (&outcome, call.fingerprint())
+            {
+                self.record_answer(fingerprint);
+            }
             match pending.settle(&outcome) {
                 Next::Deliver => {
                     return response.ok_or_else(|| Refusal::new(Reason::ProtocolError));
--- a/crates/daemon/tests/failures.rs
+++ b/crates/daemon/tests/failures.rs
@@ -4,12 +4,18 @@
 
 mod support;
 
+use std::{net::SocketAddr, time::Duration};
+
 use dw_daemon::{Running, TargetSettings};
 use dw_fakes::{RunningStandin, Standin};
 use googletest::prelude::*;
 use support::{
     Behaviour, RawTarget, get, header, post, publish, send, send_once, settings, start, target,
 };
+use tokio::{
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
 
 /// A daemon that is connected to the platform, and others of its domain that have joined through it.
 async fn fleet<const N: usize>(
@@ -115,6 +121,44 @@
     Ok(())
 }
 
+/// Whether a daemon refuses a request at once since it crashed targets. One that it accepts may be held by a target.
+async fn is_refused_as_poison(addr: SocketAddr) -> bool {
+    let response = timeout(Duration::from_millis(500), send(addr, get("/lookup"))).await;
+    response.is_ok_and(|response| header(&response, "damaskwick-reason") == "poisoned")
+}
+
+/// Guards against a popular request that is refused on every daemon for ten minutes because it was in flight at two
+/// targets that crashed, although a third one answers it.
+#[gtest]
+#[tokio::test]
+async fn accepts_a_request_again_that_a_target_answers() -> Result<()> {
+    use Behaviour::{Die, Hold};
+    let raws =
+        [RawTarget::start(Hold).await, RawTarget::start(Die).await, RawTarget::start(Die).await];
+    let (_standin, first, mut others) = fleet(None, [("p2", Some(&raws[0]))]).await;
+    let addrs = [first.addrs().callers, others[0].addrs().callers];
+    let mut held = vec![tokio::spawn(send(addrs[0], get("/lookup")))];
+    raws[0].arrived.notified().await;
+    for (host, raw) in ["p3", "p4"].into_iter().zip(&raws[1..]) {
+        let mut settings = settings(host, "portland").with_join(vec![first.addrs().peers]);
+        settings.targets = vec![target("tally", raw.addr)];
+        others.push(start(settings).await);
+    }
+    while raws.iter().any(|raw| raw.count() == 0) {
+        held.push(tokio::spawn(send(addrs[0], get("/lookup"))));
+        sleep(Duration::from_millis(5)).await;
+    }
+    for addr in addrs {
+        while !is_refused_as_poison(addr).await {}
+    }
+    raws[0].release.notify_waiters();
+    for addr in addrs {
+        while is_refused_as_poison(addr).await {}
+    }
+    held.iter().for_each(JoinHandle::abort);
+    Ok(())
+}
+
 /// Guards against a leaving daemon that accepts requests from a daemon with stale membership. It must
 /// refuse them as not run (P5, P7).
 #[gtest]
--- a/crates/log/src/event.rs
+++ b/crates/log/src/event.rs
@@ -96,6 +96,9 @@
     NotRun = "not-run", Warn;
     /// This daemon refuses a request that was in flight at targets when they died.
     Poisoned = "poisoned", Warn;
+    /// A target answered a request that is refused since it was in flight at targets when they died; all daemons are
+    /// told to accept it again.
+    PoisonWithdrawn = "poison-withdrawn", Warn;
     /// A request detected that its target had died.
     TargetDied = "target-died", Warn;
     /// A report of a target changed what is known about it.
--- a/crates/mesh/src/broadcast.rs
+++ b/crates/mesh/src/broadcast.rs
@@ -34,6 +34,8 @@
     poison: Vec<u64>,
     /// Fingerprints that another part of the fleet found while it was cut off.
     pub(crate) earlier_poison: Vec<PoisonLeft>,
+    /// Fingerprints that were taken for poison and are to be withdrawn.
+    pub(crate) withdrawn_poison: Vec<u64>,
     bucket: TokenBucket,
     /// Ids of broadcasts whose events were processed.
     seen: VecDeque<u64>,
@@ -48,6 +50,7 @@
             hosts: BTreeSet::new(),
             poison: Vec::new(),
             earlier_poison: Vec::new(),
+            withdrawn_poison: Vec::new(),
             bucket: TokenBucket::new(BROADCASTS_PER_SECOND, BROADCAST_BURST, now),
             seen: VecDeque::new(),
             forwarded: VecDeque::new(),
@@ -98,8 +101,10 @@
 
     /// Starts a broadcast of all queued events.
     pub(crate) fn run_broadcasts(&mut self) {
-        let BroadcastQueue { hosts, poison, earlier_poison, .. } = &self.broadcasts;
-        if hosts.is_empty() && poison.is_empty() && earlier_poison.is_empty() {
+        let BroadcastQueue { hosts, poison, earlier_poison, withdrawn_poison, .. } =
+            &self.broadcasts;
+        let told = !(poison.is_empty() && earlier_poison.is_empty() && withdrawn_poison.is_empty());
+        if hosts.is_empty() && !told {
             return;
         }
         let leaving = self.me.state == MemberState::Left;
@@ -122,6 +127,7 @@
             members,
             poison: std::mem::take(&mut self.broadcasts.poison),
             earlier_poison: std::mem::take(&mut self.broadcasts.earlier_poison),
+            withdrawn_poison: std::mem::take(&mut self.broadcasts.withdrawn_poison),
         };
         remember(&mut self.broadcasts.seen, broadcast.id);
         self.forward_broadcast(&broadcast);
@@ -148,6 +154,9 @@
             self.learn_broadcast_poison(Fingerprint(*fingerprint));
         }
         self.learn_poison(&broadcast.earlier_poison);
+        for fingerprint in broadcast.withdrawn_poison.iter().take(POISON_LIMIT) {
+            self.learn_withdrawn_poison(Fingerprint(*fingerprint));
+        }
         if self.acts_as_relay() && *broadcast.domain == **self.me.domain {
             self.forward_to_domains(broadcast);
         }
--- a/crates/mesh/src/io.rs
+++ b/crates/mesh/src/io.rs
@@ -241,6 +241,8 @@
     },
     /// A fingerprint to broadcast to the fleet.
     Poison(Fingerprint),
+    /// A target answered a request that the fleet refuses as poison.
+    PoisonAnswered(Fingerprint),
     /// The status is about to be read. A node that is not a relay fetches it from one within a
     /// round trip and refreshes it every second for 30 s.
     StatusRequested,
@@ -282,6 +284,8 @@
         /// How long to refuse them.
         left: Duration,
     },
+    /// Accept requests with a fingerprint again.
+    WithdrawPoison(Fingerprint),
     /// Report a refused version.
     Refused(RefusedVersion),
     /// Ignore reports of these targets on this host. A peer knows them from the earlier process here, and from no
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -232,6 +232,7 @@
                 }
             }
             LocalEvent::Poison(fingerprint) => self.broadcast_poison(fingerprint),
+            LocalEvent::PoisonAnswered(fingerprint) => self.withdraw_poison(fingerprint),
             LocalEvent::StatusRequested => self.on_status_request(),
         }
     }
--- a/crates/mesh/tests/faults.rs
+++ b/crates/mesh/tests/faults.rs
@@ -442,6 +442,31 @@
     }
 }
 
+/// Guards against daemons that go on refusing a request that a target has answered, and against one that joins, or was cut
+/// off, and brings the refusal back.
+#[test]
+fn withdrawn_poison_is_accepted_everywhere() {
+    let mut world = world(26);
+    world.local(6, LocalEvent::Poison(Fingerprint(42)));
+    world.run(secs(1));
+    let (cut, rest) =
+        (world.domain("domain-2"), [world.domain("domain-0"), world.domain("domain-1")].concat());
+    world.cut(&cut, &rest);
+    world.cut(&rest, &cut);
+    // Several daemons have seen the answers.
+    for id in &rest[..4] {
+        world.local(*id, LocalEvent::PoisonAnswered(Fingerprint(42)));
+    }
+    world.run(secs(3));
+    assert!(rest.iter().all(|id| !world.hosts[*id].poison.contains(&42)));
+    world.cuts.clear();
+    world.crash(rest[0]);
+    world.run(secs(2));
+    world.start(rest[0]);
+    world.run(secs(20));
+    assert!(rest.iter().all(|id| !world.hosts[*id].poison.contains(&42)));
+}
+
 /// Guards against a status that only relays can report.
 #[test]
 fn any_daemon_reports_the_status() {
--- a/crates/mesh/tests/harness/mod.rs
+++ b/crates/mesh/tests/harness/mod.rs
@@ -445,6 +445,9 @@
             Action::Publish(version) => self.check_published(id, &version),
             Action::Count(counter) => *self.hosts[id].counts.entry(counter).or_default() += 1,
             Action::Poison { fingerprint, .. } => self.hosts[id].poison.push(fingerprint.0),
+            Action::WithdrawPoison(fingerprint) => {
+                self.hosts[id].poison.retain(|known| *known != fingerprint.0);
+            }
             Action::Log(event) => {
                 if std::env::var_os("MESH_LOG").is_some() {
                     let at = self.now.duration_since(self.status_checked).as_millis();
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -428,7 +428,7 @@
         }
         if let (AttemptOutcome::Answered { .. }, Some(fingerprint)) = (outcome, request.fingerprint)
         {
-            self.poison.clear_suspicion(fingerprint);
+            self.poison.record_answer(fingerprint, now);
         }
         self.rollouts.record(&request.endpoint, &request.route.name, outcome, fair, now);
         let reroutable = self.is_reroutable(outcome);
--- a/crates/request/src/fingerprint.rs
+++ b/crates/request/src/fingerprint.rs
@@ -37,6 +37,12 @@
         self.0.to_be_bytes()
     }
 
+    /// The part of the fingerprint by which daemons tell each other of the request.
+    #[must_use]
+    pub const fn short(self) -> u64 {
+        (self.0 >> 64) as u64
+    }
+
     /// Hashes each part with its length, so that `("a", "bc")` and `("ab", "c")` differ.
     fn digest(parts: &[&[u8]]) -> Self {
         let mut hasher = Sha256::new();
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -5,6 +5,7 @@
 //! and a [`Keeper`] for the idempotency keys of a failure domain. Time is passed in as an argument
 //! and random numbers come from seeded generators; this crate opens no sockets and spawns no tasks.
 
+mod answered;
 mod capacity;
 mod choice;
 mod dispatcher;
--- a/crates/request/src/poison.rs
+++ b/crates/request/src/poison.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::Fingerprint;
+use crate::{Fingerprint, answered::AnsweredRequests};
 
 /// Maximum number of distinct requests in flight at the death of a target for which all of them become
 /// suspects. With more, coincidences would cause popular requests to be refused.
@@ -47,8 +47,12 @@
 }
 
 /// Detects poison requests, which crash the targets that run them, and refuses them for some time.
+///
+/// A request is refused if it was in flight at the deaths of two targets and no target has answered it, which a poison
+/// request never lets one do. An answer that comes later withdraws the refusal.
 #[derive(Debug, Default)]
 pub struct PoisonList {
+    answered: AnsweredRequests,
     deaths: VecDeque<(Instant, Suspects)>,
     refused: HashMap<Fingerprint, Instant>,
 }
@@ -93,8 +97,10 @@
             self.deaths.len() - 1
         });
         let old = self.deaths[at].1.fingerprints.clone();
+        let reported = suspects.fingerprints.iter().take(MAX_POISON_SUSPECTS + 1);
+        let unanswered = reported.filter(|fingerprint| !self.answered.contains(**fingerprint, now));
         let entry = &mut self.deaths[at].1;
-        entry.fingerprints.extend(suspects.fingerprints.iter().take(MAX_POISON_SUSPECTS + 1));
+        entry.fingerprints.extend(unanswered);
         entry.fingerprints.sort_unstable();
         entry.fingerprints.dedup();
         entry.too_many |= suspects.too_many || entry.fingerprints.len() > MAX_POISON_SUSPECTS;
@@ -116,14 +122,30 @@
         new
     }
 
-    /// Records that a target answered the request: earlier deaths no longer count against it. Otherwise
-    /// two unrelated crashes within ten minutes would cause a popular request to be refused.
-    pub fn clear_suspicion(&mut self, fingerprint: Fingerprint) {
+    /// Records that a target answered the request: earlier deaths, and those of the next seconds, don't count against
+    /// it. Otherwise targets that crash at once, or two unrelated crashes within ten minutes, would cause a popular
+    /// request to be refused.
+    pub fn record_answer(&mut self, fingerprint: Fingerprint, now: Instant) {
+        self.withdraw(fingerprint.short(), now);
+    }
+
+    /// Allows a request of which another daemon told, by the short form of its fingerprint, that a target answered it.
+    pub fn withdraw(&mut self, fingerprint: u64, now: Instant) {
+        self.answered.record(fingerprint, now);
         for (_, suspects) in &mut self.deaths {
-            suspects.fingerprints.retain(|suspect| *suspect != fingerprint);
+            suspects.fingerprints.retain(|suspect| suspect.short() != fingerprint);
+        }
+        if !self.refused.is_empty() {
+            self.refused.retain(|refused, _| refused.short() != fingerprint);
         }
     }
 
+    /// Whether a target has answered the request in the last seconds, by the short form of its fingerprint.
+    #[must_use]
+    pub fn was_answered(&self, fingerprint: u64, now: Instant) -> bool {
+        self.answered.contains_short(fingerprint, now)
+    }
+
     /// Whether the request was in flight at the deaths of two different targets.
     fn is_poison(&self, fingerprint: Fingerprint) -> bool {
         let mut deaths = self.deaths.iter().filter(|(_, s)| s.fingerprints.contains(&fingerprint));
--- a/crates/request/tests/poison.rs
+++ b/crates/request/tests/poison.rs
@@ -151,3 +151,62 @@
     }
     expect_that!(refused(d.begin(popular, now)).reason, eq(Reason::Poisoned));
 }
+
+/// Guards against refusing a request that many callers send for ten minutes, because two targets crashed at once while
+/// it was in flight there.
+#[gtest]
+fn a_popular_request_at_targets_that_crash_at_once_is_not_refused() {
+    let start = Instant::now();
+    let hosts = ["a", "b", "c"].map(|host| endpoint(host, "portland", "new-england", start));
+    let mut d = dispatcher(1, two_routes(), hosts.to_vec());
+    let popular = RequestInfo { body_hash: Some(&[7; 32]), ..get("/lookup") };
+    let attempt = forwarded(d.begin(popular, start));
+    d.settle(attempt.id, answered(200), start + ms(350));
+    for (after, refused) in [(1_000, false), (5_000, false), (20_000, true)] {
+        let now = start + ms(after);
+        for host in ["a", "b"] {
+            let attempt = forwarded(d.begin(popular, now));
+            d.settle(attempt.id, unknown(Reason::TargetDied), now);
+            d.poison_mut().report(death(host, after), popular.fingerprint(), now);
+        }
+        let decision = d.begin(popular, now + ms(1));
+        // Without an answer for longer, two deaths count.
+        expect_that!(matches!(decision, Decision::Refuse(_)), eq(refused), "{after} ms");
+    }
+}
+
+/// Guards against a refusal that stands although a target answers the request, which was in flight there when the
+/// others died, and against one that is taken over from a daemon that does not know of the answer.
+#[gtest]
+fn an_answer_withdraws_the_refusal() {
+    let now = Instant::now();
+    let suspect = fingerprint(7);
+    let mut poison = PoisonList::default();
+    for host in ["a", "b"] {
+        poison.merge(&report(host, 1, [7, 8]), now);
+    }
+    expect_that!(poison.refuses(suspect, now), eq(true));
+    expect_that!(poison.was_answered(suspect.short(), now), eq(false));
+    poison.record_answer(suspect, now + ms(300));
+    expect_that!(poison.refuses(suspect, now + ms(300)), eq(false));
+    expect_that!(poison.refuses(fingerprint(8), now + ms(300)), eq(true));
+    expect_that!(poison.was_answered(suspect.short(), now + ms(10_299)), eq(true));
+    expect_that!(poison.was_answered(suspect.short(), now + ms(10_300)), eq(false));
+
+    let mut other = PoisonList::default();
+    for host in ["a", "b"] {
+        other.merge(&report(host, 1, [7]), now);
+    }
+    other.withdraw(suspect.short(), now + ms(400));
+    expect_that!(other.refuses(suspect, now + ms(400)), eq(false));
+}
+
+/// Guards against answers that are remembered without a bound.
+#[gtest]
+fn only_the_latest_answers_are_remembered() {
+    let now = Instant::now();
+    let mut poison = PoisonList::default();
+    (0..5000).for_each(|number| poison.record_answer(fingerprint(number), now));
+    let known = |number| poison.was_answered(fingerprint(number).short(), now);
+    expect_that!([known(0), known(903), known(904), known(4999)], eq([false, false, true, true]));
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -269,6 +269,9 @@
     /// Poison requests that were found where the sender was cut off from.
     #[prost(message, repeated, tag = "8")]
     pub earlier_poison: Vec<PoisonLeft>,
+    /// Requests that were taken for poison and that a target has answered.
+    #[prost(fixed64, repeated, tag = "9")]
+    pub withdrawn_poison: Vec<u64>,
 }
 
 /// A version that was refused.
