--- a/crates/request/src/rollout.rs
+++ b/crates/request/src/rollout.rs
@@ -5,6 +5,7 @@
 mod evidence;
 mod history;
 mod holder;
+mod io;
 mod leader;
 mod plan;
 mod relays;
@@ -16,7 +17,8 @@
 pub use evidence::{Evidence, EvidenceReport, RouteEvidence, Tally};
 pub use history::VersionHistory;
 pub use holder::{OldTargets, RolloutHolder};
-pub use leader::{RolloutAction, RolloutInput, RolloutLeader};
+pub use io::{RolloutAction, RolloutInput};
+pub use leader::RolloutLeader;
 pub use plan::{
     MAX_AVOIDED_VERSIONS, RollbackReason, RolloutOrder, RolloutPolicy, RolloutState, RolloutStep,
     VersionShare,
