Name the last group of versions a fallback, and bound queued withdrawals

Read as a newcomer would: "spare" says nothing of when the group is used. A broadcast carries at most 64 withdrawn fingerprints, so no more are queued, as with those that are told.

--- a/crates/mesh/src/poison.rs
+++ b/crates/mesh/src/poison.rs
@@ -113,7 +113,8 @@
 
     /// Tells all members that a target has answered a request that is refused.
     pub(crate) fn withdraw_poison(&mut self, fingerprint: Fingerprint) {
-        if self.poison.withdraw(fingerprint.0, self.now) {
+        let room = self.broadcasts.withdrawn_poison.len() < POISON_LIMIT;
+        if self.poison.withdraw(fingerprint.0, self.now) && room {
             self.broadcasts.withdrawn_poison.push(fingerprint.0);
             let delay = self.jitter(WITHDRAWAL_SPREAD);
             self.timers.set_no_later(Timer::Broadcast, self.now + delay);
--- a/crates/request/src/choice/versions.rs
+++ b/crates/request/src/choice/versions.rs
@@ -22,7 +22,7 @@
     /// The few of them that receive the canary share.
     Canary,
     /// All but those of versions that are known to be bad, where no other group has a live target.
-    Spare,
+    Fallback,
 }
 
 /// Chooses the version of the target of each request while a rollout of the pool's service is known.
@@ -58,7 +58,7 @@
         rng: &mut SmallRng,
         now: Instant,
     ) -> [Option<VersionGroup>; 2] {
-        use VersionGroup::{Canary, New, Old, Spare};
+        use VersionGroup::{Canary, Fallback, New, Old};
         let live = |group| targets.iter().any(|t| self.admits(group, t) && is_live(&t.endpoint));
         let old_live = live(Old);
         match (self.share.step, old_live) {
@@ -67,13 +67,13 @@
             (RolloutStep::Canary | RolloutStep::Switch, true) if retry => return [Some(Old), None],
             (RolloutStep::Switch, true) => return [Some(New), Some(Old)],
             (RolloutStep::Canary, true) => {}
-            // As after a completion that this daemon has not heard of.
+            // The old targets have stopped, as after a completion that this daemon has not heard of.
             (RolloutStep::Complete | RolloutStep::Canary | RolloutStep::Switch, false)
                 if live(New) =>
             {
                 return [Some(New), None];
             }
-            (_, false) => return [Some(Spare), None],
+            (_, false) => return [Some(Fallback), None],
         }
         if !self.draw(rng) {
             return [Some(Old), None];
@@ -94,7 +94,7 @@
             VersionGroup::Old => self.is_old(&target.endpoint),
             VersionGroup::New => self.is_new(&target.endpoint),
             VersionGroup::Canary => self.canaries.contains(&target.uid),
-            VersionGroup::Spare => !self.is_bad(&target.endpoint),
+            VersionGroup::Fallback => !self.is_bad(&target.endpoint),
         }
     }
 
